--- /dev/null
+++ b/src/sesamepost/internal/ownership/assignment.py
@@ -0,0 +1,193 @@
+"""The assignment document of one service."""
+
+import sys
+from array import array
+from dataclasses import dataclass
+
+import msgpack
+
+from sesamepost.internal.identity import NodeId
+
+NO_OWNER = 0xFFFF
+MAX_PARTITIONS = 4096
+MAX_EXCEPTIONS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """The owner of a key, the fencing number and the start of its records.
+
+    ``epoch`` is the document version at which the key last changed owner.
+    ``coverage_epoch`` is the version of the last change that lost the idempotency
+    records of the previous owner.
+    """
+
+    owner: NodeId | None
+    partition: int
+    epoch: int
+    coverage_epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyException:
+    """A hot key that has another owner than its partition."""
+
+    owner: int
+    epoch: int
+    coverage_epoch: int
+
+
+class Assignment:
+    """Owner and epochs of every partition of one service.
+
+    The arrays have one entry for each partition: an index into ``nodes`` (or
+    ``NO_OWNER``) and two document versions. Owners change only through
+    ``next_version``, which takes the version that the compare-and-swap will create.
+    """
+
+    __slots__ = (
+        "coverage_epochs",
+        "epochs",
+        "exceptions",
+        "nodes",
+        "owners",
+        "service",
+        "version",
+    )
+
+    def __init__(self, service: str, partitions: int) -> None:
+        if partitions & (partitions - 1) or not 1 <= partitions <= MAX_PARTITIONS:
+            raise ValueError(
+                f"partitions must be a power of two up to {MAX_PARTITIONS}, "
+                f"not {partitions}"
+            )
+        self.service = service
+        self.version = 0
+        self.nodes: list[NodeId] = []
+        self.owners = array("H", [NO_OWNER]) * partitions
+        self.epochs = array("I", [0]) * partitions
+        self.coverage_epochs = array("I", [0]) * partitions
+        self.exceptions: dict[int, KeyException] = {}
+
+    def __len__(self) -> int:
+        return len(self.owners)
+
+    def partition_of(self, key_hash: int) -> int:
+        """Return the partition of a key's hash."""
+        return key_hash & (len(self.owners) - 1)
+
+    def owner_of_partition(self, partition: int) -> NodeId | None:
+        """Return the node that owns a partition, hot keys aside."""
+        index = self.owners[partition]
+        return None if index == NO_OWNER else self.nodes[index]
+
+    def find(self, key_hash: int) -> Placement:
+        """Return the placement of the key with this hash."""
+        partition = self.partition_of(key_hash)
+        entry = self.exceptions.get(key_hash)
+        if entry is not None:
+            return Placement(
+                self.nodes[entry.owner], partition, entry.epoch, entry.coverage_epoch
+            )
+        return Placement(
+            self.owner_of_partition(partition),
+            partition,
+            self.epochs[partition],
+            self.coverage_epochs[partition],
+        )
+
+    def copy(self) -> "Assignment":
+        """Return an independent copy, to be changed and written as a new version."""
+        return Assignment.decode(self.service, self.version, self.encode())
+
+    def node_index(self, node: NodeId) -> int:
+        """Return the index of ``node`` in the node table, adding it if needed."""
+        if node in self.nodes:
+            return self.nodes.index(node)
+        used = set(self.owners) | {e.owner for e in self.exceptions.values()}
+        for index in range(len(self.nodes)):
+            if index not in used:
+                self.nodes[index] = node
+                return index
+        self.nodes.append(node)
+        return len(self.nodes) - 1
+
+    def set_partition_owner(
+        self, partition: int, node: NodeId, version: int, records_kept: bool
+    ) -> None:
+        """Give a partition to ``node`` in the document version ``version``."""
+        self.owners[partition] = self.node_index(node)
+        self.epochs[partition] = version
+        if not records_kept:
+            self.coverage_epochs[partition] = version
+
+    def set_key_owner(
+        self, key_hash: int, node: NodeId, version: int, records_kept: bool
+    ) -> None:
+        """Give one hot key to ``node`` in the document version ``version``."""
+        if key_hash not in self.exceptions and len(self.exceptions) >= MAX_EXCEPTIONS:
+            raise ValueError(f"more than {MAX_EXCEPTIONS} hot keys in {self.service}")
+        coverage = self.find(key_hash).coverage_epoch if records_kept else version
+        self.exceptions[key_hash] = KeyException(
+            self.node_index(node), version, coverage
+        )
+
+    def remove_key_owner(self, key_hash: int, version: int, records_kept: bool) -> None:
+        """Return a hot key to the owner of its partition.
+
+        The epoch of the partition rises, since its owner ignores a key that it
+        released until it sees a higher epoch.
+        """
+        entry = self.exceptions.pop(key_hash)
+        partition = self.partition_of(key_hash)
+        self.epochs[partition] = version
+        self.coverage_epochs[partition] = max(
+            self.coverage_epochs[partition],
+            entry.coverage_epoch if records_kept else version,
+        )
+
+    def encode(self) -> bytes:
+        """Return the body of the document."""
+        return msgpack.packb(
+            [
+                [list(node) for node in self.nodes],
+                _to_bytes(self.owners),
+                _to_bytes(self.epochs),
+                _to_bytes(self.coverage_epochs),
+                [
+                    [key_hash, entry.owner, entry.epoch, entry.coverage_epoch]
+                    for key_hash, entry in sorted(self.exceptions.items())
+                ],
+            ]
+        )
+
+    @classmethod
+    def decode(cls, service: str, version: int, body: bytes) -> "Assignment":
+        """Return the assignment in a document's body."""
+        nodes, owners, epochs, coverage_epochs, exceptions = msgpack.unpackb(body)
+        self = cls(service, len(owners) // 2)
+        self.version = version
+        self.nodes = [NodeId(vm, incarnation) for vm, incarnation in nodes]
+        self.owners = _from_bytes("H", owners)
+        self.epochs = _from_bytes("I", epochs)
+        self.coverage_epochs = _from_bytes("I", coverage_epochs)
+        self.exceptions = {
+            key_hash: KeyException(owner, epoch, coverage)
+            for key_hash, owner, epoch, coverage in exceptions
+        }
+        return self
+
+
+def _to_bytes(values: array) -> bytes:
+    if sys.byteorder == "little":
+        return values.tobytes()
+    swapped = array(values.typecode, values)
+    swapped.byteswap()
+    return swapped.tobytes()
+
+
+def _from_bytes(typecode: str, data: bytes) -> array:
+    values = array(typecode, data)
+    if sys.byteorder == "big":
+        values.byteswap()
+    return values
--- /dev/null
+++ b/src/sesamepost/internal/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Streams of msgpack messages between daemons."""
--- /dev/null
+++ b/src/sesamepost/internal/wire/handshake.py
@@ -0,0 +1,78 @@
+"""Mutual proof of the peers' key when a stream opens.
+
+Each side sends a ``Hello`` with a nonce and then a ``Proof``: an HMAC over its role,
+both nonces and both identities. The role keeps a proof from being sent back to its
+author as the answer.
+"""
+
+import hashlib
+import hmac
+import secrets
+
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.wire.messages import (
+    PROTOCOL_VERSION,
+    Hello,
+    Proof,
+    ProtocolError,
+)
+
+NONCE_BYTES = 16
+HANDSHAKE_TIMEOUT_S = 2.0
+
+
+class Handshake:
+    """The state of one side while a stream opens."""
+
+    __slots__ = ("dialer", "expected", "hello", "key", "peer", "proven")
+
+    def __init__(
+        self, key: bytes, node: NodeId, dialer: bool, expected: NodeId | None
+    ) -> None:
+        self.key = key
+        self.dialer = dialer
+        self.expected = expected
+        self.hello = Hello(PROTOCOL_VERSION, node, secrets.token_bytes(NONCE_BYTES))
+        self.peer: Hello | None = None
+        self.proven = False
+
+    def receive(self, item: Hello | Proof) -> Proof | None:
+        """Take the peer's next message and return the proof to send, if any."""
+        match item:
+            case Hello() if self.peer is None:
+                self._check_hello(item)
+                self.peer = item
+                return Proof(self._mac(self.dialer))
+            case Proof() if self.peer is not None:
+                if not hmac.compare_digest(item.mac, self._mac(not self.dialer)):
+                    raise ProtocolError("the peer does not know the peers' key")
+                self.proven = True
+                return None
+            case _:
+                raise ProtocolError("a message came before the handshake was complete")
+
+    def _check_hello(self, hello: Hello) -> None:
+        if hello.version != PROTOCOL_VERSION:
+            raise ProtocolError(
+                f"the peer speaks protocol version {hello.version}, "
+                f"this daemon {PROTOCOL_VERSION}"
+            )
+        if len(hello.nonce) != NONCE_BYTES or hello.nonce == self.hello.nonce:
+            raise ProtocolError("the peer's nonce is invalid")
+        if self.expected is not None and hello.node != self.expected:
+            raise ProtocolError(f"expected {self.expected}, reached {hello.node}")
+
+    def _mac(self, by_dialer: bool) -> bytes:
+        mine, peer = self.hello, self.peer
+        first, second = (mine, peer) if self.dialer else (peer, mine)
+        role = b"dialer" if by_dialer else b"acceptor"
+        text = b"|".join(
+            [
+                role,
+                first.nonce,
+                second.nonce,
+                str(first.node).encode(),
+                str(second.node).encode(),
+            ]
+        )
+        return hmac.new(self.key, text, hashlib.sha256).digest()
--- /dev/null
+++ b/src/sesamepost/internal/wire/messages.py
@@ -0,0 +1,197 @@
+"""The messages that daemons exchange, and their encoding.
+
+A message travels as a msgpack array whose first element is the type number. Numbers
+are never reused for another message.
+"""
+
+from dataclasses import dataclass, fields
+from operator import attrgetter
+from typing import Any, get_type_hints
+
+import msgpack
+
+from sesamepost.internal.identity import NodeId
+
+PROTOCOL_VERSION = 1
+
+
+class ProtocolError(Exception):
+    """A peer sent bytes that are not a valid message."""
+
+
+def message(number: int):
+    """Register a frozen data class as the message with this type number."""
+
+    def register(cls):
+        cls = dataclass(frozen=True, slots=True)(cls)
+        if number in _CODECS:
+            raise ValueError(f"message number {number} is taken twice")
+        codec = _Codec(cls, number)
+        _CODECS[number] = codec
+        _CODEC_OF[cls] = codec
+        return cls
+
+    return register
+
+
+class _Codec:
+    """Converts one class of messages to and from an array."""
+
+    __slots__ = ("cls", "count", "kinds", "node_ids", "number", "values")
+
+    def __init__(self, cls: type, number: int) -> None:
+        hints = get_type_hints(cls)
+        names = [field.name for field in fields(cls)]
+        kinds = [getattr(hints[name], "__origin__", hints[name]) for name in names]
+        self.cls = cls
+        self.number = number
+        self.count = len(names) + 1
+        self.node_ids = [i for i, kind in enumerate(kinds) if kind is NodeId]
+        self.kinds = tuple(list if kind in (NodeId, tuple) else kind for kind in kinds)
+        if len(names) == 1:
+            getter = attrgetter(names[0])
+            self.values = lambda item: (getter(item),)
+        else:
+            self.values = attrgetter(*names)
+
+    def decode(self, array: list) -> Any:
+        values = array[1:]
+        for value, kind in zip(values, self.kinds, strict=True):
+            if not isinstance(value, kind):
+                raise ProtocolError(
+                    f"{self.cls.__name__} has {type(value).__name__} "
+                    f"where {kind.__name__} is expected"
+                )
+        for index in self.node_ids:
+            values[index] = _decode_node_id(values[index])
+        return self.cls(*values)
+
+
+_CODECS: dict[int, _Codec] = {}
+_CODEC_OF: dict[type, _Codec] = {}
+
+
+def _decode_node_id(value: list) -> NodeId:
+    match value:
+        case [str() as vm, int() as incarnation]:
+            return NodeId(vm, incarnation)
+        case _:
+            raise ProtocolError("a node id must be a name and a number")
+
+
+def encode(item: Any) -> bytes:
+    """Return the msgpack bytes of a message."""
+    codec = _CODEC_OF[type(item)]
+    return msgpack.packb((codec.number, *codec.values(item)))
+
+
+def decode(data: bytes) -> Any:
+    """Return the message in ``data``; raise ``ProtocolError`` if it is invalid."""
+    try:
+        array = msgpack.unpackb(data, use_list=True)
+    except Exception as error:
+        # Malformed input can raise any of several unrelated exception types.
+        raise ProtocolError(f"not msgpack: {error}") from None
+    if not isinstance(array, list) or not array or not isinstance(array[0], int):
+        raise ProtocolError("a message must be an array that begins with its number")
+    codec = _CODECS.get(array[0])
+    if codec is None:
+        raise ProtocolError(f"unknown message number {array[0]}")
+    if len(array) != codec.count:
+        raise ProtocolError(
+            f"{codec.cls.__name__} has {len(array) - 1} fields, "
+            f"{codec.count - 1} are expected"
+        )
+    return codec.decode(array)
+
+
+@message(1)
+class Hello:
+    """Opens a stream in each direction."""
+
+    version: int
+    node: NodeId
+    nonce: bytes
+
+
+@message(2)
+class Proof:
+    """Proves knowledge of the peers' key for the nonces of both sides."""
+
+    mac: bytes
+
+
+@message(3)
+class Ping:
+    """Asks the peer to show that the stream still carries messages."""
+
+    nonce: int
+
+
+@message(4)
+class Pong:
+    """Answers a ``Ping``."""
+
+    nonce: int
+
+
+@message(5)
+class Fragment:
+    """A part of a large message, so that it does not delay others on the stream."""
+
+    sequence: int
+    last: bool
+    data: bytes
+
+
+@message(10)
+class Request:
+    """A caller's request on its way to the owner of its key.
+
+    ``timeout_ms`` is the time that remains. ``idempotency_key``, ``born`` and
+    ``class_name`` are empty if the caller gave none.
+    """
+
+    id: int
+    service: str
+    key: str
+    method: str
+    target: str
+    headers: tuple
+    body: bytes
+    timeout_ms: int
+    repeatable: bool
+    idempotency_key: str
+    born: str
+    class_name: str
+
+
+@message(11)
+class Answer:
+    """An endpoint's complete answer; ``replayed`` if it was kept from an earlier run.
+
+    ``headers`` is a list of pairs of strings.
+    """
+
+    id: int
+    status: int
+    headers: tuple
+    body: bytes
+    replayed: bool
+
+
+@message(12)
+class Refusal:
+    """An error of the owner's daemon, with its version of the assignment."""
+
+    id: int
+    kind: str
+    detail: str
+    assignment_version: int
+
+
+@message(13)
+class Cancel:
+    """Tells the owner that nobody waits for the answer any more."""
+
+    id: int
--- /dev/null
+++ b/src/sesamepost/internal/wire/pool.py
@@ -0,0 +1,129 @@
+"""All streams of one daemon: accepts, dials and finds them by peer."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import structlog
+
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.wire.handshake import Handshake
+from sesamepost.internal.wire.stream import PeerStream, StreamClosed
+
+DIAL_TIMEOUT_S = 1.0
+
+log = structlog.get_logger()
+
+type_handlers = dict[type, Callable[[PeerStream, Any], None]]
+
+
+class Address(NamedTuple):
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+
+class PeerPool:
+    """Owns the listener on the peers' port and every stream.
+
+    Handlers are registered by message type with ``on``. They run inside the event
+    loop's read callback, so they must not block.
+    """
+
+    def __init__(self, node: NodeId, key: bytes) -> None:
+        self.node = node
+        self.key = key
+        self.handlers: type_handlers = {}
+        self.streams: dict[NodeId, PeerStream] = {}
+        self.dialing: dict[tuple[Address, NodeId | None], asyncio.Task] = {}
+        self.opening: set[PeerStream] = set()
+        self.counters: Counter[str] = Counter()
+        self.server: asyncio.Server | None = None
+
+    def on(self, message_type: type, handler: Callable[[PeerStream, Any], None]):
+        """Call ``handler(stream, message)`` for each message of this type."""
+        self.handlers[message_type] = handler
+
+    async def listen(self, address: Address) -> Address:
+        """Accept streams at ``address`` and return the bound address."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self._accept, *address)
+        return Address(*self.server.sockets[0].getsockname()[:2])
+
+    async def __aenter__(self) -> "PeerPool":
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        if self.server is not None:
+            self.server.close()
+        for task in list(self.dialing.values()):
+            task.cancel()
+        for stream in [*self.streams.values(), *self.opening]:
+            stream.close("this daemon stops")
+
+    async def stream_to(
+        self, address: Address, expected: NodeId | None = None
+    ) -> PeerStream:
+        """Return an open stream, dialing if there is none.
+
+        Raises ``StreamClosed`` if the peer cannot be reached, does not know the key or
+        is not the expected node.
+        """
+        if expected is not None:
+            stream = self.streams.get(expected)
+            if stream is not None and stream.is_open:
+                return stream
+        task = self.dialing.get((address, expected))
+        if task is None:
+            task = asyncio.ensure_future(self._dial(address, expected))
+            self.dialing[address, expected] = task
+            task.add_done_callback(
+                lambda _: self.dialing.pop((address, expected), None)
+            )
+        return await asyncio.shield(task)
+
+    async def _dial(self, address: Address, expected: NodeId | None) -> PeerStream:
+        loop = asyncio.get_running_loop()
+        handshake = Handshake(self.key, self.node, True, expected)
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                _, stream = await loop.create_connection(
+                    lambda: self._new_stream(handshake), *address
+                )
+                await asyncio.shield(stream.opened)
+        except (OSError, TimeoutError) as error:
+            self.counters["dial_failures"] += 1
+            raise StreamClosed(f"cannot reach {address}: {error!r}") from None
+        return stream
+
+    def _accept(self) -> PeerStream:
+        return self._new_stream(Handshake(self.key, self.node, False, None))
+
+    def _new_stream(self, handshake: Handshake) -> PeerStream:
+        stream = PeerStream(handshake, self._on_message, self._on_closed)
+        self.opening.add(stream)
+        stream.opened.add_done_callback(lambda future: self._on_opened(stream, future))
+        return stream
+
+    def _on_opened(self, stream: PeerStream, future: asyncio.Future) -> None:
+        self.opening.discard(stream)
+        if future.cancelled() or future.exception() is not None:
+            self.counters["handshake_failures"] += 1
+            return
+        if stream.is_open:
+            self.streams[stream.peer] = stream
+            self.counters["streams_opened"] += 1
+
+    def _on_closed(self, stream: PeerStream) -> None:
+        self.counters["streams_closed"] += 1
+        if self.streams.get(stream.peer) is stream:
+            del self.streams[stream.peer]
+
+    def _on_message(self, stream: PeerStream, item: Any) -> None:
+        handler = self.handlers.get(type(item))
+        if handler is None:
+            self.counters["unhandled_messages"] += 1
+            return
+        handler(stream, item)
--- /dev/null
+++ b/src/sesamepost/internal/wire/stream.py
@@ -0,0 +1,235 @@
+"""One stream between two daemons."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.wire.frames import (
+    MAX_FRAME_BYTES,
+    FragmentAssembler,
+    FrameReader,
+    frame,
+    frames_of,
+)
+from sesamepost.internal.wire.handshake import HANDSHAKE_TIMEOUT_S, Handshake
+from sesamepost.internal.wire.messages import (
+    Answer,
+    Fragment,
+    Hello,
+    Ping,
+    Pong,
+    Proof,
+    ProtocolError,
+    Refusal,
+    decode,
+    encode,
+)
+
+PING_AFTER_SILENCE_S = 1.0
+CLOSE_AFTER_SILENCE_S = 2.5
+SILENCE_CHECK_INTERVAL_S = 0.25
+WRITE_HIGH_WATER_BYTES = 4 << 20
+
+
+class StreamClosed(Exception):
+    """The stream ended before the answer arrived, so its outcome is unknown."""
+
+
+class PeerStream(asyncio.Protocol):
+    """Carries messages to and from one peer, and matches answers to calls.
+
+    Call ids come from a counter of this stream and are never reused. An answer with an
+    id that is not outstanding is counted and dropped, so a late or duplicated answer
+    can never reach another caller.
+    """
+
+    def __init__(
+        self,
+        handshake: Handshake,
+        on_message: Callable[["PeerStream", Any], None],
+        on_closed: Callable[["PeerStream"], None],
+    ) -> None:
+        self.handshake = handshake
+        self.on_message = on_message
+        self.on_closed = on_closed
+        self.loop = asyncio.get_running_loop()
+        self.opened: asyncio.Future[NodeId] = self.loop.create_future()
+        self.transport: asyncio.Transport | None = None
+        self.reader = FrameReader()
+        self.assembler = FragmentAssembler()
+        self.calls: dict[int, asyncio.Future] = {}
+        self.next_id = 0
+        self.next_fragmented = 0
+        self.out: list[bytes] = []
+        self.flush_scheduled = False
+        self.writable = asyncio.Event()
+        self.writable.set()
+        self.last_received = self.loop.time()
+        self.last_ping = 0.0
+        self.silence_timer: asyncio.TimerHandle | None = None
+        self.unmatched_answers = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.closed_reason: str | None = None
+
+    @property
+    def peer(self) -> NodeId | None:
+        """The peer's identity once it has proved the shared key."""
+        if not self.handshake.proven:
+            return None
+        return self.handshake.peer.node
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can be sent."""
+        return self.handshake.proven and self.closed_reason is None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Send the hello and limit the time that the handshake may take."""
+        self.transport = transport
+        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        transport.write(frame(encode(self.handshake.hello)))
+        self.silence_timer = self.loop.call_later(
+            HANDSHAKE_TIMEOUT_S, self._check_handshake
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Decode and dispatch what arrived; close the stream if it is invalid."""
+        self.last_received = self.loop.time()
+        self.bytes_received += len(data)
+        try:
+            for payload in self.reader.feed(data):
+                self._receive(payload)
+                if self.closed_reason is not None:
+                    return
+        except ProtocolError as error:
+            self.close(str(error))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Settle every outstanding call."""
+        self._settle(str(error) if error else "the peer closed the connection")
+
+    def pause_writing(self) -> None:
+        """Make senders wait: the peer reads more slowly than this side writes."""
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let senders go on."""
+        self.writable.set()
+
+    def send(self, item: Any) -> None:
+        """Queue a message; all messages of one loop iteration share one write."""
+        if self.closed_reason is not None:
+            raise StreamClosed(self.closed_reason)
+        self.send_encoded(encode(item))
+
+    def send_encoded(self, payload: bytes) -> None:
+        """Queue a message that is encoded already."""
+        self.next_fragmented += 1
+        self.out.extend(frames_of(payload, self.next_fragmented))
+        if not self.flush_scheduled:
+            self.flush_scheduled = True
+            self.loop.call_soon(self._flush)
+
+    def new_call(self) -> tuple[int, asyncio.Future]:
+        """Return a fresh id and the future of its ``Answer`` or ``Refusal``."""
+        if self.closed_reason is not None:
+            raise StreamClosed(self.closed_reason)
+        self.next_id += 1
+        future = self.loop.create_future()
+        if not self.calls:
+            # The silence of an idle stream says nothing about its peer.
+            self.last_received = self.loop.time()
+        self.calls[self.next_id] = future
+        return self.next_id, future
+
+    def forget_call(self, call_id: int) -> None:
+        """Stop waiting for an answer; one that still arrives is dropped."""
+        self.calls.pop(call_id, None)
+
+    def close(self, reason: str) -> None:
+        """Close the connection at once and settle every outstanding call."""
+        if self.transport is not None:
+            self.transport.abort()
+        self._settle(reason)
+
+    def _receive(self, payload: bytes) -> None:
+        item = decode(payload)
+        if not self.handshake.proven:
+            self._receive_handshake(item)
+            return
+        if type(item) is Fragment:
+            whole = self.assembler.add(item)
+            if whole is None:
+                return
+            item = decode(whole)
+        kind = type(item)
+        if kind is Answer or kind is Refusal:
+            future = self.calls.pop(item.id, None)
+            if future is None or future.done():
+                self.unmatched_answers += 1
+                return
+            future.set_result(item)
+        elif kind is Ping:
+            self.send(Pong(item.nonce))
+        elif kind is Pong:
+            return
+        elif kind is Hello or kind is Proof or kind is Fragment:
+            raise ProtocolError(f"{kind.__name__} is not allowed at this point")
+        else:
+            self.on_message(self, item)
+
+    def _receive_handshake(self, item: Any) -> None:
+        reply = self.handshake.receive(item)
+        if reply is not None:
+            self.transport.write(frame(encode(reply)))
+        if not self.handshake.proven:
+            return
+        self.reader.limit = MAX_FRAME_BYTES
+        self.silence_timer.cancel()
+        self.silence_timer = self.loop.call_later(
+            SILENCE_CHECK_INTERVAL_S, self._check_silence
+        )
+        self.opened.set_result(self.handshake.peer.node)
+
+    def _flush(self) -> None:
+        self.flush_scheduled = False
+        if self.closed_reason is not None:
+            return
+        data = b"".join(self.out)
+        self.out.clear()
+        self.bytes_sent += len(data)
+        self.transport.write(data)
+
+    def _check_handshake(self) -> None:
+        if not self.handshake.proven:
+            self.close(f"no handshake within {HANDSHAKE_TIMEOUT_S} s")
+
+    def _check_silence(self) -> None:
+        now = self.loop.time()
+        silence = now - self.last_received
+        if self.calls and silence > CLOSE_AFTER_SILENCE_S:
+            self.close(f"nothing received for {silence:.1f} s")
+            return
+        if self.calls and silence > PING_AFTER_SILENCE_S:
+            self.send(Ping(self.next_id))
+        self.silence_timer = self.loop.call_later(
+            SILENCE_CHECK_INTERVAL_S, self._check_silence
+        )
+
+    def _settle(self, reason: str) -> None:
+        if self.closed_reason is not None:
+            return
+        self.closed_reason = reason
+        if self.silence_timer is not None:
+            self.silence_timer.cancel()
+        self.writable.set()
+        if not self.opened.done():
+            self.opened.set_exception(StreamClosed(reason))
+            self.opened.exception()
+        calls, self.calls = self.calls, {}
+        for future in calls.values():
+            if not future.done():
+                future.set_exception(StreamClosed(reason))
+        self.on_closed(self)
--- /dev/null
+++ b/src/sesamepost/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around the router, for tests and trials."""
