--- a/src/sesamepost/internal/wire/frames.py
+++ b/src/sesamepost/internal/wire/frames.py
@@ -94,4 +94,3 @@
         fragment = Fragment(sequence, end >= len(payload), payload[start:end])
         frames.append(frame(encode(fragment)))
     return frames
-
--- a/src/sesamepost/internal/wire/pool.py
+++ b/src/sesamepost/internal/wire/pool.py
@@ -9,7 +9,7 @@
 
 from sesamepost.internal.identity import NodeId
 from sesamepost.internal.wire.handshake import Handshake
-from sesamepost.internal.wire.stream import PeerStream, StreamClosed
+from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
 
 DIAL_TIMEOUT_S = 1.0
 
@@ -68,7 +68,7 @@
     ) -> PeerStream:
         """Return an open stream, dialing if there is none.
 
-        Raises ``StreamClosed`` if the peer cannot be reached, does not know the key or
+        Raises ``StreamClosedError`` if the peer cannot be reached, does not know the key or
         is not the expected node.
         """
         if expected is not None:
@@ -95,7 +95,7 @@
                 await asyncio.shield(stream.opened)
         except (OSError, TimeoutError) as error:
             self.counters["dial_failures"] += 1
-            raise StreamClosed(f"cannot reach {address}: {error!r}") from None
+            raise StreamClosedError(f"cannot reach {address}: {error!r}") from None
         return stream
 
     def _accept(self) -> PeerStream:
--- a/src/sesamepost/internal/wire/stream.py
+++ b/src/sesamepost/internal/wire/stream.py
@@ -32,7 +32,7 @@
 WRITE_HIGH_WATER_BYTES = 4 << 20
 
 
-class StreamClosed(Exception):
+class StreamClosedError(Exception):
     """The stream ended before the answer arrived, so its outcome is unknown."""
 
 
@@ -121,7 +121,7 @@
     def send(self, item: Any) -> None:
         """Queue a message; all messages of one loop iteration share one write."""
         if self.closed_reason is not None:
-            raise StreamClosed(self.closed_reason)
+            raise StreamClosedError(self.closed_reason)
         self.send_encoded(encode(item))
 
     def send_encoded(self, payload: bytes) -> None:
@@ -135,7 +135,7 @@
     def new_call(self) -> tuple[int, asyncio.Future]:
         """Return a fresh id and the future of its ``Answer`` or ``Refusal``."""
         if self.closed_reason is not None:
-            raise StreamClosed(self.closed_reason)
+            raise StreamClosedError(self.closed_reason)
         self.next_id += 1
         future = self.loop.create_future()
         if not self.calls:
@@ -226,10 +226,10 @@
             self.silence_timer.cancel()
         self.writable.set()
         if not self.opened.done():
-            self.opened.set_exception(StreamClosed(reason))
+            self.opened.set_exception(StreamClosedError(reason))
             self.opened.exception()
         calls, self.calls = self.calls, {}
         for future in calls.values():
             if not future.done():
-                future.set_exception(StreamClosed(reason))
+                future.set_exception(StreamClosedError(reason))
         self.on_closed(self)
--- /dev/null
+++ b/tests/wire/test_stream.py
@@ -0,0 +1,120 @@
+"""Failures of streams between daemons: bad bytes, silence, late and large messages."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from sesamepost.internal.identity import new_node_id
+from sesamepost.internal.wire.messages import Answer, Request, encode
+from sesamepost.internal.wire.pool import Address, PeerPool
+from sesamepost.internal.wire.stream import StreamClosedError
+
+KEY = b"shared key of the peers"
+ANY_PORT = Address("127.0.0.1", 0)
+
+
+def request(call_id, body=b"", key="k"):
+    return Request(call_id, "s", key, "GET", "/", [], body, 1000, True, "", "", "")
+
+
+def answer_with_body(stream, item):
+    stream.send(Answer(item.id, 200, [], item.body, False))
+
+
+@asynccontextmanager
+async def two_pools(on_request=answer_with_body, dialer_key=KEY):
+    async with (
+        PeerPool(new_node_id("vm-a"), KEY) as server,
+        PeerPool(new_node_id("vm-b"), dialer_key) as client,
+    ):
+        server.on(Request, on_request)
+        address = await server.listen(ANY_PORT)
+        yield server, client, address
+
+
+async def call(stream, body=b""):
+    call_id, future = stream.new_call()
+    stream.send(request(call_id, body))
+    return await asyncio.wait_for(future, 5)
+
+
+async def test_a_message_larger_than_a_fragment_arrives_whole():
+    # Guards against lost or reordered fragments of a large body.
+    body = bytes(range(256)) * 8192
+    async with two_pools() as (server, client, address):
+        stream = await client.stream_to(address, server.node)
+        answers = await asyncio.gather(call(stream, body), call(stream, b"small"))
+    assert [answer.body for answer in answers] == [body, b"small"]
+
+
+async def test_a_peer_without_the_key_is_refused():
+    # Guards against serving a stream whose peer never proved the key.
+    async with two_pools(dialer_key=b"another key") as (server, client, address):
+        with pytest.raises(StreamClosedError):
+            await client.stream_to(address, server.node)
+        assert server.streams == {}
+
+
+async def test_reaching_another_incarnation_than_expected_fails():
+    # Guards against taking a restarted daemon for the one that held the lease.
+    async with two_pools() as (server, client, address):
+        with pytest.raises(StreamClosedError, match="expected"):
+            await client.stream_to(address, new_node_id("vm-a"))
+        assert server.counters["unhandled_messages"] == 0
+
+
+async def test_garbage_closes_only_the_connection_that_sent_it():
+    # Guards against one bad client harming requests on other streams.
+    async with two_pools() as (server, client, address):
+        stream = await client.stream_to(address, server.node)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        await asyncio.wait_for(reader.read(), 5)
+        assert reader.at_eof()
+        writer.close()
+        assert (await call(stream, b"fine")).body == b"fine"
+
+
+async def test_a_late_answer_is_not_given_to_another_call():
+    # Guards against reuse of an id after its caller gave up.
+    held = asyncio.Queue()
+    async with two_pools(lambda stream, item: held.put_nowait((stream, item))) as (
+        server,
+        client,
+        address,
+    ):
+        stream = await client.stream_to(address, server.node)
+        first_id, _ = stream.new_call()
+        stream.send(request(first_id))
+        stream.forget_call(first_id)
+        second_id, second = stream.new_call()
+        stream.send(request(second_id))
+        for _ in range(2):
+            remote, item = await asyncio.wait_for(held.get(), 5)
+            remote.send(Answer(item.id, 200, [], str(item.id).encode(), False))
+        answer = await asyncio.wait_for(second, 5)
+        assert answer.body == str(second_id).encode()
+        assert stream.unmatched_answers == 1
+
+
+async def test_a_silent_stream_is_closed_and_its_calls_settled():
+    # Guards against calls that wait for ever on a connection that went silent.
+    async with two_pools(lambda stream, item: None) as (server, client, address):
+        stream = await client.stream_to(address, server.node)
+        server.streams[client.node].transport.pause_reading()
+        call_id, future = stream.new_call()
+        stream.send(request(call_id))
+        with pytest.raises(StreamClosedError, match="nothing received"):
+            await asyncio.wait_for(future, 4)
+
+
+async def test_a_message_before_the_handshake_closes_the_stream():
+    # Guards against requests from a peer that skipped the proof.
+    async with two_pools() as (_server, _client, address):
+        reader, writer = await asyncio.open_connection(*address)
+        payload = encode(request(1))
+        writer.write(len(payload).to_bytes(4, "big") + payload)
+        await asyncio.wait_for(reader.read(), 5)
+        assert reader.at_eof()
+        writer.close()
