--- /dev/null
+++ b/src/sesamepost/internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the process and of the teams."""
--- /dev/null
+++ b/src/sesamepost/internal/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value store."""
--- a/src/sesamepost/internal/wire/pool.py
+++ b/src/sesamepost/internal/wire/pool.py
@@ -68,8 +68,8 @@
     ) -> PeerStream:
         """Return an open stream, dialing if there is none.
 
-        Raises ``StreamClosedError`` if the peer cannot be reached, does not know the key or
-        is not the expected node.
+        Raises ``StreamClosedError`` if the peer cannot be reached, does not know the
+        key or is not the expected node.
         """
         if expected is not None:
             stream = self.streams.get(expected)
