Add the fleet document, the choice of witnesses and the lease decisions

Ruled out: renewing holders that the witness's fleet version does not list. Such a witness could renew a node whose tombstone was dropped. It refuses until it has read a version that lists the holder. Ruled out: dropping a fencing round at each fleet version. A version with the same witness set and number keeps it, since promises are permanent. Conclusion: other packages can use the interfaces.

--- /dev/null
+++ b/src/sesamepost/internal/lease/__init__.py
@@ -0,0 +1,1 @@
+"""Leases from witnesses: the holder, the witness and fencing."""
--- /dev/null
+++ b/src/sesamepost/internal/lease/holder.py
@@ -0,0 +1,207 @@
+"""The holder's side of a lease: until when this node may serve."""
+
+import math
+from dataclasses import dataclass, field
+
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.lease.messages import (
+    REFUSED_NOT_RECORDED,
+    Renew,
+    Renewed,
+    RenewRefused,
+)
+from sesamepost.internal.lease.timing import (
+    HOLDER_TTL_S,
+    RENEW_INTERVAL_S,
+    REPLACE_WITNESS_AFTER_S,
+    majority,
+)
+from sesamepost.internal.membership.fleet import Fleet, NodeState
+
+# A longer gap between two calls of ``renewals_due`` means that this process paused.
+PAUSE_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """A witness set that may be recorded; the controller keeps the highest number."""
+
+    sequence: int
+    witnesses: tuple[NodeId, ...]
+
+
+@dataclass(slots=True)
+class WitnessState:
+    """What a holder knows of one witness.
+
+    ``sent`` maps sequence numbers to the times of renewals that may still be answered.
+    ``waiting_since`` is the time of the first renewal after the last answer.
+    """
+
+    expiry: float = -math.inf
+    last_sent: float = -math.inf
+    waiting_since: float | None = None
+    lost: bool = False
+    sent: dict[int, float] = field(default_factory=dict)
+
+
+class LeaseHolder:
+    """Decides whether this node's lease is valid.
+
+    The lease needs a majority of the recorded witness set and of every set proposed
+    after it, because any of them may be the recorded one when the node is fenced.
+    """
+
+    __slots__ = (
+        "_called_at",
+        "_renewals",
+        "fenced",
+        "fleet_version",
+        "last_proposal",
+        "node",
+        "proposals",
+        "recorded",
+        "states",
+    )
+
+    def __init__(self, node: NodeId) -> None:
+        self.node = node
+        self.fenced = False
+        self.fleet_version = 0
+        self.recorded: Proposal | None = None
+        self.proposals: list[Proposal] = []
+        self.last_proposal = 0
+        self.states: dict[NodeId, WitnessState] = {}
+        self._renewals = 0
+        self._called_at = -math.inf
+
+    def propose(self, witnesses: tuple[NodeId, ...]) -> Proposal:
+        """Return a numbered proposal, which counts from now on.
+
+        It must be called before the first ``Join`` or ``ChangeWitnesses`` with this
+        set is sent. The same proposal may be sent repeatedly, and an open one is
+        returned again for the same set.
+        """
+        if self.proposals and self.proposals[-1].witnesses == tuple(witnesses):
+            return self.proposals[-1]
+        if self.node in witnesses or len(set(witnesses)) != len(witnesses):
+            raise ValueError(f"{witnesses} cannot be the witnesses of {self.node}")
+        self.last_proposal += 1
+        proposal = Proposal(self.last_proposal, tuple(witnesses))
+        self.proposals.append(proposal)
+        self._update_states()
+        return proposal
+
+    def observe(self, fleet: Fleet) -> None:
+        """Take over the recorded set of a newer fleet version."""
+        if fleet.version <= self.fleet_version:
+            return
+        self.fleet_version = fleet.version
+        record = fleet.get(self.node)
+        if record is None:
+            # Only a fenced node is removed from the record.
+            self.fenced = self.fenced or self.recorded is not None
+            return
+        if record.state is NodeState.FENCED:
+            self.fenced = True
+        self.recorded = Proposal(record.witness_sequence, record.witnesses)
+        self.proposals = [
+            proposal
+            for proposal in self.proposals
+            if proposal.sequence > record.witness_sequence
+        ]
+        self._update_states()
+
+    def wanted_set(self) -> Proposal | None:
+        """Return the last proposal, or the recorded set if no proposal is open."""
+        return self.proposals[-1] if self.proposals else self.recorded
+
+    def renewals_due(self, now: float, digest: bytes) -> list[Renew]:
+        """Return the renewals to send now; validity counts from this ``now``."""
+        if now - self._called_at > PAUSE_S:
+            self._forgive_silence(now)
+        self._called_at = now
+        if self.fenced:
+            return []
+        due = []
+        for witness, state in self.states.items():
+            if now - state.last_sent < RENEW_INTERVAL_S:
+                continue
+            self._renewals += 1
+            state.last_sent = now
+            state.sent = {
+                sequence: sent_at
+                for sequence, sent_at in state.sent.items()
+                if now < sent_at + HOLDER_TTL_S
+            }
+            state.sent[self._renewals] = now
+            if state.waiting_since is None:
+                state.waiting_since = now
+            due.append(Renew(self.node, witness, self._renewals, digest))
+        return due
+
+    def receive_renewed(self, message: Renewed) -> None:
+        """Count the renewal from the moment at which it was sent."""
+        state = self.states.get(message.witness)
+        if state is None or message.holder != self.node:
+            return
+        sent_at = state.sent.pop(message.sequence, None)
+        if sent_at is None:
+            return
+        state.expiry = max(state.expiry, sent_at + HOLDER_TTL_S)
+        state.waiting_since = None
+
+    def receive_refused(self, message: RenewRefused) -> None:
+        """Note a witness that can never renew this incarnation again."""
+        state = self.states.get(message.witness)
+        if state is None or message.holder != self.node:
+            return
+        if message.reason != REFUSED_NOT_RECORDED:
+            state.lost = True
+
+    def valid_until(self) -> float:
+        """Return the end of the lease: ``math.inf`` without witnesses."""
+        if self.fenced or self.recorded is None:
+            return -math.inf
+        return min(
+            self._set_valid_until(required.witnesses)
+            for required in (self.recorded, *self.proposals)
+        )
+
+    def is_valid(self, now: float) -> bool:
+        """Return whether a request may be dispatched at this moment."""
+        return now < self.valid_until()
+
+    def witnesses_to_replace(self, now: float) -> tuple[NodeId, ...]:
+        """Return the witnesses of the wanted set that are lost or do not answer."""
+        wanted = self.wanted_set()
+        if wanted is None:
+            return ()
+        return tuple(w for w in wanted.witnesses if self._is_lost(self.states[w], now))
+
+    def _set_valid_until(self, witnesses: tuple[NodeId, ...]) -> float:
+        if not witnesses:
+            return math.inf
+        expiries = sorted((self.states[w].expiry for w in witnesses), reverse=True)
+        return expiries[majority(len(witnesses)) - 1]
+
+    def _is_lost(self, state: WitnessState, now: float) -> bool:
+        if state.lost:
+            return True
+        if state.waiting_since is None:
+            return False
+        return now - state.waiting_since >= REPLACE_WITNESS_AFTER_S
+
+    def _forgive_silence(self, now: float) -> None:
+        """Restart the count of silence, since answers may wait to be read."""
+        for state in self.states.values():
+            if state.waiting_since is not None:
+                state.waiting_since = now
+
+    def _update_states(self) -> None:
+        """Keep the states of exactly the witnesses of all sets that count."""
+        sets = [proposal.witnesses for proposal in self.proposals]
+        if self.recorded is not None:
+            sets.append(self.recorded.witnesses)
+        needed = {witness: None for witnesses in sets for witness in witnesses}
+        self.states = {w: self.states.get(w) or WitnessState() for w in needed}
--- /dev/null
+++ b/src/sesamepost/internal/membership/fleet.py
@@ -0,0 +1,209 @@
+"""The fleet document: the nodes, their witnesses and which of them are fenced."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+import msgpack
+
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.wire.pool import Address
+
+# A fenced process that resumes within this time finds itself fenced in the record.
+TOMBSTONE_KEPT_S = 3600
+
+
+class NodeState(IntEnum):
+    """The state of a node in the record; the numbers are part of the document."""
+
+    ACTIVE = 0
+    LEAVING = 1
+    FENCED = 2
+
+
+class NodeFencedError(Exception):
+    """A fenced incarnation asked to join."""
+
+    def __init__(self, node: NodeId) -> None:
+        super().__init__(f"{node} is fenced and must restart to join again")
+        self.node = node
+
+
+@dataclass(frozen=True, slots=True)
+class NodeRecord:
+    """One node of the fleet.
+
+    ``witness_sequence`` is the number of the holder's proposal that set ``witnesses``.
+    ``fenced_at`` is in unix seconds and 0 unless the node is fenced.
+    """
+
+    node: NodeId
+    address: Address
+    failure_domain: str
+    region: str
+    witnesses: tuple[NodeId, ...] = ()
+    witness_sequence: int = 0
+    state: NodeState = NodeState.ACTIVE
+    fenced_at: int = 0
+
+    def __post_init__(self) -> None:
+        if len(set(self.witnesses)) != len(self.witnesses):
+            raise ValueError(f"{self.node} names a witness twice: {self.witnesses}")
+        if self.node in self.witnesses:
+            raise ValueError(f"{self.node} cannot be its own witness")
+
+
+class Fleet:
+    """One version of the fleet document.
+
+    Operations return a changed copy with the same version, which is the version that
+    the compare-and-swap expects. Records are kept in the order of joining, so a
+    change touches few blocks of the encoded document.
+    """
+
+    __slots__ = ("records", "version")
+
+    def __init__(self, version: int = 0, records: Iterable[NodeRecord] = ()) -> None:
+        self.version = version
+        self.records = {record.node: record for record in records}
+
+    def __iter__(self) -> Iterator[NodeRecord]:
+        return iter(self.records.values())
+
+    def __len__(self) -> int:
+        return len(self.records)
+
+    def get(self, node: NodeId) -> NodeRecord | None:
+        """Return the record of this incarnation, or None."""
+        return self.records.get(node)
+
+    def live(self, node: NodeId) -> NodeRecord | None:
+        """Return the record of this incarnation unless it is fenced or absent."""
+        record = self.records.get(node)
+        if record is None or record.state is NodeState.FENCED:
+            return None
+        return record
+
+    def live_records(self) -> list[NodeRecord]:
+        """Return the records of all nodes that are not fenced."""
+        return [record for record in self if record.state is not NodeState.FENCED]
+
+    def active_records(self) -> list[NodeRecord]:
+        """Return the active records, only the latest incarnation of each VM."""
+        latest = {
+            record.node.vm: record
+            for record in self
+            if record.state is NodeState.ACTIVE
+        }
+        return list(latest.values())
+
+    def join(self, record: NodeRecord) -> "Fleet":
+        """Add a node; a repeated join of the same incarnation changes nothing.
+
+        Raises ``NodeFencedError``.
+        """
+        present = self.records.get(record.node)
+        if present is None:
+            return self._with(record)
+        if present.state is NodeState.FENCED:
+            raise NodeFencedError(record.node)
+        return self
+
+    def change_witnesses(
+        self, node: NodeId, sequence: int, witnesses: tuple[NodeId, ...]
+    ) -> "Fleet":
+        """Record a holder's proposal unless a later one is recorded already.
+
+        The holder no longer needs the sets proposed before the recorded one, so an
+        earlier proposal must not be written late.
+        """
+        record = self.live(node)
+        if record is None or sequence <= record.witness_sequence:
+            return self
+        return self._with(
+            replace(record, witnesses=witnesses, witness_sequence=sequence)
+        )
+
+    def mark_leaving(self, node: NodeId) -> "Fleet":
+        """Record that a node stops as planned."""
+        record = self.live(node)
+        if record is None or record.state is NodeState.LEAVING:
+            return self
+        return self._with(replace(record, state=NodeState.LEAVING))
+
+    def fence(self, node: NodeId, fenced_at: int) -> "Fleet":
+        """Record a node as fenced, at ``fenced_at`` in unix seconds."""
+        record = self.live(node)
+        if record is None:
+            return self
+        return self._with(
+            replace(record, state=NodeState.FENCED, fenced_at=int(fenced_at))
+        )
+
+    def drop_old_tombstones(self, unix_now: float) -> "Fleet":
+        """Remove nodes that were fenced ``TOMBSTONE_KEPT_S`` ago or earlier."""
+        kept = [
+            record
+            for record in self
+            if record.state is not NodeState.FENCED
+            or unix_now - record.fenced_at < TOMBSTONE_KEPT_S
+        ]
+        return self if len(kept) == len(self) else Fleet(self.version, kept)
+
+    def _with(self, record: NodeRecord) -> "Fleet":
+        changed = Fleet(self.version)
+        changed.records = {**self.records, record.node: record}
+        return changed
+
+    def encode(self) -> bytes:
+        """Return the body of the document."""
+        return msgpack.packb([_to_array(record) for record in self])
+
+    @classmethod
+    def decode(cls, version: int, body: bytes) -> "Fleet":
+        """Return the fleet in a document's body."""
+        return cls(version, [_from_array(array) for array in msgpack.unpackb(body)])
+
+
+def controller_candidates(fleet: Fleet) -> tuple[NodeId, ...]:
+    """Return the active node with the lowest VM name in each failure domain."""
+    lowest: dict[str, NodeId] = {}
+    for record in sorted(fleet.active_records(), key=lambda record: record.node.vm):
+        lowest.setdefault(record.failure_domain, record.node)
+    return tuple(lowest.values())
+
+
+def neighbours(fleet: Fleet, node: NodeId) -> frozenset[NodeId]:
+    """Return the live witnesses of a node and the nodes for which it is a witness."""
+    own = fleet.live(node)
+    found = set(own.witnesses) if own is not None else set()
+    found = {witness for witness in found if fleet.live(witness) is not None}
+    found.update(r.node for r in fleet.live_records() if node in r.witnesses)
+    return frozenset(found)
+
+
+def _to_array(record: NodeRecord) -> list:
+    return [
+        *record.node,
+        *record.address,
+        record.failure_domain,
+        record.region,
+        [part for witness in record.witnesses for part in witness],
+        record.witness_sequence,
+        record.state,
+        record.fenced_at,
+    ]
+
+
+def _from_array(array: list) -> NodeRecord:
+    vm, incarnation, host, port, domain, region, parts, sequence, state, at = array
+    return NodeRecord(
+        NodeId(vm, incarnation),
+        Address(host, port),
+        domain,
+        region,
+        tuple(map(NodeId, parts[::2], parts[1::2])),
+        sequence,
+        NodeState(state),
+        at,
+    )
--- /dev/null
+++ b/src/sesamepost/internal/membership/messages.py
@@ -0,0 +1,53 @@
+"""Messages to the controller that change the fleet document."""
+
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.wire.messages import ProtocolError, message
+
+
+@message(40)
+class Join:
+    """Asks for a record; ``witnesses`` is the proposal number ``witness_sequence``."""
+
+    node: NodeId
+    host: str
+    port: int
+    failure_domain: str
+    region: str
+    witnesses: tuple
+    witness_sequence: int
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "witnesses", _node_ids(self.witnesses))
+
+
+@message(41)
+class ChangeWitnesses:
+    """Proposes another witness set; the record keeps the highest number."""
+
+    node: NodeId
+    witnesses: tuple
+    witness_sequence: int
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "witnesses", _node_ids(self.witnesses))
+
+
+@message(42)
+class Leave:
+    """Tells that a node stops as planned."""
+
+    node: NodeId
+
+
+def _node_ids(values) -> tuple[NodeId, ...]:
+    """Return decoded or given node ids as ``NodeId``."""
+    found = []
+    for value in values:
+        match value:
+            case [str() as vm, int() as incarnation]:
+                found.append(NodeId(vm, incarnation))
+            case _:
+                raise ProtocolError("a witness must be a name and a number")
+    if len(set(found)) != len(found):
+        raise ProtocolError("a witness is named twice")
+    return tuple(found)
--- /dev/null
+++ b/src/sesamepost/internal/membership/witness_choice.py
@@ -0,0 +1,91 @@
+"""The choice of the witnesses of a node."""
+
+import hashlib
+from collections.abc import Callable, Collection
+
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.membership.fleet import Fleet, NodeRecord
+
+WITNESSES = 3
+
+
+def choose_witnesses(
+    fleet: Fleet,
+    node: NodeId,
+    failure_domain: str,
+    region: str,
+    avoid: Collection[NodeId] = (),
+    keep: Collection[NodeId] = (),
+) -> tuple[NodeId, ...]:
+    """Return the witnesses for a node, which need not be in the fleet yet.
+
+    The first is in its failure domain on another VM, the second in another failure
+    domain of its region, the third in another region. Nodes in ``avoid`` are chosen
+    only if there are too few others. Nodes in ``keep``, usually the present witnesses
+    that answer, are preferred, so that a replacement changes no other witness.
+
+    The choice is a function of its arguments. Rendezvous hashing makes each node a
+    witness of about three others.
+    """
+    others = [r for r in fleet.active_records() if r.node.vm != node.vm]
+    if not others:
+        return ()
+    preferred = [record for record in others if record.node not in avoid]
+    avoided = [record for record in others if record.node in avoid]
+    count = WITNESSES if len(others) >= WITNESSES else 1
+    chosen: list[NodeRecord] = []
+    for places in _slots(failure_domain, region)[:count]:
+        pool = preferred or avoided
+        best = max(
+            _best_placed(pool, places, chosen),
+            key=lambda record: (record.node in keep, _weight(node, record.node)),
+        )
+        pool.remove(best)
+        chosen.append(best)
+    return tuple(record.node for record in chosen)
+
+
+def _slots(
+    failure_domain: str, region: str
+) -> list[tuple[Callable[[NodeRecord], bool], ...]]:
+    """Return for each slot the wanted places, best first.
+
+    If a region has one failure domain, two witnesses are inside it, so the node
+    survives the loss of the link to another region. If there is one region, the third
+    witness is in a third failure domain, or else in the node's own: the loss of one
+    other failure domain must leave a majority.
+    """
+
+    def own_domain(record: NodeRecord) -> bool:
+        return record.failure_domain == failure_domain
+
+    def own_region(record: NodeRecord) -> bool:
+        return record.region == region and not own_domain(record)
+
+    def other_region(record: NodeRecord) -> bool:
+        return record.region != region
+
+    return [
+        (own_domain, own_region, other_region),
+        (own_region, own_domain, other_region),
+        (other_region, own_region, own_domain),
+    ]
+
+
+def _best_placed(
+    pool: list[NodeRecord],
+    places: tuple[Callable[[NodeRecord], bool], ...],
+    chosen: list[NodeRecord],
+) -> list[NodeRecord]:
+    """Return the records in the best place, in unused failure domains if possible."""
+    used = {record.failure_domain for record in chosen}
+    for matches in places:
+        found = [record for record in pool if matches(record)]
+        if found:
+            return [r for r in found if r.failure_domain not in used] or found
+    raise ValueError("every record is in one of the three places")
+
+
+def _weight(node: NodeId, candidate: NodeId) -> bytes:
+    text = f"{node.vm}\0{candidate.vm}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
