--- a/src/sesamepost/internal/ownership/assignment.py
+++ b/src/sesamepost/internal/ownership/assignment.py
@@ -115,11 +115,15 @@
     def set_partition_owner(
         self, partition: int, node: NodeId, version: int, records_kept: bool
     ) -> None:
-        """Give a partition to ``node`` in the document version ``version``."""
+        """Give a partition to ``node`` in the document version ``version``.
+
+        A partition that never had an owner has no records to lose, so its coverage
+        epoch stays 0.
+        """
+        if not records_kept and self.owners[partition] != NO_OWNER:
+            self.coverage_epochs[partition] = version
         self.owners[partition] = self.node_index(node)
         self.epochs[partition] = version
-        if not records_kept:
-            self.coverage_epochs[partition] = version
 
     def set_key_owner(
         self, key_hash: int, node: NodeId, version: int, records_kept: bool
--- a/src/sesamepost/internal/wire/messages.py
+++ b/src/sesamepost/internal/wire/messages.py
@@ -82,13 +82,15 @@
 def encode(item: Any) -> bytes:
     """Return the msgpack bytes of a message."""
     codec = _CODEC_OF[type(item)]
-    return msgpack.packb((codec.number, *codec.values(item)))
+    return msgpack.packb(
+        (codec.number, *codec.values(item)), unicode_errors="surrogateescape"
+    )
 
 
 def decode(data: bytes) -> Any:
     """Return the message in ``data``; raise ``ProtocolError`` if it is invalid."""
     try:
-        array = msgpack.unpackb(data, use_list=True)
+        array = msgpack.unpackb(data, unicode_errors="surrogateescape")
     except Exception as error:
         # Malformed input can raise any of several unrelated exception types.
         raise ProtocolError(f"not msgpack: {error}") from None
