--- /dev/null
+++ b/src/sesamepost/internal/store/envelope.py
@@ -0,0 +1,216 @@
+"""The envelope of documents and the write that resolves a lost reply."""
+
+import asyncio
+import secrets
+from dataclasses import dataclass
+
+import msgpack
+
+from sesamepost.internal.store.interface import (
+    Store,
+    StoreConflictError,
+    StoredValue,
+    StoreRefusedError,
+    StoreUnavailableError,
+)
+
+FORMAT = 1
+KEPT_WRITE_IDS = 16
+WRITE_ID_BYTES = 8
+RESOLVE_TIMEOUT_S = 5.0
+FIRST_RETRY_DELAY_S = 0.05
+MAX_RETRY_DELAY_S = 0.8
+
+
+class EnvelopeError(ValueError):
+    """A stored value is not an envelope that this release can read."""
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """A document as it is stored: who wrote it, the latest write ids and the body.
+
+    ``write_ids`` holds one random id for each of the latest writes, the newest last.
+    """
+
+    author: str
+    write_ids: tuple[bytes, ...]
+    body: bytes
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Return the bytes to store."""
+    return msgpack.packb(
+        {
+            "format": FORMAT,
+            "author": envelope.author,
+            "write_ids": list(envelope.write_ids),
+            "body": envelope.body,
+        }
+    )
+
+
+def decode_envelope(value: bytes) -> Envelope:
+    """Return the envelope in ``value``; raises ``EnvelopeError``."""
+    try:
+        content = msgpack.unpackb(value)
+    except (ValueError, msgpack.exceptions.UnpackException) as error:
+        raise EnvelopeError(f"the stored value is not msgpack: {error}") from None
+    match content:
+        case {
+            "format": int(number),
+            "author": str(author),
+            "write_ids": list(write_ids),
+            "body": bytes(body),
+        }:
+            pass
+        case _:
+            raise EnvelopeError("the stored value is not a document envelope")
+    if number != FORMAT:
+        raise EnvelopeError(
+            f"the document has format {number}, but this release reads format"
+            f" {FORMAT}; use the release that wrote it"
+        )
+    if not all(isinstance(item, bytes) for item in write_ids):
+        raise EnvelopeError("the document's write ids must be byte strings")
+    return Envelope(author, tuple(write_ids), body)
+
+
+async def write_document(
+    store: Store, key: str, body: bytes, author: str, expected: int
+) -> int:
+    """Write a document if its version is ``expected`` (0: absent); return its version.
+
+    A lost reply is resolved by reading back and looking for the id of this write. A
+    put that has not taken effect is sent again, with the same id and the same expected
+    version. Both cannot take effect, because a version never returns.
+
+    Raises ``StoreConflictError`` if another write was first, and
+    ``StoreUnavailableError`` if the outcome is still unknown after
+    ``RESOLVE_TIMEOUT_S``. Raises ``EnvelopeError`` if the present value is not a
+    document; nothing is written then.
+    """
+    write = _Write(store, key, body, author, expected)
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + RESOLVE_TIMEOUT_S
+    delay = FIRST_RETRY_DELAY_S
+    while True:
+        version = await write.attempt()
+        if version is not None:
+            return version
+        if loop.time() + delay > deadline:
+            raise write.unresolved_error()
+        await asyncio.sleep(delay)
+        delay = min(2 * delay, MAX_RETRY_DELAY_S)
+
+
+class _Write:
+    """One compare-and-swap whose replies may be lost."""
+
+    def __init__(
+        self, store: Store, key: str, body: bytes, author: str, expected: int
+    ) -> None:
+        self.store = store
+        self.key = key
+        self.body = body
+        self.author = author
+        self.expected = expected
+        self.write_id = secrets.token_bytes(WRITE_ID_BYTES)
+        self.value = b""
+        self.may_have_taken_effect = False
+        self.conflict: StoreConflictError | None = None
+        self.last_error: Exception | None = None
+
+    async def read_older_ids(self) -> tuple[bytes, ...]:
+        if self.expected == 0:
+            return ()
+        stored = await self.store.get(self.key)
+        if stored is None:
+            raise StoreConflictError(self.key, self.expected, 0)
+        envelope = decode_envelope(stored.value)
+        if stored.version != self.expected:
+            raise StoreConflictError(
+                self.key, self.expected, stored.version, envelope.author
+            )
+        return envelope.write_ids
+
+    async def attempt(self) -> int | None:
+        """Return the version if the write took effect, None if that is not known."""
+        if not self.value:
+            try:
+                older_ids = await self.read_older_ids()
+            except StoreUnavailableError as error:
+                self.last_error = error
+                return None
+            write_ids = (*older_ids, self.write_id)[-KEPT_WRITE_IDS:]
+            self.value = encode_envelope(Envelope(self.author, write_ids, self.body))
+        if self.may_put():
+            try:
+                return await self.store.put(self.key, self.value, self.expected)
+            except StoreRefusedError as error:
+                self.last_error = error
+                if not self.may_have_taken_effect:
+                    return None
+            except StoreUnavailableError as error:
+                self.last_error = error
+                self.may_have_taken_effect = True
+            except StoreConflictError as error:
+                self.conflict = error
+        return await self.read_back()
+
+    def may_put(self) -> bool:
+        """Tell whether another put cannot take effect in addition to an earlier one.
+
+        A document can be absent again because it was deleted after it was created, so
+        a creation with unknown outcome is not sent again.
+        """
+        if self.conflict is not None:
+            return False
+        return self.expected > 0 or not self.may_have_taken_effect
+
+    async def read_back(self) -> int | None:
+        try:
+            stored = await self.store.get(self.key)
+        except StoreUnavailableError as error:
+            self.last_error = error
+            if self.conflict is not None and not self.may_have_taken_effect:
+                raise self.conflict from error
+            return None
+        if stored is None:
+            return self.judge_absent()
+        return self.judge_present(stored)
+
+    def judge_absent(self) -> int | None:
+        if self.conflict is not None and not self.may_have_taken_effect:
+            raise StoreConflictError(self.key, self.expected, 0)
+        return None
+
+    def judge_present(self, stored: StoredValue) -> int | None:
+        try:
+            envelope = decode_envelope(stored.value)
+        except EnvelopeError:
+            envelope = Envelope("", (), b"")
+        count = len(envelope.write_ids)
+        if self.write_id in envelope.write_ids:
+            # Every write raises the version by one and appends one id.
+            later_writes = count - 1 - envelope.write_ids.index(self.write_id)
+            return stored.version - later_writes
+        if stored.version == self.expected:
+            return None
+        is_covered = stored.version - count <= self.expected
+        if is_covered or not self.may_have_taken_effect:
+            raise StoreConflictError(
+                self.key, self.expected, stored.version, envelope.author
+            )
+        # The ids do not reach back to the version that this write would have had.
+        raise self.unresolved_error()
+
+    def unresolved_error(self) -> StoreUnavailableError:
+        if not self.may_have_taken_effect:
+            return StoreRefusedError(
+                f"{self.key} was not written: {self.last_error or 'no answer'}"
+            )
+        return StoreUnavailableError(
+            f"whether {self.key} was written is not known"
+            f" ({self.last_error or 'no answer'}); read it before writing again"
+        )
--- a/src/sesamepost/internal/store/interface.py
+++ b/src/sesamepost/internal/store/interface.py
@@ -24,14 +24,27 @@
     """The store did not answer, so a write may or may not have taken effect."""
 
 
+class StoreRefusedError(StoreUnavailableError):
+    """The store answered that it did not execute the call, or was never reached."""
+
+
 class StoreConflictError(Exception):
-    """A compare-and-swap failed; ``version`` is the version found in the store."""
+    """A compare-and-swap failed; ``version`` is the version found in the store.
+
+    ``author`` is who wrote that version, or empty if it is not known.
+    """
 
-    def __init__(self, key: str, expected: int, version: int) -> None:
-        super().__init__(f"{key} is at version {version}, expected {expected}")
+    def __init__(self, key: str, expected: int, version: int, author: str = "") -> None:
+        writer = f", written by {author}" if author else ""
+        super().__init__(f"{key} is at version {version}{writer}, expected {expected}")
         self.key = key
         self.expected = expected
         self.version = version
+        self.author = author
+
+
+class StoreLeaseEndedError(StoreConflictError):
+    """The lease that the value should be bound to has ended; nothing was written."""
 
 
 class Store(Protocol):
