Add the stand-in endpoint

Cause: the data path, the daemon and the trials need a server that owns keys and can shed, freeze, cut answers, report false or late loads and check fences. Ruled out: a queue inside the endpoint, because it would hide a router that exceeds the slots; a request above them is shed as not run. Ending at once on SIGTERM: the daemon needs a moment to move the partitions away, so the endpoint serves until no work came for 3 s. Conclusion: usable in tests and as `python -m sesamepost.standins.endpoint`. The value of Sesamepost-Partition is opaque to it.

--- /dev/null
+++ b/src/sesamepost/standins/endpoint.py
@@ -0,0 +1,503 @@
+"""A stand-in endpoint: a server that owns keys and can be made to fail in many ways.
+
+It follows section 12 of ``docs/design.md``. Tests create an ``EndpointStandIn``; trials
+start a process with ``sesamepost-endpoint``. ``POST /control`` changes its behaviour,
+``GET /control`` returns what it has seen.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+from collections import Counter, deque
+from dataclasses import asdict, dataclass, fields
+
+import aiohttp
+import defopt
+from aiohttp import web
+
+from sesamepost.errors import OUTCOME_HEADER, Outcome
+from sesamepost.internal.clock import boottime
+
+ANNOUNCE_INTERVAL_S = 1.0
+ANNOUNCE_TIMEOUT_S = 1.0
+COLD_SLOWDOWN = 3.0
+DRAIN_QUIET_S = 3.0
+DRAIN_TIMEOUT_S = 30.0
+MAX_BODY_BYTES = 9 << 20
+# A load trial with a fresh request id on each request would otherwise fill the memory.
+MAX_EXECUTIONS = 200_000
+STATES = ("cold", "ready", "draining")
+
+
+@dataclass(slots=True)
+class Behaviour:
+    """What ``POST /control`` can change.
+
+    ``freeze`` stops announcements and answers, as a stopped process would.
+    ``cut_answers`` closes the connection halfway through each answer. ``reported_load``
+    replaces the true load in announcements; ``report_lag_s`` makes them late.
+    ``answer_bytes`` is the least size of an answer.
+    """
+
+    work_ms: float = 0.0
+    freeze: bool = False
+    cut_answers: bool = False
+    shed_all: bool = False
+    reported_load: float | None = None
+    report_lag_s: float = 0.0
+    state: str = "ready"
+    answer_bytes: int = 0
+
+    def change(self, values: dict) -> None:
+        """Set the named fields; raise ``ValueError`` for an unknown name or state."""
+        names = [field.name for field in fields(self)]
+        unknown = [name for name in values if name not in names]
+        if unknown:
+            raise ValueError(f"unknown fields {unknown}; known are {names}")
+        if values.get("state", self.state) not in STATES:
+            raise ValueError(f"state must be one of {STATES}, not {values['state']}")
+        for name, value in values.items():
+            setattr(self, name, value)
+
+
+@dataclass(slots=True)
+class Execution:
+    """How often the work of one request was begun and finished."""
+
+    key: str
+    request_id: str
+    count: int = 0
+    finished: int = 0
+
+
+class Fence:
+    """Epochs and the grant, as a fenced endpoint checks them.
+
+    The value of ``Sesamepost-Partition`` is not interpreted: epochs are compared
+    among requests that carry the same value.
+    """
+
+    def __init__(self) -> None:
+        self.epochs: dict[str, int] = {}
+        self.incarnation: int | None = None
+        self.valid_until_ns = 0
+        self.superseded: set[int] = set()
+
+    def grant(self, incarnation: int, valid_until_ns: int) -> bool:
+        """Take a grant; False if a later incarnation of the daemon has replaced it."""
+        if incarnation in self.superseded:
+            return False
+        if incarnation != self.incarnation:
+            if self.incarnation is not None:
+                self.superseded.add(self.incarnation)
+            self.incarnation = incarnation
+            self.valid_until_ns = 0
+        self.valid_until_ns = max(self.valid_until_ns, valid_until_ns)
+        return True
+
+    def refusal(self, partition: str, epoch: int, now_ns: int) -> str | None:
+        """Return why work under ``epoch`` must not begin, or None if it may."""
+        if now_ns >= self.valid_until_ns:
+            return "no valid grant"
+        if epoch < self.epochs.get(partition, 0):
+            return f"epoch {epoch} is below {self.epochs[partition]}"
+        self.epochs[partition] = epoch
+        return None
+
+
+class EndpointStandIn:
+    """An HTTP server on loopback; an async context manager.
+
+    ``announce`` is the base URL of a daemon's endpoints' port, or empty. With
+    ``cold_s`` above 0 the endpoint announces itself as cold for that long and its work
+    takes ``COLD_SLOWDOWN`` times as long.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        *,
+        port: int = 0,
+        announce: str = "",
+        slots: int = 6,
+        connections: int = 110,
+        fenced: bool = True,
+        work_ms: float = 0.0,
+        cold_s: float = 0.0,
+        name: str = "",
+    ) -> None:
+        if slots < 1 or connections < 1:
+            raise ValueError(
+                f"slots and connections must be at least 1, not {slots}, {connections}"
+            )
+        self.service = service
+        self.port = port
+        self.announce_url = announce.rstrip("/")
+        self.slots = slots
+        self.connections = connections
+        self.fenced = fenced
+        self.cold_s = cold_s
+        self.name = name
+        self.behaviour = Behaviour(
+            work_ms=work_ms, state="cold" if cold_s > 0 else "ready"
+        )
+        self.fence = Fence()
+        self.counters: Counter[str] = Counter()
+        self.executions: dict[tuple[str, str], Execution] = {}
+        self.in_progress = 0
+        self.last_begin = boottime()
+        self.drain_began: float | None = None
+        self.transports: set[asyncio.Transport] = set()
+        self.reports: deque[tuple[float, float]] = deque()
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+        self.tasks: list[asyncio.Task] = []
+        self.runner: web.AppRunner | None = None
+
+    @property
+    def url(self) -> str:
+        """The base URL for requests and for ``/control``."""
+        return f"http://127.0.0.1:{self.port}"
+
+    async def __aenter__(self) -> "EndpointStandIn":
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_get("/control", self._get_control)
+        app.router.add_post("/control", self._post_control)
+        app.router.add_post("/sesamepost/grant", self._post_grant)
+        app.router.add_post("/sesamepost/drain", self._post_drain)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        self.runner = web.AppRunner(
+            app, handler_cancellation=True, access_log=None, shutdown_timeout=0.5
+        )
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", self.port, backlog=1024)
+        await site.start()
+        self.port = self.runner.addresses[0][1]
+        self.name = self.name or f"{self.service}-{self.port}"
+        if self.cold_s > 0:
+            self.tasks.append(asyncio.create_task(self._warm_up()))
+        if self.announce_url:
+            self.tasks.append(asyncio.create_task(self._announce_always()))
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.thawed.set()
+        await self.runner.cleanup()
+
+    def control(self, **values) -> None:
+        """Change the behaviour, as ``POST /control`` does."""
+        self.behaviour.change(values)
+        if self.behaviour.freeze:
+            self.thawed.clear()
+        else:
+            self.thawed.set()
+        if self.behaviour.state != "draining":
+            self.drain_began = None
+        elif self.drain_began is None:
+            self.drain_began = boottime()
+
+    async def drain(
+        self, quiet_s: float = DRAIN_QUIET_S, timeout_s: float = DRAIN_TIMEOUT_S
+    ) -> None:
+        """Announce draining and return when no work came for ``quiet_s``.
+
+        The endpoint serves until then, because its daemon needs a moment to move its
+        partitions away. It waits no longer than ``timeout_s``.
+        """
+        self.control(state="draining")
+        await self._announce_once()
+        deadline = boottime() + timeout_s
+        while boottime() < deadline:
+            quiet_for = boottime() - max(self.last_begin, self.drain_began)
+            if not self.in_progress and quiet_for >= quiet_s:
+                break
+            await asyncio.sleep(min(0.1, quiet_s))
+        if self.announce_url:
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                await self._call_daemon("DELETE", None)
+
+    def status(self) -> dict:
+        """Return counters and executions as ``GET /control`` shows them."""
+        return {
+            "name": self.name,
+            "service": self.service,
+            "in_progress": self.in_progress,
+            "counters": dict(self.counters),
+            "behaviour": asdict(self.behaviour),
+            "executions": [asdict(item) for item in self.executions.values()],
+        }
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        self._count_connection(request)
+        body = await request.read()
+        await self.thawed.wait()
+        received = boottime()
+        headers = request.headers
+        try:
+            deadline = _deadline(headers, received)
+            reason = self._refusal(headers, deadline, received)
+        except ValueError as error:
+            return _not_run(f"bad header: {error}", 400)
+        if reason is not None:
+            self.counters["refused"] += 1
+            return _not_run(reason)
+        execution = self._begin(headers)
+        try:
+            async with asyncio.timeout(deadline - received if deadline else None):
+                await self._work()
+        except TimeoutError:
+            self.counters["deadlines_passed"] += 1
+            return web.Response(status=504, text="the deadline passed during the work")
+        except asyncio.CancelledError:
+            self.counters["cancelled"] += 1
+            raise
+        finally:
+            self.in_progress -= 1
+        execution.finished += 1
+        self.counters["finished"] += 1
+        answer = self._answer(headers, len(body))
+        if self.behaviour.cut_answers:
+            return await self._send_half(request, answer)
+        return web.Response(body=answer, content_type="application/json")
+
+    def _count_connection(self, request: web.Request) -> None:
+        self.transports.add(request.transport)
+        if len(self.transports) > self.counters["most_connections"]:
+            self.transports = {t for t in self.transports if not t.is_closing()}
+            self.counters["most_connections"] = max(
+                self.counters["most_connections"], len(self.transports)
+            )
+
+    def _refusal(self, headers, deadline: float | None, now: float) -> str | None:
+        if self.behaviour.shed_all:
+            return "told to shed all"
+        if self.in_progress >= self.slots:
+            self.counters["shed"] += 1
+            return f"all {self.slots} slots are taken"
+        if deadline is not None and now >= deadline:
+            self.counters["expired"] += 1
+            return "the deadline passed before the work began"
+        if not self.fenced:
+            return None
+        reason = self.fence.refusal(
+            headers.get("Sesamepost-Partition", ""),
+            int(headers.get("Sesamepost-Epoch", "0")),
+            int(now * 1e9),
+        )
+        if reason is not None:
+            self.counters["fenced_off"] += 1
+        return reason
+
+    def _begin(self, headers) -> Execution:
+        identity = (headers.get("Sesamepost-Key", ""), headers.get("X-Request-Id", ""))
+        execution = self.executions.get(identity)
+        if execution is None:
+            execution = Execution(*identity)
+            if len(self.executions) < MAX_EXECUTIONS:
+                self.executions[identity] = execution
+            else:
+                self.counters["executions_not_logged"] += 1
+        execution.count += 1
+        self.in_progress += 1
+        self.counters["begun"] += 1
+        self.counters["most_requests"] = max(
+            self.counters["most_requests"], self.in_progress
+        )
+        self.last_begin = boottime()
+        if self.drain_began is not None:
+            self.counters["begun_while_draining"] += 1
+            self.counters["last_begun_ms_after_drain"] = int(
+                (self.last_begin - self.drain_began) * 1000
+            )
+        return execution
+
+    async def _work(self) -> None:
+        slowdown = COLD_SLOWDOWN if self.behaviour.state == "cold" else 1.0
+        if self.behaviour.work_ms > 0:
+            await asyncio.sleep(self.behaviour.work_ms / 1000 * slowdown)
+        await self.thawed.wait()
+
+    def _answer(self, headers, length: int) -> bytes:
+        answer = {
+            "service": self.service,
+            "key": headers.get("Sesamepost-Key", ""),
+            "epoch": int(headers.get("Sesamepost-Epoch", "0")),
+            "endpoint": self.name,
+            "body_length": length,
+            "request_id": headers.get("X-Request-Id", ""),
+        }
+        return json.dumps(answer).encode().ljust(self.behaviour.answer_bytes)
+
+    async def _send_half(self, request: web.Request, answer: bytes):
+        response = web.StreamResponse(headers={"Content-Type": "application/json"})
+        response.content_length = len(answer)
+        await response.prepare(request)
+        await response.write(answer[: len(answer) // 2])
+        self.counters["answers_cut"] += 1
+        # Without a turn of the loop the half answer may still be in a buffer.
+        await asyncio.sleep(0)
+        request.transport.abort()
+        return response
+
+    async def _get_control(self, request: web.Request) -> web.Response:
+        return web.json_response(self.status())
+
+    async def _post_control(self, request: web.Request) -> web.Response:
+        try:
+            self.control(**await request.json())
+        except (TypeError, ValueError) as error:
+            return web.Response(status=400, text=str(error))
+        return web.json_response(asdict(self.behaviour))
+
+    async def _post_grant(self, request: web.Request) -> web.Response:
+        await self.thawed.wait()
+        grant = await request.json()
+        accepted = grant["service"] == self.service and self.fence.grant(
+            grant["incarnation"], grant["valid_until_ns"]
+        )
+        self.counters["grants" if accepted else "grants_refused"] += 1
+        return web.Response(status=204 if accepted else 409)
+
+    async def _post_drain(self, request: web.Request) -> web.Response:
+        await self.thawed.wait()
+        self.control(state="draining")
+        return web.Response(status=204)
+
+    async def _warm_up(self) -> None:
+        await asyncio.sleep(self.cold_s)
+        if self.behaviour.state == "cold":
+            self.control(state="ready")
+
+    async def _announce_always(self) -> None:
+        while True:
+            await self.thawed.wait()
+            await self._announce_once()
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+    async def _announce_once(self) -> None:
+        if not self.announce_url:
+            return
+        report = {
+            "url": self.url,
+            "fenced": self.fenced,
+            "slots": self.slots,
+            "connections": self.connections,
+            "state": self.behaviour.state,
+            "load": self._reported_load(boottime()),
+        }
+        try:
+            await self._call_daemon("PUT", report)
+        except (aiohttp.ClientError, TimeoutError):
+            self.counters["announcements_failed"] += 1
+        else:
+            self.counters["announcements"] += 1
+
+    async def _call_daemon(self, method: str, report: dict | None) -> None:
+        url = f"{self.announce_url}/v1/endpoints/{self.service}"
+        timeout = aiohttp.ClientTimeout(total=ANNOUNCE_TIMEOUT_S)
+        async with (
+            aiohttp.ClientSession(timeout=timeout, raise_for_status=True) as session,
+            session.request(method, url, json=report),
+        ):
+            return
+
+    def _reported_load(self, now: float) -> float:
+        """Return the share of slots in use, late or false if told so."""
+        self.reports.append((now, self.in_progress / self.slots))
+        newest_allowed = now - self.behaviour.report_lag_s
+        while len(self.reports) > 1 and self.reports[1][0] <= newest_allowed:
+            self.reports.popleft()
+        if self.behaviour.reported_load is not None:
+            return self.behaviour.reported_load
+        return self.reports[0][1]
+
+
+def _deadline(headers, now: float) -> float | None:
+    """Return the earlier of both deadlines on ``CLOCK_BOOTTIME`` in seconds."""
+    deadlines = []
+    if "Sesamepost-Timeout-Ms" in headers:
+        deadlines.append(now + int(headers["Sesamepost-Timeout-Ms"]) / 1000)
+    if "Sesamepost-Expires-Boottime-Ns" in headers:
+        deadlines.append(int(headers["Sesamepost-Expires-Boottime-Ns"]) / 1e9)
+    return min(deadlines, default=None)
+
+
+def _not_run(reason: str, status: int = 503) -> web.Response:
+    return web.Response(
+        status=status, text=reason, headers={OUTCOME_HEADER: Outcome.NOT_RUN}
+    )
+
+
+async def serve_until_sigterm(
+    endpoint: EndpointStandIn, drain_quiet_s: float = DRAIN_QUIET_S
+) -> None:
+    """Run ``endpoint`` and drain it on SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    async with endpoint:
+        print(f"ready {endpoint.service} {endpoint.url}", flush=True)
+        await stop.wait()
+        await endpoint.drain(drain_quiet_s)
+
+
+def run_endpoint(
+    *,
+    service: str,
+    port: int = 0,
+    announce: str = "",
+    slots: int = 6,
+    connections: int = 110,
+    fenced: bool = True,
+    work_ms: float = 0.0,
+    cold_s: float = 0.0,
+    drain_quiet_s: float = DRAIN_QUIET_S,
+) -> None:
+    """Run a stand-in endpoint on loopback until SIGTERM.
+
+    :param service: name of the service that it belongs to
+    :param port: port to listen on; 0 takes a free one
+    :param announce: base URL of the endpoints' port of a daemon
+    :param slots: requests that it runs at the same time
+    :param connections: connections that it announces as its limit
+    :param fenced: check epochs and grants
+    :param work_ms: time that each request takes
+    :param cold_s: time after the start for which it is cold
+    :param drain_quiet_s: time without work after which a draining endpoint ends
+    """
+
+    async def run() -> None:
+        await serve_until_sigterm(
+            EndpointStandIn(
+                service,
+                port=port,
+                announce=announce,
+                slots=slots,
+                connections=connections,
+                fenced=fenced,
+                work_ms=work_ms,
+                cold_s=cold_s,
+            ),
+            drain_quiet_s,
+        )
+
+    # The platform's policy forbids io_uring; libuv reads this when it is loaded.
+    os.environ["UV_USE_IO_URING"] = "0"
+    import uvloop
+
+    uvloop.run(run())
+
+
+def main() -> None:
+    """Parse the command line and run."""
+    defopt.run(run_endpoint)
+
+
+if __name__ == "__main__":
+    main()
