--- /dev/null
+++ b/src/sesamepost/internal/dispatch/records.py
@@ -0,0 +1,424 @@
+"""Idempotency records: at most one run for each idempotency key.
+
+The owner of a key writes a record before it dispatches a request that has an
+idempotency key. A resubmission finds the record, or the owner knows whether a missing
+record proves that the request never ran. See section 6 of ``docs/design.md``.
+"""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import NamedTuple
+
+from sesamepost.errors import ErrorKind
+from sesamepost.internal.dispatch.born import parse_born, proves_first_submission
+from sesamepost.internal.ownership.assignment import Placement
+from sesamepost.internal.ownership.items import Item
+from sesamepost.internal.ownership.messages import Records
+
+# A token counts for 600 s and the clocks of two VMs may differ by 60 s.
+RECORD_LIFETIME_S = 660.0
+MIN_COVERAGE_S = 600.0
+MAX_RECORDS = 50_000
+MAX_ANSWER_BYTES = 16 << 10
+# A message may have 9 MiB; smaller parts delay other traffic on the stream less.
+MAX_PART_BYTES = 1 << 20
+_RECORD_OVERHEAD_BYTES = 64
+
+
+class RecordState(IntEnum):
+    """What is known about the run; the numbers are part of the ``Records`` message."""
+
+    RUNNING = 0
+    ANSWERED = 1
+    ANSWER_DROPPED = 2
+    UNKNOWN = 3
+
+
+@dataclass(frozen=True, slots=True)
+class StoredAnswer:
+    """An endpoint's answer; ``headers`` is a sequence of pairs of strings."""
+
+    status: int
+    headers: tuple
+    body: bytes
+
+    @property
+    def size(self) -> int:
+        """The bytes of body and headers."""
+        return len(self.body) + sum(len(n) + len(v) for n, v in self.headers)
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A request with an idempotency key; ``born`` is empty if it has no token."""
+
+    item: Item
+    key: str
+    key_hash: int
+    idempotency_key: str
+    born: str
+    placement: Placement
+
+    @property
+    def identity(self) -> "RecordKey":
+        """The key of its record."""
+        return RecordKey(self.item.service, self.key, self.idempotency_key)
+
+
+class RecordKey(NamedTuple):
+    """What identifies a record."""
+
+    service: str
+    key: str
+    idempotency_key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """The request must be dispatched.
+
+    ``finish`` must be called with ``record`` however the dispatch ends; a record that
+    stays running is never removed.
+    """
+
+    record: RecordKey
+
+
+@dataclass(frozen=True, slots=True)
+class Replay:
+    """The request ran before; this is its answer."""
+
+    answer: StoredAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """The request is not dispatched."""
+
+    kind: ErrorKind
+
+
+Waiter = Callable[[Replay | Refuse], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Join:
+    """The request is running; append a callback to ``waiters`` to get its end.
+
+    After a run that did not take place the waiters get its refusal, whose outcome is
+    "not run"; each may begin again.
+    """
+
+    waiters: list[Waiter]
+
+
+Decision = Run | Join | Replay | Refuse
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """The endpoint answered."""
+
+    answer: StoredAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class DidNotRun:
+    """No byte reached the endpoint, or it stated that it did not run the request."""
+
+    kind: ErrorKind
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeUnknown:
+    """The request may have run."""
+
+
+Ending = Ran | DidNotRun | OutcomeUnknown
+
+
+class RecordsRunningError(Exception):
+    """Records were exported while a request of the item was in flight."""
+
+
+@dataclass(slots=True)
+class Record:
+    """One record; ``created`` is on the clock of ``now``."""
+
+    key_hash: int
+    created: float
+    state: RecordState = RecordState.RUNNING
+    answer: StoredAnswer | None = None
+    waiters: list[Waiter] = field(default_factory=list)
+
+
+class Coverage(NamedTuple):
+    """Since which document version and time the records of an item are complete."""
+
+    epoch: int
+    began: float
+
+
+class IdempotencyRecords:
+    """All records of one daemon.
+
+    ``now`` is in seconds on ``CLOCK_BOOTTIME``, ``unix_now`` on the wall clock. The
+    second serves only to judge ``Sesamepost-Born`` tokens of other daemons.
+    """
+
+    def __init__(self, limit: int = MAX_RECORDS) -> None:
+        if limit < 1:
+            raise ValueError(f"limit must be at least 1, not {limit}")
+        self.limit = limit
+        self.records: dict[RecordKey, Record] = {}
+        self.coverages: dict[Item, Coverage] = {}
+        self.by_age: list[tuple[float, int, RecordKey, Record]] = []
+        self.tie_breaker = itertools.count()
+        self.next_parts: dict[Item, tuple[int, int]] = {}
+
+    def __len__(self) -> int:
+        return len(self.records)
+
+    def begin_coverage(self, item: Item, coverage_epoch: int, now: float) -> None:
+        """Note that this daemon owns ``item`` and that earlier records were lost.
+
+        Call it when a new assignment first names this node under ``coverage_epoch``.
+        """
+        known = self.coverages.get(item)
+        if known is None or known.epoch < coverage_epoch:
+            self.coverages[item] = Coverage(coverage_epoch, now)
+
+    def begin(self, submission: Submission, now: float, unix_now: float) -> Decision:
+        """Decide what to do with a request that this daemon has the right to serve."""
+        self.expire(now)
+        identity = submission.identity
+        record = self.records.get(identity)
+        if record is not None:
+            return _decision_for(record)
+        coverage = self._coverage_of(submission.item, submission.placement, now)
+        refusal = _first_submission_refusal(submission.born, coverage, now, unix_now)
+        if refusal is not None:
+            return Refuse(refusal)
+        if len(self.records) >= self.limit:
+            return Refuse(ErrorKind.OVERLOADED)
+        self._add(identity, Record(submission.key_hash, now))
+        return Run(identity)
+
+    def finish(self, identity: RecordKey, ending: Ending) -> None:
+        """Settle a running record and tell everyone who joined it."""
+        record = self.records[identity]
+        if record.state is not RecordState.RUNNING:
+            raise ValueError(f"the record of {identity} is finished already")
+        match ending:
+            case Ran(answer):
+                result = Replay(answer)
+                if answer.size <= MAX_ANSWER_BYTES:
+                    record.state = RecordState.ANSWERED
+                    record.answer = answer
+                else:
+                    record.state = RecordState.ANSWER_DROPPED
+            case DidNotRun(kind):
+                result = Refuse(kind)
+                del self.records[identity]
+            case OutcomeUnknown():
+                result = Refuse(ErrorKind.DUPLICATE_UNKNOWN)
+                record.state = RecordState.UNKNOWN
+        waiters, record.waiters = record.waiters, []
+        for waiter in waiters:
+            waiter(result)
+
+    def expire(self, now: float) -> None:
+        """Remove records that are older than ``RECORD_LIFETIME_S`` and not running."""
+        running = []
+        while self.by_age and now - self.by_age[0][0] >= RECORD_LIFETIME_S:
+            entry = heapq.heappop(self.by_age)
+            _, _, identity, record = entry
+            if self.records.get(identity) is not record:
+                continue
+            if record.state is RecordState.RUNNING:
+                running.append(entry)
+                continue
+            del self.records[identity]
+        for entry in running:
+            heapq.heappush(self.by_age, entry)
+
+    def export(
+        self,
+        item: Item,
+        placement: Placement,
+        includes: Callable[[int], bool],
+        now: float,
+    ) -> list[Records]:
+        """Return the records of the keys whose hash ``includes`` accepts, in parts.
+
+        The records stay here, because the move may not happen; ``forget`` removes
+        them. Raises ``RecordsRunningError`` if one of them is running.
+        """
+        self.expire(now)
+        coverage = self._coverage_to_export(item, placement, now)
+        parts: list[list] = [[]]
+        size = 0
+        for identity, record in self.records.items():
+            if identity.service != item.service or not includes(record.key_hash):
+                continue
+            if record.state is RecordState.RUNNING:
+                raise RecordsRunningError(f"a request of {item} is in flight")
+            record_size = _encoded_size(identity, record)
+            if parts[-1] and size + record_size > MAX_PART_BYTES:
+                parts.append([])
+                size = 0
+            parts[-1].append(_to_array(identity, record, now))
+            size += record_size
+        return [
+            Records(
+                *item,
+                placement.epoch,
+                coverage.epoch,
+                now - coverage.began,
+                number,
+                len(parts),
+                tuple(part),
+            )
+            for number, part in enumerate(parts)
+        ]
+
+    def import_records(self, part: Records, now: float) -> bool:
+        """Take one part of the records of an item that moves here.
+
+        Parts must come in order. False if one is missing before this part or there is
+        no room; the move then counts as one that lost the records.
+        """
+        self.expire(now)
+        item = Item(part.service, part.is_key, part.item)
+        expected = 0
+        if part.part > 0:
+            epoch, expected = self.next_parts.get(item, (part.epoch, 0))
+            expected = expected if epoch == part.epoch else 0
+        incoming = dict(_from_array(item.service, array, now) for array in part.records)
+        room = self.limit - len(self.records)
+        if part.part != expected or len(incoming.keys() - self.records.keys()) > room:
+            self.next_parts.pop(item, None)
+            return False
+        for identity, record in incoming.items():
+            known = self.records.get(identity)
+            if known is None or known.state is not RecordState.RUNNING:
+                self._add(identity, record)
+        if part.part + 1 < part.parts:
+            self.next_parts[item] = (part.epoch, part.part + 1)
+            return True
+        self.next_parts.pop(item, None)
+        known = self.coverages.get(item)
+        if known is None or known.epoch <= part.coverage_epoch:
+            self.coverages[item] = Coverage(
+                part.coverage_epoch, now - part.coverage_age_s
+            )
+        return True
+
+    def forget(self, item: Item, includes: Callable[[int], bool]) -> None:
+        """Remove what is known of an item that has another owner now.
+
+        Call it as soon as an assignment names the other owner. Otherwise this daemon
+        would take its records for complete if it became the owner again.
+        """
+        self.coverages.pop(item, None)
+        gone = [
+            identity
+            for identity, record in self.records.items()
+            if identity.service == item.service
+            and record.state is not RecordState.RUNNING
+            and includes(record.key_hash)
+        ]
+        for identity in gone:
+            del self.records[identity]
+
+    def _add(self, identity: RecordKey, record: Record) -> None:
+        self.records[identity] = record
+        heapq.heappush(
+            self.by_age, (record.created, next(self.tie_breaker), identity, record)
+        )
+        if len(self.by_age) > 2 * self.limit + 2:
+            # Entries of removed records would otherwise pile up for 660 s.
+            self.by_age = [e for e in self.by_age if self.records.get(e[2]) is e[3]]
+            heapq.heapify(self.by_age)
+
+    def _coverage_of(self, item: Item, placement: Placement, now: float) -> Coverage:
+        coverage = self.coverages.get(item)
+        if coverage is None:
+            # Neither a loss nor an import was announced for this item, so records
+            # from before this epoch may be missing.
+            coverage = Coverage(placement.epoch, now)
+        elif coverage.epoch < placement.coverage_epoch:
+            coverage = Coverage(placement.coverage_epoch, now)
+        self.coverages[item] = coverage
+        return coverage
+
+    def _coverage_to_export(
+        self, item: Item, placement: Placement, now: float
+    ) -> Coverage:
+        partition = Item(item.service, False, placement.partition)
+        if item.is_key and item not in self.coverages:
+            # The key leaves its partition, so the partition's records covered it.
+            return self._coverage_of(partition, placement, now)
+        return self._coverage_of(item, placement, now)
+
+
+def _decision_for(record: Record) -> Decision:
+    match record.state:
+        case RecordState.RUNNING:
+            return Join(record.waiters)
+        case RecordState.ANSWERED:
+            return Replay(record.answer)
+        case _:
+            return Refuse(ErrorKind.DUPLICATE_UNKNOWN)
+
+
+def _first_submission_refusal(
+    born: str, coverage: Coverage, now: float, unix_now: float
+) -> ErrorKind | None:
+    """Return why a request without a record must not run, or None if it may."""
+    if not born:
+        if now - coverage.began >= MIN_COVERAGE_S:
+            return None
+        return ErrorKind.DUPLICATE_UNKNOWN
+    token = parse_born(born)
+    if token.is_error():
+        return token.error
+    if proves_first_submission(token.ok, coverage.epoch, unix_now):
+        return None
+    return ErrorKind.DUPLICATE_UNKNOWN
+
+
+def _encoded_size(identity: RecordKey, record: Record) -> int:
+    answer_bytes = record.answer.size if record.answer is not None else 0
+    # A character of a key takes up to four bytes.
+    key_bytes = 4 * (len(identity.key) + len(identity.idempotency_key))
+    return _RECORD_OVERHEAD_BYTES + key_bytes + answer_bytes
+
+
+def _to_array(identity: RecordKey, record: Record, now: float) -> list:
+    answer = record.answer or StoredAnswer(0, (), b"")
+    return [
+        identity.key,
+        identity.idempotency_key,
+        record.key_hash,
+        int(record.state),
+        now - record.created,
+        answer.status,
+        answer.headers,
+        answer.body,
+    ]
+
+
+def _from_array(service: str, array: list, now: float) -> tuple[RecordKey, Record]:
+    key, idempotency_key, key_hash, state, age_s, status, headers, body = array
+    state = RecordState(state)
+    answer = None
+    if state is RecordState.ANSWERED:
+        answer = StoredAnswer(status, tuple(map(tuple, headers)), body)
+    return (
+        RecordKey(service, key, idempotency_key),
+        Record(key_hash, now - age_s, state, answer),
+    )
--- /dev/null
+++ b/tests/dispatch/test_records.py
@@ -0,0 +1,248 @@
+"""A request with an idempotency key runs at most once, whatever happens between."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sesamepost.errors import ErrorKind
+from sesamepost.internal.dispatch.born import issue_born
+from sesamepost.internal.dispatch.records import (
+    DidNotRun,
+    IdempotencyRecords,
+    Join,
+    OutcomeUnknown,
+    Ran,
+    RecordsRunningError,
+    Refuse,
+    Replay,
+    Run,
+    StoredAnswer,
+    Submission,
+)
+from sesamepost.internal.identity import NodeId, hash_key
+from sesamepost.internal.ownership.assignment import Placement
+from sesamepost.internal.ownership.items import Item
+from sesamepost.internal.wire.messages import decode, encode
+
+ITEM = Item("booking", False, 3)
+NODE = NodeId("vm-a", 1)
+ANSWER = StoredAnswer(201, (("Content-Type", "text/plain"),), b"booked")
+# The wall clock and the boot clock differ, so that a mix-up of the two shows.
+UNIX_OFFSET_S = 1_700_000_000.0
+DUPLICATE = Refuse(ErrorKind.DUPLICATE_UNKNOWN)
+
+
+def submission(idempotency_key="i", born="", epoch=1, coverage_epoch=1):
+    placement = Placement(NODE, ITEM.number, epoch, coverage_epoch)
+    return Submission(ITEM, "k", hash_key("k"), idempotency_key, born, placement)
+
+
+def begin(records, item, now):
+    return records.begin(item, now, now + UNIX_OFFSET_S)
+
+
+def token(version, now):
+    return issue_born(version, now + UNIX_OFFSET_S)
+
+
+def covered_records(limit=50_000):
+    records = IdempotencyRecords(limit)
+    records.begin_coverage(ITEM, 1, now=0.0)
+    return records
+
+
+def everything(key_hash):
+    return True
+
+
+def move(source, target, epoch, now):
+    """Move all records through the encoding of the wire."""
+    placement = Placement(NODE, ITEM.number, epoch, 1)
+    parts = source.export(ITEM, placement, everything, now)
+    return all(target.import_records(decode(encode(part)), now) for part in parts)
+
+
+def test_two_vms_that_submit_the_same_key_at_once_get_one_run():
+    # Guards against two fitters at one address because two callers' VMs forwarded
+    # the same booking.
+    records = covered_records()
+    first = begin(records, submission(), 1000.0)
+    second = begin(records, submission(), 1000.0)
+    assert isinstance(first, Run)
+    assert isinstance(second, Join)
+    received = []
+    second.waiters.append(received.append)
+    records.finish(first.record, Ran(ANSWER))
+    assert received == [Replay(ANSWER)]
+    assert begin(records, submission(), 1001.0) == Replay(ANSWER)
+
+
+def test_a_run_that_did_not_take_place_leaves_no_record():
+    # Guards against refusing for 660 s what an endpoint shed as not run.
+    records = covered_records()
+    first = begin(records, submission(), 1000.0)
+    received = []
+    begin(records, submission(), 1000.0).waiters.append(received.append)
+    records.finish(first.record, DidNotRun(ErrorKind.ENDPOINT_REFUSED))
+    assert received == [Refuse(ErrorKind.ENDPOINT_REFUSED)]
+    assert isinstance(begin(records, submission(), 1001.0), Run)
+
+
+@pytest.mark.parametrize(
+    "ending", [OutcomeUnknown(), Ran(StoredAnswer(200, (), bytes(16 * 1024 + 1)))]
+)
+def test_without_an_answer_to_replay_the_duplicate_is_refused(ending):
+    # Guards against a second run after a lost or dropped answer.
+    records = covered_records()
+    first = begin(records, submission(), 1000.0)
+    records.finish(first.record, ending)
+    assert begin(records, submission(), 1001.0) == DUPLICATE
+
+
+def test_a_full_table_refuses_new_keys_and_keeps_what_it_has():
+    # Guards against evicting a record whose request could then run twice.
+    records = covered_records(limit=2)
+    running = begin(records, submission("a"), 1000.0)
+    done = begin(records, submission("b"), 1000.0)
+    records.finish(done.record, Ran(ANSWER))
+    assert begin(records, submission("c"), 1001.0) == Refuse(ErrorKind.OVERLOADED)
+    assert isinstance(begin(records, submission("a"), 1659.9), Join)
+    assert begin(records, submission("b"), 1659.9) == Replay(ANSWER)
+    assert isinstance(begin(records, submission("c"), 1660.0), Run)
+    assert isinstance(begin(records, submission("a"), 1660.0), Join)
+    records.finish(running.record, Ran(ANSWER))
+    records.expire(1660.0)
+    assert len(records) == 1
+
+
+def test_refused_runs_do_not_accumulate():
+    # Guards against memory that grows with requests that left no record.
+    records = covered_records(limit=10)
+    for number in range(1000):
+        run = begin(records, submission(str(number)), 1000.0)
+        records.finish(run.record, DidNotRun(ErrorKind.OVERLOADED))
+    assert len(records.by_age) <= 22
+
+
+def test_a_resubmission_after_a_planned_move_gets_the_first_answer():
+    # Guards against a booking that runs again because its key moved.
+    old, new = covered_records(), IdempotencyRecords()
+    run = begin(old, submission(), 1000.0)
+    with pytest.raises(RecordsRunningError):
+        move(old, new, 1, 1000.0)
+    old.finish(run.record, Ran(ANSWER))
+    assert move(old, new, 1, 1100.0)
+    assert begin(new, submission(epoch=2), 1101.0) == Replay(ANSWER)
+    # Coverage has its age from the old owner, so a request without a token runs.
+    assert isinstance(begin(new, submission("other", epoch=2), 1101.0), Run)
+    # The record has its age from the old owner too.
+    assert isinstance(begin(new, submission(epoch=2), 1660.0), Run)
+
+
+def test_a_planned_move_without_its_records_counts_as_a_loss():
+    # Guards against a new owner that takes an incomplete transfer for complete.
+    old = covered_records()
+    for name in ("a", "b"):
+        run = begin(old, submission(name), 1000.0)
+        records_body = StoredAnswer(200, (), bytes(16 * 1024))
+        old.finish(run.record, Ran(records_body))
+    assert not move(old, IdempotencyRecords(limit=1), 1, 1100.0)
+    for number in range(100):
+        run = begin(old, submission(str(number)), 1000.0)
+        old.finish(run.record, Ran(records_body))
+    parts = old.export(ITEM, submission().placement, everything, 1100.0)
+    assert len(parts) > 1
+    new = IdempotencyRecords()
+    assert not new.import_records(parts[1], 1100.0)
+    assert begin(new, submission("a", epoch=2), 1101.0) == DUPLICATE
+    early = submission("a", epoch=2, born=token(1, 1000.0))
+    assert begin(new, early, 1101.0) == DUPLICATE
+
+
+@pytest.mark.parametrize(
+    ("born", "now", "expected"),
+    [
+        (token(4, 990.0), 1001.0, DUPLICATE),
+        (token(5, 1000.5), 1001.0, Run),
+        (token(5, 1000.5), 1601.0, DUPLICATE),
+        (token(5, 1002.0), 1601.0, Run),
+        (token(9, 1061.0), 1001.0, Run),
+        (token(9, 1062.0), 1001.0, DUPLICATE),
+        ("", 1001.0, DUPLICATE),
+        ("", 1599.9, DUPLICATE),
+        ("", 1600.0, Run),
+        ("5", 1600.0, Refuse(ErrorKind.BAD_BORN_TOKEN)),
+        ("5-\u0661", 1600.0, Refuse(ErrorKind.BAD_BORN_TOKEN)),
+        ("-1-5", 1600.0, Refuse(ErrorKind.BAD_BORN_TOKEN)),
+    ],
+)
+def test_after_an_unplanned_loss_only_a_proven_first_submission_runs(
+    born, now, expected
+):
+    # Guards against a second run of what the lost owner had run.
+    records = IdempotencyRecords()
+    records.begin_coverage(ITEM, 5, now=1000.0)
+    request = submission(born=born, epoch=5, coverage_epoch=5)
+    decision = begin(records, request, now)
+    assert decision == expected or type(decision) is expected
+
+
+def test_an_owner_that_was_told_of_no_coverage_assumes_a_loss():
+    # Guards against trusting old records when the key came back by an unplanned move.
+    records = covered_records()
+    request = submission(born=token(4, 990.0), epoch=5, coverage_epoch=5)
+    assert begin(records, request, 1000.0) == DUPLICATE
+    records.forget(ITEM, everything)
+    request = submission(born=token(8, 1999.0), epoch=9, coverage_epoch=5)
+    assert begin(records, request, 2000.0) == DUPLICATE
+
+
+REQUESTS = 3
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("wait"), st.sampled_from([1.0, 59.0, 299.0, 601.0])),
+        st.tuples(
+            st.just("submit"),
+            st.integers(0, REQUESTS - 1),
+            st.sampled_from([Ran(ANSWER), OutcomeUnknown(), DidNotRun("x")]),
+        ),
+        st.tuples(st.just("move"), st.booleans()),
+        st.tuples(st.just("lose")),
+    ),
+    max_size=25,
+)
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(steps=STEPS, skews=st.tuples(*[st.sampled_from([-60, 0, 60])] * REQUESTS))
+def test_no_schedule_of_moves_losses_and_waits_runs_a_request_twice(steps, skews):
+    # Guards against gaps between lifetimes of records, tokens and coverage. Request 0
+    # carries no token and keeps to the 600 s that callers are allowed.
+    owner, now, version, coverage_epoch = covered_records(), 1000.0, 1, 1
+    born, first, runs = {0: ""}, {}, [0] * REQUESTS
+    for step in steps:
+        match step:
+            case ["wait", seconds]:
+                now += seconds
+            case ["lose"]:
+                version += 1
+                coverage_epoch = version
+                owner = IdempotencyRecords()
+                owner.begin_coverage(ITEM, version, now)
+            case ["move", whole]:
+                target = IdempotencyRecords(50_000 if whole else 1)
+                kept = move(owner, target, version, now)
+                version += 1
+                coverage_epoch = coverage_epoch if kept else version
+                target.limit, owner = 50_000, target
+            case ["submit", number, ending]:
+                if now - first.setdefault(number, now) > 600 and number == 0:
+                    continue
+                born.setdefault(number, token(version, now + skews[number]))
+                request = submission(str(number), born[number], version, coverage_epoch)
+                decision = begin(owner, request, now)
+                if not isinstance(decision, Run):
+                    continue
+                owner.finish(decision.record, ending)
+                runs[number] += not isinstance(ending, DidNotRun)
+    assert max(runs) <= 1
