--- /dev/null
+++ b/src/sesamepost/internal/settings/problems.py
@@ -0,0 +1,27 @@
+"""What is wrong with a settings file, in terms that an operator can act on."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsProblem:
+    """One fault of a settings file.
+
+    ``section`` is written as in the file, without brackets. ``line`` is 0 and ``value``
+    empty where the fault is that something is missing.
+    """
+
+    file: str
+    section: str
+    key: str
+    value: str
+    reason: str
+    remedy: str
+    line: int = 0
+
+    def __str__(self) -> str:
+        place = f"{self.file}:{self.line}" if self.line else self.file
+        section = f" [{self.section}]" if self.section else ""
+        entry = f" {self.key} = {self.value}" if self.value else f" {self.key}"
+        named = section + (entry if self.key else "")
+        return f"{place}:{named or ' file'}: {self.reason}; {self.remedy}"
