Expire every lease of the store stand-in under uvloop, too

Cause: uvloop rounds its clock to milliseconds, so a lease's timer can fire before the lease has ended on time.monotonic. No further timer was set, and the value bound to the lease stayed until the next call. No test: the fault depends on the rounding of the moment. Conclusion: a timer that fires early is set again for the time that remains.

--- a/src/sesamepost/standins/store.py
+++ b/src/sesamepost/standins/store.py
@@ -270,16 +270,18 @@
             raise web.HTTPBadRequest(text=f"ttl_ms must be 1 to {MAX_TTL_MS}")
         name = secrets.token_hex(8)
         ttl_s = ttl_ms / 1000
-        self.leases[name] = Lease(ttl_s, time.monotonic() + ttl_s, self._timer(ttl_s))
+        timer = self._start_timer(name, ttl_s)
+        self.leases[name] = Lease(ttl_s, time.monotonic() + ttl_s, timer)
         return web.json_response({"lease": name})
 
     async def _renew(self, request: web.Request) -> web.Response:
-        lease = self.leases.get(request.match_info["lease"])
+        name = request.match_info["lease"]
+        lease = self.leases.get(name)
         if lease is None:
             return web.Response(status=404)
         lease.timer.cancel()
         lease.expires_at = time.monotonic() + lease.ttl_s
-        lease.timer = self._timer(lease.ttl_s)
+        lease.timer = self._start_timer(name, lease.ttl_s)
         return web.Response()
 
     async def _end(self, request: web.Request) -> web.Response:
@@ -321,8 +323,17 @@
             self.leases[lease].keys.add(key)
         self._wake_watches()
 
-    def _timer(self, delay_s: float) -> asyncio.TimerHandle:
-        return asyncio.get_running_loop().call_later(delay_s, self._expire_leases)
+    def _start_timer(self, name: str, delay_s: float) -> asyncio.TimerHandle:
+        loop = asyncio.get_running_loop()
+        return loop.call_later(delay_s, self._handle_timer, name)
+
+    def _handle_timer(self, name: str) -> None:
+        self._expire_leases()
+        lease = self.leases.get(name)
+        if lease is not None:
+            # uvloop rounds its clock to milliseconds, so a timer can fire early.
+            remaining_s = max(lease.expires_at - time.monotonic(), 0.001)
+            lease.timer = self._start_timer(name, remaining_s)
 
     def _expire_leases(self) -> None:
         """End every lease whose time has passed.
