Add sesamepostctl

Cause: operators change the system only through their team's branch, often several at a time, and scripts rely on exit codes and JSON. Ruled out: letting a VM be drained for a second reason while it is drained for the first. The branch holds one state for a VM, so the end of one drain would end the other, too; the command is refused instead. Also ruled out: trusting only the daemon's list of endpoints in service for the check of the last one; it can be older than the branch, so VMs that the branch has out of service don't count.

--- /dev/null
+++ b/src/sesamepost/internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""``sesamepostctl``, the operators' command-line tool."""
--- /dev/null
+++ b/src/sesamepost/internal/cli/branches.py
@@ -0,0 +1,141 @@
+"""Reads and writes the teams' branches in the store."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sesamepost.internal.cli.errors import (
+    CommandError,
+    ExitCode,
+    ProblemsError,
+    conflict_error,
+)
+from sesamepost.internal.settings.branch import (
+    SETTINGS_PREFIX,
+    branch_key,
+    check_change,
+    check_tree,
+    parse_branch,
+)
+from sesamepost.internal.settings.model import TeamBranch
+from sesamepost.internal.store.envelope import decode_envelope, write_document
+from sesamepost.internal.store.interface import Store, StoreConflictError
+
+MAX_EDIT_ATTEMPTS = 20
+
+
+@dataclass(frozen=True, slots=True)
+class StoredBranch:
+    """A branch as it is in the store; version 0 and empty if the team has none."""
+
+    team: str
+    version: int
+    author: str
+    text: str
+
+
+async def read_branch(store: Store, team: str) -> StoredBranch:
+    """Return the team's branch; raises ``EnvelopeError`` for a foreign value."""
+    stored = await store.get(branch_key(team))
+    if stored is None:
+        return StoredBranch(team, 0, "", "")
+    envelope = decode_envelope(stored.value)
+    text = envelope.body.decode()
+    return StoredBranch(team, stored.version, envelope.author, text)
+
+
+async def require_branch(store: Store, team: str) -> StoredBranch:
+    """Return the team's branch; a team that has none is an error."""
+    branch = await read_branch(store, team)
+    if branch.version == 0:
+        raise CommandError(
+            ExitCode.FAILED,
+            f"team {team} has no branch; create it with put {team} FILE --if-version 0",
+        )
+    return branch
+
+
+def parse_or_refuse(team: str, text: str, file: str) -> TeamBranch:
+    """Return the checked branch in ``text`` or raise ``ProblemsError``."""
+    parsed = parse_branch(team, text, file)
+    if parsed.is_error():
+        raise ProblemsError(file, parsed.error)
+    return parsed.ok
+
+
+async def put_branch(
+    store: Store, team: str, text: str, file: str, author: str, expected: int
+) -> int:
+    """Check a branch against itself, its predecessor and the tree, then write it.
+
+    Nothing is written unless the branch has no problem and its version in the store is
+    ``expected``. Returns the new version.
+    """
+    new = parse_or_refuse(team, text, file)
+    stored = await read_branch(store, team)
+    if stored.version != expected:
+        raise conflict_error(
+            StoreConflictError(
+                branch_key(team), expected, stored.version, stored.author
+            )
+        )
+    # A stored branch that this release can't read must not prevent its replacement.
+    old = parse_branch(team, stored.text).default_value(None)
+    problems = check_change(old, new)
+    problems += check_tree([*await _read_other_branches(store, team), new])
+    if problems:
+        raise ProblemsError(file, problems)
+    return await _write(store, team, text, author, expected)
+
+
+async def edit_branch(
+    store: Store,
+    team: str,
+    author: str,
+    edit: Callable[[TeamBranch, str], str],
+) -> tuple[int, bool]:
+    """Apply ``edit`` to the branch; return its version and whether it was written.
+
+    ``edit`` gets the branch and its text and returns the new text, or the same text if
+    there is nothing to do. It is called again with the newer branch when another
+    operator wrote in between, so that both changes stay.
+    """
+    conflict: CommandError | None = None
+    for _ in range(MAX_EDIT_ATTEMPTS):
+        stored = await require_branch(store, team)
+        branch = parse_or_refuse(team, stored.text, branch_key(team))
+        text = edit(branch, stored.text)
+        if text == stored.text:
+            return stored.version, False
+        parse_or_refuse(team, text, branch_key(team))
+        try:
+            return await _write(store, team, text, author, stored.version), True
+        except CommandError as error:
+            if error.code is not ExitCode.CONFLICT:
+                raise
+            conflict = error
+    assert conflict is not None
+    raise conflict
+
+
+async def _write(store: Store, team: str, text: str, author: str, expected: int) -> int:
+    try:
+        return await write_document(
+            store, branch_key(team), text.encode(), author, expected
+        )
+    except StoreConflictError as conflict:
+        raise conflict_error(conflict) from conflict
+
+
+async def _read_other_branches(store: Store, team: str) -> list[TeamBranch]:
+    branches = []
+    for key, _ in await store.list(SETTINGS_PREFIX):
+        other = key.removeprefix(SETTINGS_PREFIX)
+        if other == team:
+            continue
+        stored = await read_branch(store, other)
+        parsed = parse_branch(other, stored.text)
+        if parsed.is_error():
+            # Another team's broken branch must not keep this team from its changes.
+            continue
+        branches.append(parsed.ok)
+    return branches
--- /dev/null
+++ b/src/sesamepost/internal/cli/daemon.py
@@ -0,0 +1,158 @@
+"""Client of a daemon's operators' port."""
+
+import json
+from dataclasses import dataclass
+from types import TracebackType
+
+import aiohttp
+
+from sesamepost.internal.cli.errors import CommandError, ExitCode
+
+CALL_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A node of the fleet as a daemon knows it."""
+
+    vm: str
+    node: str
+    failure_domain: str
+    region: str
+    state: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """The answer of ``GET /status``.
+
+    ``services`` lists the VMs with an endpoint in service for each service.
+    """
+
+    node: str
+    fleet: tuple[Member, ...]
+    controller: str | None
+    documents: dict[str, int]
+    rejected: dict[str, str]
+    services: dict[str, list[str]]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeReport:
+    """The versions that a node had in force ``age_s`` seconds ago."""
+
+    documents: dict[str, int]
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Ownership:
+    """Who owns a key; ``owner`` is None while nobody does."""
+
+    service: str
+    key: str
+    partition: int
+    owner: str | None
+    epoch: int
+
+
+class DaemonClient:
+    """Reads a daemon's operators' port; every failure is a ``CommandError``."""
+
+    def __init__(self, url: str) -> None:
+        self.url = url.rstrip("/")
+        self.session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "DaemonClient":
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        self.session = aiohttp.ClientSession(timeout=timeout)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self.session is not None:
+            await self.session.close()
+
+    async def status(self) -> Status:
+        """Return what the daemon knows of the fleet."""
+        answer = await self._get("/status")
+        try:
+            return Status(
+                node=answer["node"],
+                fleet=tuple(Member(**_pick(item)) for item in answer["fleet"]),
+                controller=answer["controller"],
+                documents=dict(answer["documents"]),
+                rejected=dict(answer["rejected"]),
+                services=dict(answer["services"]),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise self._malformed("/status", error) from None
+
+    async def fleet(self) -> dict[str, NodeReport]:
+        """Return the versions in force on each VM as the controller last heard."""
+        answer = await self._get("/fleet")
+        try:
+            return {
+                vm: NodeReport(dict(report["documents"]), float(report["age_s"]))
+                for vm, report in answer["nodes"].items()
+            }
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise self._malformed("/fleet", error) from None
+
+    async def owner(self, service: str, key: str) -> Ownership:
+        """Return who owns ``key`` of ``service``."""
+        answer = await self._get("/owner", {"service": service, "key": key})
+        try:
+            return Ownership(
+                service=answer["service"],
+                key=answer["key"],
+                partition=answer["partition"],
+                owner=answer["owner"],
+                epoch=answer["epoch"],
+            )
+        except (KeyError, TypeError) as error:
+            raise self._malformed("/owner", error) from None
+
+    async def _get(self, path: str, query: dict[str, str] | None = None):
+        if self.session is None:
+            raise RuntimeError("DaemonClient is used outside of its `async with` block")
+        try:
+            async with self.session.get(self.url + path, params=query) as answer:
+                body = await answer.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            reason = str(error) or f"no answer within {CALL_TIMEOUT_S:g} s"
+            raise CommandError(
+                ExitCode.UNAVAILABLE, f"the daemon at {self.url}: {reason}"
+            ) from error
+        if answer.status >= 500:
+            raise CommandError(
+                ExitCode.UNAVAILABLE,
+                f"the daemon at {self.url} answered {answer.status} to {path}",
+            )
+        if answer.status != 200:
+            text = " ".join(body.decode(errors="replace").split())[:200]
+            raise CommandError(
+                ExitCode.FAILED,
+                f"the daemon at {self.url} answered {answer.status} to {path}: {text}",
+            )
+        try:
+            return json.loads(body)
+        except ValueError as error:
+            raise self._malformed(path, error) from None
+
+    def _malformed(self, path: str, error: Exception) -> CommandError:
+        return CommandError(
+            ExitCode.FAILED,
+            f"the daemon at {self.url} sent an answer to {path} that this release does"
+            f" not understand ({error!r})",
+        )
+
+
+def _pick(item: dict) -> dict:
+    """Drop fields that a newer daemon may send."""
+    return {name: item[name] for name in Member.__dataclass_fields__}
