Add load reports and the controller's load table

Cause: the planner needs the load of each partition and hot key from reports that can be late, older than a move, or wrong. Ruled out: taking each report for the present assignment. A report older than a move shows the new owner idle, and the next round gives it more.

--- /dev/null
+++ b/src/sesamepost/internal/balance/load_table.py
@@ -0,0 +1,235 @@
+"""The controller's estimates of load from the last report of each node."""
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+from sesamepost.internal.balance.plan import Loads
+from sesamepost.internal.balance.reports import (
+    BUSIEST_ITEMS,
+    NodeLoad,
+    ReleasedItem,
+    ServiceLoad,
+)
+from sesamepost.internal.balance.sketch import HALF_LIFE_S
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.ownership.assignment import NO_OWNER, Assignment
+
+# A report counts fully for two intervals, so that one that is late or lost changes
+# nothing. After that its weight halves with each further interval.
+FRESH_INTERVALS = 2.0
+# Below this weight, after about seven intervals, a node counts as unreported.
+MIN_WEIGHT = 0.03
+
+# The store answers in milliseconds when it is up.
+STORE_WRITE_S = 0.005
+
+
+@dataclass(slots=True)
+class Received:
+    """The last report of a node; ``settled_versions`` are those of the one before.
+
+    Only documents that were in force for a whole interval show in the counted rates.
+    """
+
+    load: NodeLoad
+    received: float
+    settled_versions: dict[str, int]
+
+
+class LoadTable:
+    """Last report and estimates for each node; owned by the controller's task.
+
+    Estimates of a partition are kept while its new owner has not yet counted it for a
+    whole interval. Otherwise a node that has just received partitions would still look
+    idle in the next round and receive too many.
+    """
+
+    __slots__ = ("key_rates", "partition_rates", "reports")
+
+    def __init__(self) -> None:
+        self.reports: dict[NodeId, Received] = {}
+        self.partition_rates: dict[str, list[float | None]] = {}
+        self.key_rates: dict[tuple[str, int], tuple[float, float]] = {}
+
+    def receive(self, load: NodeLoad, now: float) -> None:
+        """Take in a report."""
+        previous = self.reports.get(load.node)
+        versions = load.versions if previous is None else previous.load.versions
+        self.reports[load.node] = Received(load, now, dict(versions))
+
+    def forget(self, node: NodeId) -> None:
+        """Drop a node that is fenced or gone."""
+        self.reports.pop(node, None)
+
+    def age_s(self, node: NodeId, now: float) -> float | None:
+        """Return the age of a node's last report, or None if there is none."""
+        report = self.reports.get(node)
+        return None if report is None else now - report.received
+
+    def weight(self, node: NodeId, now: float, interval_s: float) -> float:
+        """Return how far the last report of a node is to be believed, from 0 to 1."""
+        age_s = self.age_s(node, now)
+        if age_s is None:
+            return 0.0
+        excess = max(0.0, age_s / interval_s - FRESH_INTERVALS)
+        weight = 0.5**excess
+        return weight if weight >= MIN_WEIGHT else 0.0
+
+    def released(self) -> Iterator[tuple[NodeId, ReleasedItem]]:
+        """Return the items that nodes have released and do not serve."""
+        for node, report in self.reports.items():
+            for item in report.load.released:
+                yield node, item
+
+    def service_load(self, node: NodeId, service: str) -> ServiceLoad | None:
+        """Return what a node last reported of a service."""
+        report = self.reports.get(node)
+        if report is None:
+            return None
+        return next(
+            (load for load in report.load.services if load.service == service), None
+        )
+
+    def loads(
+        self,
+        assignment: Assignment,
+        nodes: Sequence[NodeId],
+        now: float,
+        interval_s: float,
+    ) -> Loads:
+        """Return the planner's input for one service.
+
+        A node's busiest partitions count as reported; the rest of its total is spread
+        evenly over its other partitions. With a falling weight of the report the rates
+        approach the mean of the service.
+        """
+        weights = {
+            node: self.weight(node, now, interval_s)
+            for node in nodes
+            if self.service_load(node, assignment.service) is not None
+        }
+        usable = {node: weight for node, weight in weights.items() if weight > 0.0}
+        if not usable:
+            return Loads(unreported=frozenset(nodes))
+        estimates = self._partition_estimates(assignment, usable)
+        rates = self._blend(assignment, estimates, usable)
+        keys = self._keys(assignment, usable, now)
+        self._subtract_moved_keys(assignment, rates, keys)
+        return Loads(
+            rates,
+            keys,
+            {},
+            self._unavailable_s(assignment.service, usable),
+            frozenset(node for node in nodes if node not in usable),
+        )
+
+    def _is_settled(self, node: NodeId, assignment: Assignment, epoch: int) -> bool:
+        versions = self.reports[node].settled_versions
+        return versions.get(f"assignment/{assignment.service}", 0) >= epoch
+
+    def _partition_estimates(
+        self, assignment: Assignment, usable: dict[NodeId, float]
+    ) -> list[float | None]:
+        """Return the rate of each partition, or None if none is known, and keep it."""
+        rates = self.partition_rates.setdefault(
+            assignment.service, [None] * len(assignment)
+        )
+        counted: dict[NodeId, list[int]] = {node: [] for node in usable}
+        for partition, index in enumerate(assignment.owners):
+            if index == NO_OWNER:
+                continue
+            node = assignment.nodes[index]
+            if node not in usable:
+                continue
+            if self._is_settled(node, assignment, assignment.epochs[partition]):
+                counted[node].append(partition)
+        for node, partitions in counted.items():
+            load = self.service_load(node, assignment.service)
+            listed = dict(load.partitions)
+            others = [partition for partition in partitions if partition not in listed]
+            rest = load.total_rate - sum(listed.values())
+            rest -= sum(
+                rate
+                for key, rate in load.keys
+                if key in assignment.exceptions and assignment.find(key).owner == node
+            )
+            for partition in partitions:
+                rates[partition] = listed.get(
+                    partition, max(0.0, rest) / max(1, len(others))
+                )
+        return rates
+
+    def _blend(
+        self,
+        assignment: Assignment,
+        estimates: list[float | None],
+        usable: dict[NodeId, float],
+    ) -> list[float]:
+        known = [rate for rate in estimates if rate is not None]
+        mean = sum(known) / len(known) if known else 0.0
+        weight_of_index = [usable.get(node, 0.0) for node in assignment.nodes]
+        blended = []
+        for index, rate in zip(assignment.owners, estimates, strict=True):
+            weight = 0.0 if index == NO_OWNER else weight_of_index[index]
+            rate = mean if rate is None else rate
+            blended.append(weight * rate + (1.0 - weight) * mean)
+        return blended
+
+    def _subtract_moved_keys(
+        self, assignment: Assignment, rates: list[float], keys: dict[int, float]
+    ) -> None:
+        """Take keys out of partitions whose owner's report is older than their move."""
+        document = f"assignment/{assignment.service}"
+        for key, entry in assignment.exceptions.items():
+            partition = assignment.partition_of(key)
+            owner = assignment.owner_of_partition(partition)
+            if owner not in self.reports:
+                continue
+            if self.reports[owner].load.versions.get(document, 0) < entry.epoch:
+                rates[partition] = max(0.0, rates[partition] - keys[key])
+
+    def _keys(
+        self, assignment: Assignment, usable: dict[NodeId, float], now: float
+    ) -> dict[int, float]:
+        """Return the rates of the keys that their owners report.
+
+        The rate of a key with an exception falls by half in a half-life at most. Its
+        new owner needs some requests before it reports the key.
+        """
+        rates = {}
+        for node, weight in usable.items():
+            load = self.service_load(node, assignment.service)
+            for key, rate in load.keys:
+                if assignment.find(key).owner == node:
+                    rates[key] = rate * weight
+        for key, entry in assignment.exceptions.items():
+            owner = assignment.nodes[entry.owner]
+            if key not in rates and owner in usable:
+                # A full list leaves out keys that are no hotter than its last.
+                keys = self.service_load(owner, assignment.service).keys
+                rates[key] = keys[-1][1] if len(keys) == BUSIEST_ITEMS else 0.0
+        for key in assignment.exceptions:
+            rate, known = self.key_rates.get((assignment.service, key), (0.0, now))
+            kept = rate * 0.5 ** ((now - known) / HALF_LIFE_S)
+            rates[key] = max(rates.get(key, 0.0), kept)
+        for key, rate in rates.items():
+            self.key_rates[assignment.service, key] = (rate, now)
+        self._drop_old_keys(now)
+        return rates
+
+    def _drop_old_keys(self, now: float) -> None:
+        # Ten half-lives leave a thousandth of the rate.
+        old = [
+            item
+            for item, (_, known) in self.key_rates.items()
+            if now - known > 10 * HALF_LIFE_S
+        ]
+        for item in old:
+            del self.key_rates[item]
+
+    def _unavailable_s(self, service: str, usable: dict[NodeId, float]) -> float:
+        """Return the expected time without service of a planned move."""
+        waits = [
+            self.service_load(node, service).longest_in_flight_s for node in usable
+        ]
+        return sum(waits) / len(waits) + STORE_WRITE_S
--- a/src/sesamepost/internal/balance/sketch.py
+++ b/src/sesamepost/internal/balance/sketch.py
@@ -47,6 +47,10 @@
         counts[key_hash] = lowest + weight
         self.errors[key_hash] = lowest
 
+    def remove(self, key_hash: int) -> float:
+        """Drop a key and return the count that it had at least."""
+        return self.counts.pop(key_hash, 0.0) - self.errors.pop(key_hash, 0.0)
+
     def decay(self, factor: float) -> None:
         """Multiply all counts by ``factor``."""
         for key_hash in self.counts:
@@ -177,9 +181,14 @@
         self.partitions.forget(partition)
         self.counts[partition] = 0
 
-    def forget_exception(self, key_hash: int) -> None:
-        """Drop the load of a key with an exception that was released."""
+    def forget_key(self, key_hash: int) -> None:
+        """Drop the load of a hot key that was released, also from its partition."""
         self.exceptions.forget(key_hash)
+        count = self.sketch.remove(key_hash)
+        counts = self.partitions.counts
+        partition = key_hash & self.mask
+        if partition in counts:
+            counts[partition] = max(0.0, counts[partition] - count)
 
     def advance(self, now: float) -> None:
         """Let older requests weigh less and take in those since the last call."""
--- a/tests/balance/test_sketch.py
+++ b/tests/balance/test_sketch.py
@@ -104,7 +104,7 @@
         old.advance(second + 1.0)
         new.advance(second + 1.0)
     old.forget_partition(3)
-    old.forget_exception(4)
+    old.forget_key(4)
     for _ in range(50):
         new.record(3)
         new.record_exception(4)
@@ -143,3 +143,15 @@
     advance_us = (time.perf_counter() - start) * 1e6
     print(f"record: {each_us:.2f} us, advance: {advance_us:.0f} us")
     assert each_us < 4
+
+
+def test_a_hot_key_that_leaves_takes_its_load_out_of_its_partition():
+    # Guards against seeing a key's load twice after its exception.
+    counters = LoadCounters(8, 0.0, seed=6)
+    for second in range(60):
+        for request in range(300):
+            counters.record(3 if request % 3 else 8 * request + 3)
+        counters.advance(second + 1.0)
+    counters.forget_key(3)
+    assert counters.busiest_partitions(1) == [(3, pytest.approx(100.0, rel=0.25))]
+    assert 3 not in dict(counters.busiest_keys(8))
