--- /dev/null
+++ b/src/sesamepost/internal/dispatch/dispatcher.py
@@ -0,0 +1,319 @@
+"""Runs requests at this VM's endpoints, under the rights of this node."""
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable
+
+import structlog
+
+from sesamepost.errors import ANSWERS, ErrorKind, Outcome, RouterError
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.dispatch.born import issue_born
+from sesamepost.internal.dispatch.endpoint_client import Terms
+from sesamepost.internal.dispatch.endpoints import Announcement
+from sesamepost.internal.dispatch.records import (
+    DidNotRun,
+    Ending,
+    IdempotencyRecords,
+    Join,
+    OutcomeUnknown,
+    Ran,
+    RecordKey,
+    Refuse,
+    Replay,
+    Run,
+    StoredAnswer,
+    Submission,
+)
+from sesamepost.internal.dispatch.served import ServedEndpoint
+from sesamepost.internal.documents.views import Views
+from sesamepost.internal.identity import NodeId, hash_key
+from sesamepost.internal.ownership.assignment import Placement
+from sesamepost.internal.ownership.items import Item, item_of
+from sesamepost.internal.ownership.releases import ReleaseTable
+from sesamepost.internal.ownership.right_to_serve import (
+    dispatch_deadline,
+    right_to_serve,
+)
+from sesamepost.internal.wire.messages import Answer, Cancel, Refusal, Request
+from sesamepost.internal.wire.pool import PeerPool
+from sesamepost.internal.wire.stream import PeerStream
+
+GRANT_INTERVAL_S = 0.4
+
+log = structlog.get_logger()
+
+
+class Dispatcher:
+    """Decides for each request whether it may run here now, and runs it.
+
+    ``lease_expiry`` returns the end of this node's lease on ``CLOCK_BOOTTIME``. When
+    the last request of a released item ends, ``on_item_idle`` is called with it.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        pool: PeerPool,
+        views: Views,
+        lease_expiry: Callable[[], float],
+    ) -> None:
+        self.node = node
+        self.views = views
+        self.lease_expiry = lease_expiry
+        self.endpoints: dict[str, ServedEndpoint] = {}
+        self.records = IdempotencyRecords()
+        self.releases = ReleaseTable()
+        self.counters: Counter[str] = Counter()
+        self.on_item_idle: Callable[[Item], None] = lambda item: None
+        self.on_request: Callable[[Item, int], None] = lambda item, key_hash: None
+        self.tasks: set[asyncio.Task] = set()
+        self.remote: dict[tuple[PeerStream, int], asyncio.Task] = {}
+        pool.on(Request, self._on_request)
+        pool.on(Cancel, self._on_cancel)
+
+    async def __aenter__(self) -> "Dispatcher":
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for endpoint in self.endpoints.values():
+            await endpoint.close()
+
+    async def run(self) -> None:
+        """Extend the grants of fenced endpoints and judge all; never returns."""
+        while True:
+            for service, endpoint in list(self.endpoints.items()):
+                endpoint.judge(boottime())
+                self._start(self._grant(service, endpoint))
+            await asyncio.sleep(GRANT_INTERVAL_S)
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take an endpoint's announcement."""
+        service = announcement.service
+        present = self.endpoints.get(service)
+        settings = self.views.services.get(service)
+        if settings is None:
+            self.counters["announcements_of_unknown_services"] += 1
+            return
+        is_same = present is not None and present.settings is settings
+        if is_same and present.renew(announcement):
+            return
+        endpoint = ServedEndpoint(announcement, settings)
+        self.endpoints[service] = endpoint
+        log.info("endpoint_announced", service=service, url=announcement.url)
+        if present is not None:
+            self._start(present.close())
+        self._start(self._grant(service, endpoint))
+
+    def withdraw(self, service: str) -> None:
+        """Forget an endpoint that said that it ends."""
+        endpoint = self.endpoints.pop(service, None)
+        if endpoint is not None:
+            log.info("endpoint_withdrawn", service=service)
+            self._start(endpoint.close())
+
+    def born_token(self, service: str) -> str:
+        """Return a token for a first submission, empty if no assignment is known."""
+        assignment = self.views.assignments.get(service)
+        if assignment is None:
+            return ""
+        return issue_born(assignment.version, time.time())
+
+    async def handle(self, request: Request) -> Answer | Refusal:
+        """Run one request, or say why it was not run."""
+        key_hash = hash_key(request.key)
+        deadline = boottime() + request.timeout_ms / 1000
+        right = self._right(request.service, key_hash)
+        if right.is_error():
+            return self._refuse(request, right.error)
+        placement = right.ok
+        item = item_of(self.views.assignments[request.service], key_hash)
+        self.on_request(item, key_hash)
+        self.releases.enter(item, key_hash)
+        try:
+            if not request.idempotency_key:
+                return await self._run(request, key_hash, placement, deadline)
+            return await self._run_once(request, key_hash, item, placement, deadline)
+        except RouterError as error:
+            return self._refuse(request, error.kind, error.detail)
+        finally:
+            for idle in self.releases.leave(item, key_hash):
+                self.on_item_idle(idle)
+
+    def _right(self, service: str, key_hash: int):
+        now = boottime()
+        endpoint = self.endpoints.get(service)
+        return right_to_serve(
+            self.views.assignments.get(service),
+            key_hash,
+            self.node,
+            self.releases,
+            self.lease_expiry(),
+            now,
+            endpoint is not None and endpoint.is_in_service(now),
+        )
+
+    async def _run_once(
+        self,
+        request: Request,
+        key_hash: int,
+        item: Item,
+        placement: Placement,
+        deadline: float,
+    ) -> Answer:
+        submission = Submission(
+            item,
+            request.key,
+            key_hash,
+            request.idempotency_key,
+            request.born,
+            placement,
+        )
+        decision = self.records.begin(submission, boottime(), time.time())
+        match decision:
+            case Run(record):
+                return await self._run_recorded(
+                    request, key_hash, placement, deadline, record
+                )
+            case Join(waiters):
+                result = await self._wait_for_other(waiters, deadline)
+            case _:
+                result = decision
+        match result:
+            case Replay(answer):
+                self.counters["replayed"] += 1
+                return Answer(
+                    request.id, answer.status, answer.headers, answer.body, True
+                )
+            case Refuse(kind):
+                raise RouterError(kind)
+
+    async def _wait_for_other(self, waiters: list, deadline: float) -> Replay | Refuse:
+        future = asyncio.get_running_loop().create_future()
+
+        def settle(result: Replay | Refuse) -> None:
+            if not future.done():
+                future.set_result(result)
+
+        waiters.append(settle)
+        try:
+            async with asyncio.timeout(max(0.0, deadline - boottime())):
+                return await future
+        except TimeoutError:
+            raise RouterError(
+                ErrorKind.OUTCOME_UNKNOWN, "the first submission is still running"
+            ) from None
+
+    async def _run_recorded(
+        self,
+        request: Request,
+        key_hash: int,
+        placement: Placement,
+        deadline: float,
+        record: RecordKey,
+    ) -> Answer:
+        ending: Ending = OutcomeUnknown()
+        try:
+            answer = await self._run(request, key_hash, placement, deadline)
+            headers = tuple(answer.headers)
+            ending = Ran(StoredAnswer(answer.status, headers, answer.body))
+            return answer
+        except RouterError as error:
+            if ANSWERS[error.kind].outcome is Outcome.NOT_RUN:
+                ending = DidNotRun(error.kind)
+            raise
+        finally:
+            self.records.finish(record, ending)
+
+    async def _run(
+        self, request: Request, key_hash: int, placement: Placement, deadline: float
+    ) -> Answer:
+        endpoint = self.endpoints[request.service]
+        ticket = await endpoint.gate.admit(request.class_name, deadline)
+        measured = False
+        try:
+            answer = await self._send(endpoint, request, key_hash, placement, deadline)
+            measured = True
+            return answer
+        finally:
+            endpoint.gate.release(ticket, measured)
+
+    async def _send(
+        self,
+        endpoint: ServedEndpoint,
+        request: Request,
+        key_hash: int,
+        placement: Placement,
+        deadline: float,
+    ) -> Answer:
+        # The right may have ended while the request waited for a slot.
+        right = self._right(request.service, key_hash)
+        if right.is_error():
+            raise RouterError(right.error)
+        if right.ok.epoch != placement.epoch:
+            raise RouterError(ErrorKind.NOT_OWNER, "the epoch changed")
+        item = item_of(self.views.assignments[request.service], key_hash)
+        expires_at = dispatch_deadline(
+            deadline, self.lease_expiry(), endpoint.announcement.fenced
+        )
+        remaining = expires_at - boottime()
+        if remaining <= 0:
+            raise RouterError(ErrorKind.DEADLINE_NOT_RUN)
+        number = endpoint.begin()
+        try:
+            terms = Terms(item.fence_name, placement.epoch, remaining, expires_at)
+            answer = await endpoint.client.send(request, terms)
+        except RouterError as error:
+            endpoint.note_failure(error.kind)
+            raise
+        finally:
+            endpoint.end(number)
+        endpoint.note_success()
+        return answer
+
+    def _refuse(self, request: Request, kind: ErrorKind, detail: str = "") -> Refusal:
+        self.counters[kind] += 1
+        assignment = self.views.assignments.get(request.service)
+        version = 0 if assignment is None else assignment.version
+        return Refusal(request.id, kind, detail, version)
+
+    def _on_request(self, stream: PeerStream, request: Request) -> None:
+        task = self._start(self._answer(stream, request))
+        self.remote[stream, request.id] = task
+
+    async def _answer(self, stream: PeerStream, request: Request) -> None:
+        try:
+            reply = await self.handle(request)
+        except Exception:
+            log.exception("dispatch_failed", service=request.service)
+            reply = self._refuse(request, ErrorKind.INTERNAL)
+        finally:
+            self.remote.pop((stream, request.id), None)
+        if stream.is_open:
+            stream.send(reply)
+
+    def _on_cancel(self, stream: PeerStream, item: Cancel) -> None:
+        task = self.remote.get((stream, item.id))
+        if task is not None:
+            self.counters["cancelled"] += 1
+            task.cancel()
+
+    async def _grant(self, service: str, endpoint: ServedEndpoint) -> None:
+        if endpoint.granting:
+            # A frozen endpoint must not collect one waiting grant after another.
+            return
+        endpoint.granting = True
+        try:
+            await endpoint.grant(service, self.node.incarnation, self.lease_expiry())
+        finally:
+            endpoint.granting = False
+
+    def _start(self, coroutine) -> asyncio.Task:
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
--- /dev/null
+++ b/src/sesamepost/internal/dispatch/endpoint_client.py
@@ -0,0 +1,150 @@
+"""HTTP calls to the endpoint of one service on this VM."""
+
+import asyncio
+from typing import NamedTuple
+
+import aiohttp
+from yarl import URL
+
+from sesamepost.errors import OUTCOME_HEADER, ErrorKind, Outcome, RouterError
+from sesamepost.internal.wire.messages import Answer, Request
+
+MAX_ANSWER_BYTES = 8 << 20
+CONNECT_TIMEOUT_S = 1.0
+# Shorter than the usual keep-alive of servers, so that a connection is not reused at
+# the moment at which the endpoint closes it.
+KEEP_ALIVE_S = 10.0
+READ_CHUNK_BYTES = 256 << 10
+NANOSECONDS = 1_000_000_000
+CONTROL_TIMEOUT_S = 1.0
+# A century: stands for "no expiry" and fits a signed 64-bit count of nanoseconds.
+NO_EXPIRY_S = 3.15e9
+
+
+class Terms(NamedTuple):
+    """What the endpoint is told of the right under which a request runs.
+
+    ``expires_at`` is in seconds on ``CLOCK_BOOTTIME``, which daemon and endpoint share.
+    """
+
+    fence_name: str
+    epoch: int
+    timeout_s: float
+    expires_at: float
+
+
+class EndpointClient:
+    """Sends requests to one endpoint and says truthfully whether they ran."""
+
+    def __init__(self, url: str, connections: int) -> None:
+        self.base = URL(url)
+        self.connections = connections
+        self.session: aiohttp.ClientSession | None = None
+
+    def open(self) -> None:
+        """Prepare for requests; connections are opened as needed."""
+        connector = aiohttp.TCPConnector(
+            limit=self.connections,
+            keepalive_timeout=KEEP_ALIVE_S,
+            ttl_dns_cache=None,
+        )
+        self.session = aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+        # aiohttp sends GET, PUT and DELETE again if a reused connection breaks. Whether
+        # a request may be repeated is decided by its caller here, not by its method.
+        self.session._retry_connection = False
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+    async def grant(self, service: str, incarnation: int, valid_until: float) -> bool:
+        """Tell a fenced endpoint until when it may serve; False if it refused."""
+        content = {
+            "service": service,
+            "incarnation": incarnation,
+            "valid_until_ns": int(min(valid_until, NO_EXPIRY_S) * NANOSECONDS),
+        }
+        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
+        url = self.base.origin() / "sesamepost" / "grant"
+        try:
+            async with self.session.post(url, json=content, timeout=timeout) as answer:
+                return answer.status < 300
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def send(self, request: Request, terms: Terms) -> Answer:
+        """Return the endpoint's whole answer.
+
+        Raises ``RouterError``. Its kind says "not run" only if no connection could be
+        opened or the endpoint stated that it did not run the request.
+        """
+        try:
+            async with asyncio.timeout(terms.timeout_s):
+                return await self._send(request, terms)
+        except TimeoutError:
+            raise RouterError(
+                ErrorKind.OUTCOME_UNKNOWN, "the endpoint did not answer in time"
+            ) from None
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise RouterError(ErrorKind.ENDPOINT_UNREACHABLE, str(error)) from None
+        except aiohttp.ClientPayloadError as error:
+            raise RouterError(ErrorKind.ANSWER_CUT_OFF, str(error)) from None
+        except aiohttp.ClientError as error:
+            raise RouterError(ErrorKind.OUTCOME_UNKNOWN, repr(error)) from None
+
+    async def _send(self, request: Request, terms: Terms) -> Answer:
+        url = URL(f"{self.base.origin()}{request.target}", encoded=True)
+        async with self.session.request(
+            request.method,
+            url,
+            headers=_headers(request, terms),
+            data=request.body or None,
+            allow_redirects=False,
+        ) as response:
+            body = await _read(response)
+            if response.status == 503 and (
+                response.headers.get(OUTCOME_HEADER) == Outcome.NOT_RUN
+            ):
+                raise RouterError(ErrorKind.ENDPOINT_REFUSED)
+            headers = [
+                (name.decode("latin-1"), value.decode("utf-8", "surrogateescape"))
+                for name, value in response.raw_headers
+            ]
+            return Answer(request.id, response.status, headers, body, False)
+
+
+def _headers(request: Request, terms: Terms) -> list:
+    return [
+        *((name, value) for name, value in request.headers),
+        ("Sesamepost-Service", request.service),
+        ("Sesamepost-Key", request.key),
+        ("Sesamepost-Partition", terms.fence_name),
+        ("Sesamepost-Epoch", str(terms.epoch)),
+        ("Sesamepost-Timeout-Ms", str(max(1, int(terms.timeout_s * 1000)))),
+        (
+            "Sesamepost-Expires-Boottime-Ns",
+            str(int(min(terms.expires_at, NO_EXPIRY_S) * NANOSECONDS)),
+        ),
+    ]
+
+
+async def _read(response: aiohttp.ClientResponse) -> bytes:
+    length = response.content_length
+    if length is not None and length > MAX_ANSWER_BYTES:
+        raise RouterError(ErrorKind.ANSWER_TOO_LARGE, f"{length} bytes")
+    if length is not None:
+        return await response.read()
+    chunks = []
+    size = 0
+    async for chunk in response.content.iter_chunked(READ_CHUNK_BYTES):
+        size += len(chunk)
+        if size > MAX_ANSWER_BYTES:
+            raise RouterError(ErrorKind.ANSWER_TOO_LARGE, f"more than {size} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
--- /dev/null
+++ b/src/sesamepost/internal/routing/server.py
@@ -0,0 +1,146 @@
+"""The callers' port."""
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable
+
+import structlog
+from aiohttp import web
+from aiohttp.web_request import BaseRequest
+
+from sesamepost.errors import (
+    ANSWERS,
+    ERROR_HEADER,
+    OUTCOME_HEADER,
+    ErrorKind,
+    Outcome,
+    RouterError,
+)
+from sesamepost.internal.routing.call import BORN_HEADER, HOP_BY_HOP_HEADERS, parse_call
+from sesamepost.internal.routing.router import Router
+from sesamepost.internal.wire.messages import Answer
+from sesamepost.internal.wire.pool import Address
+
+MAX_BODY_BYTES = 8 << 20
+REPLAYED_HEADER = "Sesamepost-Replayed"
+RETRY_AFTER_S = "1"
+BORN_PATH = "/sesamepost/born"
+
+log = structlog.get_logger()
+
+
+class CallerServer:
+    """Takes requests by HTTP, routes them and writes the answers.
+
+    ``observe(service, class_name, outcome, seconds)`` is called for each answer.
+    aiohttp's low-level server is used, since the application layer's routing and
+    middleware cost about a third of the time of a small request.
+    """
+
+    def __init__(
+        self, router: Router, observe: Callable[[str, str, str, float], None]
+    ) -> None:
+        self.router = router
+        self.observe = observe
+        self.counters: Counter[str] = Counter()
+        self.in_flight = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.runner: web.ServerRunner | None = None
+
+    async def listen(self, address: Address) -> Address:
+        """Accept callers at ``address`` and return the bound address."""
+        server = web.Server(self.handle, request_factory=_make_request)
+        self.runner = web.ServerRunner(server, handle_signals=False)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, *address)
+        await site.start()
+        return Address(*self.runner.addresses[0][:2])
+
+    async def __aenter__(self) -> "CallerServer":
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def handle(self, request: BaseRequest) -> web.Response:
+        """Answer one request."""
+        if request.path == BORN_PATH:
+            return self._born(request)
+        started = time.perf_counter()
+        self.in_flight += 1
+        self.idle.clear()
+        service = class_name = ""
+        try:
+            call = await parse_call(request)
+            service, class_name = call.service, call.class_name
+            answer = await self.router.route(call)
+            response = self._answer(answer, service)
+        except RouterError as error:
+            response = self._error(error)
+        except web.HTTPRequestEntityTooLarge:
+            response = self._error(RouterError(ErrorKind.BODY_TOO_LARGE))
+        except Exception:
+            log.exception("request_failed", service=service)
+            response = self._error(RouterError(ErrorKind.INTERNAL))
+        finally:
+            self.in_flight -= 1
+            if self.in_flight == 0:
+                self.idle.set()
+        outcome = response.headers[OUTCOME_HEADER]
+        if service not in self.router.views.services:
+            # Names that callers invent must not become new metric series.
+            service = class_name = ""
+        self.observe(service, class_name, outcome, time.perf_counter() - started)
+        return response
+
+    def _answer(self, answer: Answer, service: str) -> web.Response:
+        response = web.Response(status=answer.status, body=answer.body)
+        headers = response.headers
+        for name, value in answer.headers:
+            if name.lower() not in HOP_BY_HOP_HEADERS:
+                headers.add(name, value)
+        headers[OUTCOME_HEADER] = Outcome.RAN
+        if answer.replayed:
+            headers[REPLAYED_HEADER] = "yes"
+        token = self.router.dispatcher.born_token(service)
+        if token:
+            headers[BORN_HEADER] = token
+        return response
+
+    def _error(self, error: RouterError) -> web.Response:
+        self.counters[error.kind] += 1
+        answer = ANSWERS[error.kind]
+        headers = {ERROR_HEADER: error.kind, OUTCOME_HEADER: answer.outcome}
+        if answer.status == 503:
+            headers["Retry-After"] = RETRY_AFTER_S
+        text = f"{error.kind}: {answer.text}"
+        if error.detail:
+            text = f"{text} ({error.detail})"
+        return web.Response(status=answer.status, text=text + "\n", headers=headers)
+
+    def _born(self, request: BaseRequest) -> web.Response:
+        service = request.query.get("service", "")
+        if service not in self.router.views.services:
+            return self._error(RouterError(ErrorKind.UNKNOWN_SERVICE, service))
+        token = self.router.dispatcher.born_token(service)
+        if not token:
+            return self._error(RouterError(ErrorKind.NO_OWNER, service))
+        return web.Response(
+            text=token + "\n",
+            headers={BORN_HEADER: token, OUTCOME_HEADER: Outcome.RAN},
+        )
+
+
+def _make_request(message, payload, protocol, writer, task) -> BaseRequest:
+    return BaseRequest(
+        message,
+        payload,
+        protocol,
+        writer,
+        task,
+        asyncio.get_running_loop(),
+        client_max_size=MAX_BODY_BYTES,
+    )
--- /dev/null
+++ b/tests/dispatch/test_endpoint_client.py
@@ -0,0 +1,76 @@
+"""Calls to an endpoint: what is said of a request whose connection breaks."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from sesamepost.errors import ErrorKind, RouterError
+from sesamepost.internal.dispatch.endpoint_client import EndpointClient, Terms
+from sesamepost.internal.wire.messages import Request
+
+WHOLE_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+CLOSE = b"close"
+TERMS = Terms("0", 1, 2.0, 1e9)
+
+
+def request(method):
+    return Request(1, "s", "k", method, "/", [], b"", 2000, False, "", "", "")
+
+
+@asynccontextmanager
+async def client_of(answers):
+    """Connect a client to a server that writes ``answers``; ``CLOSE`` ends one."""
+    received = []
+
+    async def serve(reader, writer):
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            received.append(head.split(b" ")[0])
+            answer = answers.pop(0)
+            writer.write(answer.removesuffix(CLOSE))
+            if answer.endswith(CLOSE):
+                break
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = EndpointClient(f"http://127.0.0.1:{port}", 4)
+    client.open()
+    try:
+        yield client, received
+    finally:
+        await client.close()
+        server.close()
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+async def test_a_reused_connection_that_breaks_does_not_repeat_the_request(method):
+    # Guards against the HTTP client's own second attempt, which would run a request
+    # twice that must not be repeated.
+    async with client_of([WHOLE_ANSWER, CLOSE, WHOLE_ANSWER]) as (client, received):
+        await client.send(request(method), TERMS)
+        with pytest.raises(RouterError) as failure:
+            await client.send(request(method), TERMS)
+        assert failure.value.kind is ErrorKind.OUTCOME_UNKNOWN
+        assert len(received) == 2
+
+
+async def test_a_refused_connection_is_not_run():
+    # Guards against "unknown" where nothing can have reached the endpoint.
+    async with client_of([]) as (client, _):
+        pass
+    closed = EndpointClient(str(client.base), 4)
+    closed.open()
+    with pytest.raises(RouterError) as failure:
+        await closed.send(request("POST"), TERMS)
+    await closed.close()
+    assert failure.value.kind is ErrorKind.ENDPOINT_UNREACHABLE
+
+
+async def test_an_answer_without_its_end_is_cut_off():
+    # Guards against a chunked answer whose last chunk is missing.
+    half = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhe"
+    async with client_of([half + CLOSE]) as (client, _):
+        with pytest.raises(RouterError) as failure:
+            await client.send(request("GET"), TERMS)
+        assert failure.value.kind is ErrorKind.ANSWER_CUT_OFF
