Run the whole path as separate processes

Cause: the parts have to work together: membership with witness leases, the controller, document dissemination, load reports and the four ports. Ruled out: taking an owner that the fleet document held does not name for lost. The two documents are read one after the other, so a new controller may hold a fleet older than the assignment; only a recorded fencing makes an owner lost, and tombstones of owners are kept.

--- a/src/sesamepost/internal/balance/reports.py
+++ b/src/sesamepost/internal/balance/reports.py
@@ -42,7 +42,8 @@
 
     ``partitions`` and ``keys`` are pairs of a partition number or key hash and a rate.
     Rates of partitions exclude keys with an exception; those come first in ``keys``.
-    ``cold_start_fraction`` is the part of the slots that the ramp allows so far.
+    ``cold_start_fraction`` is the part of the slots that the ramp allows so far. A
+    draining endpoint still serves, but its partitions should move away.
     """
 
     service: str
@@ -53,6 +54,7 @@
     slots_used: int
     longest_in_flight_s: float
     cold_start_fraction: float = 1.0
+    is_draining: bool = False
 
 
 @message(70)
@@ -92,6 +94,7 @@
     slots_used: int,
     longest_in_flight_s: float,
     cold_start_fraction: float = 1.0,
+    is_draining: bool = False,
 ) -> ServiceLoad:
     """Return a service's part of the report."""
     partitions = counters.busiest_partitions(BUSIEST_ITEMS)
@@ -111,6 +114,7 @@
         slots_used,
         longest_in_flight_s,
         cold_start_fraction,
+        is_draining,
     )
 
 
@@ -128,6 +132,7 @@
                 item.slots_used,
                 _to_milliseconds(item.longest_in_flight_s),
                 round(item.cold_start_fraction * 100),
+                item.is_draining,
             )
             for item in load.services
         ),
@@ -164,6 +169,7 @@
     slots_used: int,
     longest_in_flight_ms: int,
     cold_percent: int,
+    is_draining: bool,
 ) -> ServiceLoad:
     numbers = (total, slots, slots_used, longest_in_flight_ms, cold_percent)
     if not all(isinstance(number, int) and number >= 0 for number in numbers):
@@ -177,6 +183,7 @@
         slots_used,
         longest_in_flight_ms / 1000,
         cold_percent / 100,
+        bool(is_draining),
     )
 
 
--- /dev/null
+++ b/src/sesamepost/internal/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The one duty that a single daemon has at a time: changing fleet and assignments."""
--- /dev/null
+++ b/src/sesamepost/internal/controller/capacity.py
@@ -0,0 +1,82 @@
+"""What the planner is told of each node."""
+
+from sesamepost.internal.balance.load_table import LoadTable
+from sesamepost.internal.balance.plan import NodeCapacity, NodeState
+from sesamepost.internal.balance.reports import report_interval_s
+from sesamepost.internal.documents.views import Views
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.membership.fleet import NodeRecord
+from sesamepost.internal.membership.fleet import NodeState as RecordState
+from sesamepost.internal.ownership.assignment import NO_OWNER, Assignment
+from sesamepost.internal.settings.model import VmState
+
+DRAINED = (VmState.DRAINED_FOR_DEPLOY, VmState.DRAINED_FOR_MAINTENANCE)
+
+
+def capacities_of(
+    service: str,
+    views: Views,
+    loads: LoadTable,
+    assignment: Assignment,
+    leading_for_s: float,
+) -> list[NodeCapacity]:
+    """Return the capacity of every live node for one service.
+
+    A new controller has heard no reports. Until each node had time to send one, the
+    present owners count as in service, so that a change of controller moves nothing.
+    """
+    owners = owners_of(assignment)
+    may_be_unheard = leading_for_s < 2 * report_interval_s(len(views.fleet))
+    settings = views.services[service]
+    vms = views.teams[service].vms
+    found = []
+    for record in views.fleet.live_records():
+        load = loads.service_load(record.node, service)
+        state = _state(record, vms.get(record.node.vm, VmState.IN_SERVICE))
+        if load is None and record.node not in owners:
+            continue
+        if load is None:
+            if not may_be_unheard:
+                state = NodeState.FAILING
+            found.append(_capacity(record, settings.slots, state))
+            continue
+        if load.slots == 0:
+            state = NodeState.FAILING
+        elif load.is_draining and state is NodeState.IN_SERVICE:
+            state = NodeState.DRAINING
+        slots = load.slots * load.cold_start_fraction
+        found.append(_capacity(record, slots, state))
+    found.extend(_unknown_owners(owners, views))
+    return found
+
+
+def owners_of(assignment: Assignment) -> set[NodeId]:
+    """Return all nodes that own a partition or a hot key."""
+    indexes = set(assignment.owners) - {NO_OWNER}
+    indexes |= {entry.owner for entry in assignment.exceptions.values()}
+    return {assignment.nodes[index] for index in indexes}
+
+
+def _unknown_owners(owners: set[NodeId], views: Views) -> list[NodeCapacity]:
+    """Return owners that the fleet held here does not name.
+
+    The two documents are read one after the other, so the fleet held may be older than
+    the assignment. Such an owner may be alive: only a recorded fencing makes it lost.
+    """
+    return [
+        NodeCapacity(node, "", "", 0, NodeState.FAILING)
+        for node in sorted(owners)
+        if views.fleet.get(node) is None
+    ]
+
+
+def _capacity(record: NodeRecord, slots: float, state: NodeState) -> NodeCapacity:
+    return NodeCapacity(record.node, record.failure_domain, record.region, slots, state)
+
+
+def _state(record: NodeRecord, wanted: VmState) -> NodeState:
+    if record.state is RecordState.LEAVING:
+        return NodeState.LEAVING
+    if wanted in DRAINED:
+        return NodeState.DRAINING
+    return NodeState.IN_SERVICE
--- /dev/null
+++ b/src/sesamepost/internal/controller/controller.py
@@ -0,0 +1,422 @@
+"""Changes the fleet and the assignments while this daemon is the controller."""
+
+import asyncio
+import time
+from collections import Counter
+
+import structlog
+
+from sesamepost.internal.balance.load_table import LoadTable
+from sesamepost.internal.balance.plan import Loads, NodeCapacity, Plan, apply
+from sesamepost.internal.balance.planner import plan
+from sesamepost.internal.balance.reports import (
+    LoadReport,
+    NodeLoad,
+    ReleasedKind,
+    read_report,
+    report_interval_s,
+)
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.controller.capacity import capacities_of, owners_of
+from sesamepost.internal.controller.leadership import Leadership
+from sesamepost.internal.controller.messages import FleetQuery, FleetVersions
+from sesamepost.internal.controller.releases import PendingMoves, epoch_of
+from sesamepost.internal.documents.views import (
+    ASSIGNMENT_PREFIX,
+    FLEET_DOCUMENT,
+    Views,
+)
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.lease.fencing import Fencing
+from sesamepost.internal.lease.messages import Promised, PromiseRefused, Suspect
+from sesamepost.internal.membership.fleet import Fleet, NodeFencedError, NodeRecord
+from sesamepost.internal.membership.messages import ChangeWitnesses, Join, Leave
+from sesamepost.internal.ownership.assignment import Assignment
+from sesamepost.internal.ownership.items import Item
+from sesamepost.internal.ownership.messages import Released
+from sesamepost.internal.settings.model import VmState
+from sesamepost.internal.store.envelope import write_document
+from sesamepost.internal.store.interface import (
+    Store,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from sesamepost.internal.store.reader import StoreReader
+from sesamepost.internal.wire.messages import ProtocolError
+from sesamepost.internal.wire.pool import Address, PeerPool
+from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
+
+TICK_S = 0.1
+# Requests that arrive together, as after the loss of a failure domain, share a write.
+BATCH_S = 0.005
+BALANCE_INTERVAL_S = 2.0
+
+log = structlog.get_logger()
+
+
+class Controller:
+    """Takes requests of nodes, decides and writes documents.
+
+    All state can be rebuilt: it is dropped when the lease is lost. Every write is a
+    compare-and-swap on the version on which its decision was based.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        pool: PeerPool,
+        views: Views,
+        store: Store,
+        reader: StoreReader,
+        leadership: Leadership,
+    ) -> None:
+        self.node = node
+        self.pool = pool
+        self.views = views
+        self.store = store
+        self.reader = reader
+        self.leadership = leadership
+        self.counters: Counter[str] = Counter()
+        self.work = asyncio.Event()
+        self.tasks: set[asyncio.Task] = set()
+        self.reset()
+        for kind in (
+            Join,
+            ChangeWitnesses,
+            Leave,
+            Suspect,
+            Promised,
+            PromiseRefused,
+            Released,
+            LoadReport,
+        ):
+            pool.on(kind, self._on_message)
+        pool.on(FleetQuery, self._on_query)
+        self.subscription = views.changed.subscribe(self._on_document)
+
+    def reset(self) -> None:
+        """Drop everything that a new leadership must learn anew."""
+        self.leading_since = None
+        self.fencing = Fencing()
+        self.loads = LoadTable()
+        self.pending = PendingMoves()
+        self.joins: dict[NodeId, Join] = {}
+        self.changes: dict[NodeId, ChangeWitnesses] = {}
+        self.leaves: set[NodeId] = set()
+        self.unfinished: dict[str, bool] = {}
+        self.planned_at: dict[str, float] = {}
+
+    def receive(self, item) -> None:
+        """Take a message of this daemon itself or of a peer."""
+        if not self.leadership.leads:
+            self.counters["messages_while_not_leading"] += 1
+            return
+        now = boottime()
+        match item:
+            case Join():
+                self.joins[item.node] = item
+            case ChangeWitnesses():
+                self.changes[item.node] = item
+            case Leave():
+                self.leaves.add(item.node)
+            case Suspect():
+                self.fencing.receive_suspect(item, now)
+            case Promised():
+                self.fencing.receive_promised(item)
+            case PromiseRefused():
+                self.fencing.receive_refused(item, now)
+            case Released():
+                self.pending.receive(item)
+            case LoadReport():
+                self._receive_report(item, now)
+            case _:
+                raise ProtocolError(f"{type(item).__name__} is not for the controller")
+        self.work.set()
+
+    def _receive_report(self, item: LoadReport, now: float) -> None:
+        previous = self.loads.reports.get(item.node)
+        load = read_report(item)
+        self.loads.receive(load, now)
+        if previous is None or _offers(previous.load) != _offers(load):
+            # An endpoint came or went; do not wait for the next round of balancing.
+            self.planned_at.clear()
+
+    async def run(self) -> None:
+        """Decide when something arrived and at a steady interval; never returns."""
+        while True:
+            await self._wait_for_work()
+            if not self.leadership.leads:
+                if self.leading_since is not None:
+                    self.reset()
+                continue
+            if self.leading_since is None:
+                await self._begin_leading()
+            await self._decide()
+
+    async def _wait_for_work(self) -> None:
+        try:
+            async with asyncio.timeout(TICK_S):
+                await self.work.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(BATCH_S)
+        self.work.clear()
+
+    async def _begin_leading(self) -> None:
+        self.reset()
+        now = self.leading_since = boottime()
+        self.fencing.observe(self.views.fleet, now)
+
+    async def _decide(self) -> None:
+        self._ask_for_promises(boottime())
+        try:
+            await self._write_fleet(boottime())
+            for service in list(self.views.services):
+                await self._assign(service)
+        except StoreConflictError as error:
+            # Somebody else wrote first; requests are repeated by their senders.
+            self.counters["write_conflicts"] += 1
+            self._drop_requests()
+            await self._read_again(error.key)
+        except StoreUnavailableError as error:
+            self.counters["writes_failed"] += 1
+            log.warning("controller_write_failed", error=str(error))
+            self._drop_requests()
+
+    async def _read_again(self, name: str) -> None:
+        try:
+            await self.reader.read(name)
+        except StoreUnavailableError:
+            self.counters["reads_failed"] += 1
+
+    def _drop_requests(self) -> None:
+        self.joins.clear()
+        self.changes.clear()
+        self.leaves.clear()
+
+    def _ask_for_promises(self, now: float) -> None:
+        self.fencing.set_removed_vms(
+            vm
+            for branch in self.views.branches.values()
+            for vm, state in branch.vms.items()
+            if state is VmState.REMOVED
+        )
+        for promise in self.fencing.promises_due(now):
+            self.counters["promises_asked"] += 1
+            self._send_to(promise.witness, promise)
+
+    async def _write_fleet(self, now: float) -> None:
+        fleet = self.views.fleet
+        changed = self._changed_fleet(fleet, now)
+        if changed is fleet:
+            return
+        joins, changes, leaves = self.joins, self.changes, self.leaves
+        self.joins, self.changes, self.leaves = {}, {}, set()
+        await self._write(FLEET_DOCUMENT, changed.encode(), fleet.version)
+        self.counters["fleet_writes"] += 1
+        log.info(
+            "fleet_written",
+            version=self.views.fleet.version,
+            joined=sorted(map(str, joins)),
+            witnesses_changed=sorted(map(str, changes)),
+            leaving=sorted(map(str, leaves)),
+            fenced=sorted(
+                str(record.node)
+                for record in changed
+                if fleet.live(record.node) and not changed.live(record.node)
+            ),
+        )
+
+    def _changed_fleet(self, fleet: Fleet, now: float) -> Fleet:
+        changed = fleet
+        for join in self.joins.values():
+            record = NodeRecord(
+                join.node,
+                Address(join.host, join.port),
+                join.failure_domain,
+                join.region,
+                join.witnesses,
+                join.witness_sequence,
+            )
+            try:
+                changed = changed.join(record)
+            except NodeFencedError:
+                self.counters["joins_of_fenced_nodes"] += 1
+        for change in self.changes.values():
+            changed = changed.change_witnesses(
+                change.node, change.witness_sequence, change.witnesses
+            )
+        for node in self.leaves:
+            changed = changed.mark_leaving(node)
+        for decision in self.fencing.decisions(now):
+            if decision.version == fleet.version:
+                changed = changed.fence(decision.node, int(time.time()))
+        owners = {
+            owner
+            for assignment in self.views.assignments.values()
+            for owner in owners_of(assignment)
+        }
+        return changed.drop_old_tombstones(time.time(), owners)
+
+    async def _assign(self, service: str) -> None:
+        now = boottime()
+        assignment = self.views.assignments.get(service)
+        if assignment is None:
+            partitions = self.views.services[service].partitions
+            assignment = Assignment(service, partitions)
+        self.pending.drop_outdated(assignment, self.views.fleet)
+        new = self._plan(assignment, now)
+        self.pending.add(assignment, new.moves)
+        for owner, release in self.pending.releases_due(now):
+            self._send_to(owner, release)
+        done = self.pending.completed(service)
+        regrants = self._regrants(assignment)
+        if not (new.assign or done or regrants):
+            return
+        version = assignment.version + 1
+        kept = tuple(p.move for p in done if p.records_kept)
+        lost = tuple(p.move for p in done if not p.records_kept)
+        changed = apply(Plan(new.assign + lost, kept), assignment, version)
+        for item in regrants:
+            _regrant(changed, item, version)
+        name = ASSIGNMENT_PREFIX + service
+        await self._write(name, changed.encode(), assignment.version)
+        self.pending.remove(done)
+        self.counters["assignment_writes"] += 1
+        self.counters["items_assigned"] += len(new.assign)
+        self.counters["items_moved"] += len(done)
+        log.info(
+            "assignment_written",
+            service=service,
+            version=version,
+            assigned=len(new.assign),
+            moved=len(done),
+            granted_again=len(regrants),
+        )
+
+    def _plan(self, assignment: Assignment, now: float) -> Plan:
+        service = assignment.service
+        due = self.planned_at.get(service, float("-inf")) + BALANCE_INTERVAL_S
+        if now < due:
+            return Plan()
+        branch = self.views.teams[service]
+        capacities = capacities_of(
+            service, self.views, self.loads, assignment, now - self.leading_since
+        )
+        if not capacities:
+            return Plan()
+        self.planned_at[service] = now
+        expected = self.pending.expected(assignment)
+        made = plan(
+            expected,
+            capacities,
+            self._loads(expected, capacities, now),
+            branch.weights,
+            branch.restart,
+            branch.max_moves_per_round,
+            continuing=self.unfinished.get(service, False),
+        )
+        self.unfinished[service] = made.unfinished
+        return made
+
+    def _loads(
+        self, assignment: Assignment, capacities: list[NodeCapacity], now: float
+    ) -> Loads:
+        interval_s = report_interval_s(len(self.views.fleet))
+        nodes = [capacity.node for capacity in capacities]
+        return self.loads.loads(assignment, nodes, now, interval_s)
+
+    def _regrants(self, assignment: Assignment) -> list[Item]:
+        """Return items that an owner released for a controller that is gone."""
+        found = []
+        for node, released in self.loads.released():
+            is_key = released.kind is ReleasedKind.KEY
+            item = Item(released.service, is_key, released.item)
+            if released.service != assignment.service or item in self.pending.moves:
+                continue
+            if epoch_of(assignment, item) != released.epoch:
+                continue
+            if _owner_of(assignment, item) == node:
+                found.append(item)
+        return found
+
+    async def _write(self, name: str, body: bytes, expected: int) -> None:
+        version = await write_document(self.store, name, body, str(self.node), expected)
+        self.reader.present[name] = version
+        self.views.replica.offer(name, version, body)
+
+    def _on_document(self, name: str) -> None:
+        if name == FLEET_DOCUMENT and self.leading_since is not None:
+            self.fencing.observe(self.views.fleet, boottime())
+            for node in list(self.loads.reports):
+                if self.views.fleet.live(node) is None:
+                    self.loads.forget(node)
+        if not name.startswith(ASSIGNMENT_PREFIX):
+            self.planned_at.clear()
+        self.work.set()
+
+    def _on_message(self, stream: PeerStream, item) -> None:
+        self.receive(item)
+
+    def _on_query(self, stream: PeerStream, item: FleetQuery) -> None:
+        if self.leadership.leads:
+            stream.send(FleetVersions(item.query, self.fleet_versions()))
+
+    def fleet_versions(self) -> list:
+        """Return ``[vm, age in seconds, [[name, version], ...]]`` of every node."""
+        now = boottime()
+        return [
+            [node.vm, now - report.received, sorted(report.load.versions.items())]
+            for node, report in self.loads.reports.items()
+            if self.views.fleet.live(node) is not None
+        ]
+
+    def _send_to(self, node: NodeId, item) -> None:
+        if node == self.node:
+            handler = self.pool.handlers.get(type(item))
+            if handler is not None:
+                handler(_LocalStream(self), item)
+            return
+        stream = self.pool.streams.get(node)
+        if stream is not None and stream.is_open:
+            stream.send(item)
+            return
+        address = self.views.address_of(node)
+        if address is None:
+            return
+        task = asyncio.ensure_future(self._dial_and_send(address, node, item))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _dial_and_send(self, address: Address, node: NodeId, item) -> None:
+        try:
+            stream = await self.pool.stream_to(address, node)
+            stream.send(item)
+        except StreamClosedError:
+            self.counters["messages_not_sent"] += 1
+
+
+class _LocalStream:
+    """Stands for the stream where the controller asks its own daemon."""
+
+    def __init__(self, controller: Controller) -> None:
+        self.peer = controller.node
+        self.send = controller.receive
+
+
+def _offers(load: NodeLoad) -> list[tuple[str, int, bool]]:
+    return [(s.service, s.slots, s.is_draining) for s in load.services]
+
+
+def _regrant(assignment: Assignment, item: Item, version: int) -> None:
+    node = _owner_of(assignment, item)
+    if item.is_key:
+        assignment.set_key_owner(item.number, node, version, records_kept=True)
+    else:
+        assignment.set_partition_owner(item.number, node, version, records_kept=True)
+
+
+def _owner_of(assignment: Assignment, item: Item) -> NodeId | None:
+    if item.is_key:
+        return assignment.find(item.number).owner
+    return assignment.owner_of_partition(item.number)
--- /dev/null
+++ b/src/sesamepost/internal/controller/queries.py
@@ -0,0 +1,60 @@
+"""Asks the controller which document versions every node has in force."""
+
+import asyncio
+import itertools
+
+from sesamepost.internal.controller.controller import Controller
+from sesamepost.internal.controller.messages import FleetQuery, FleetVersions
+from sesamepost.internal.documents.views import Views
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.wire.pool import PeerPool
+from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
+
+QUERY_TIMEOUT_S = 1.0
+
+
+class FleetQueries:
+    """Answers operators at any daemon with what the controller has heard."""
+
+    def __init__(
+        self, node: NodeId, pool: PeerPool, views: Views, controller: Controller
+    ) -> None:
+        self.node = node
+        self.pool = pool
+        self.views = views
+        self.controller = controller
+        self.numbers = itertools.count(1)
+        self.waiting: dict[int, asyncio.Future] = {}
+        pool.on(FleetVersions, self._on_versions)
+
+    async def ask(self) -> dict | None:
+        """Return documents and age by VM, None if the controller is out of reach."""
+        record = self.views.controller
+        if record is None:
+            return None
+        if record.node == self.node:
+            return _by_vm(self.controller.fleet_versions())
+        number = next(self.numbers)
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[number] = future
+        try:
+            async with asyncio.timeout(QUERY_TIMEOUT_S):
+                stream = await self.pool.stream_to(record.address, record.node)
+                stream.send(FleetQuery(number))
+                return _by_vm(await future)
+        except (StreamClosedError, TimeoutError):
+            return None
+        finally:
+            del self.waiting[number]
+
+    def _on_versions(self, stream: PeerStream, item: FleetVersions) -> None:
+        future = self.waiting.get(item.query)
+        if future is not None and not future.done():
+            future.set_result(item.nodes)
+
+
+def _by_vm(nodes) -> dict:
+    return {
+        vm: {"documents": dict(versions), "age_s": round(age, 3)}
+        for vm, age, versions in nodes
+    }
--- /dev/null
+++ b/src/sesamepost/internal/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the running daemon from its settings."""
--- /dev/null
+++ b/src/sesamepost/internal/daemon/daemon.py
@@ -0,0 +1,288 @@
+"""One running daemon: its parts, their tasks and their order of start and stop."""
+
+import asyncio
+import os
+import resource
+import time
+from contextlib import AsyncExitStack
+from itertools import islice
+
+import structlog
+
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.controller.capacity import owners_of
+from sesamepost.internal.controller.controller import Controller
+from sesamepost.internal.controller.leadership import Leadership
+from sesamepost.internal.controller.link import ControllerLink
+from sesamepost.internal.controller.queries import FleetQueries
+from sesamepost.internal.daemon.reporting import Reporter
+from sesamepost.internal.dispatch.dispatcher import Dispatcher
+from sesamepost.internal.dispatch.endpoints import EndpointServer
+from sesamepost.internal.dispatch.handover import Handover
+from sesamepost.internal.documents.replica import Replica
+from sesamepost.internal.documents.spread import DocumentSpreader
+from sesamepost.internal.documents.views import ControllerRecord, Views
+from sesamepost.internal.identity import NodeId, new_node_id
+from sesamepost.internal.membership.fleet import (
+    NodeRecord,
+    controller_candidates,
+    neighbours,
+)
+from sesamepost.internal.membership.task import Membership
+from sesamepost.internal.operations.server import FleetSource, OperatorServer
+from sesamepost.internal.routing.router import Router
+from sesamepost.internal.routing.server import CallerServer
+from sesamepost.internal.settings.model import ProcessSettings
+from sesamepost.internal.store.http import HttpStore
+from sesamepost.internal.store.reader import StoreReader
+from sesamepost.internal.telemetry.metrics import Metrics
+from sesamepost.internal.wire.pool import Address, PeerPool
+
+MIN_CANDIDATES = 3
+MAX_SEEDS_USED = 3
+SEED_INTERVAL_S = 0.5
+STOP_POLL_S = 0.05
+# Peers still send requests by the previous assignment for a moment after the last
+# partition moved away.
+LINGER_S = 0.5
+
+log = structlog.get_logger()
+
+
+class Daemon:
+    """Everything that runs under one node id; an async context manager."""
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self.settings = settings
+        self.node: NodeId = new_node_id(settings.vm)
+        self.stack = AsyncExitStack()
+        self.tasks: list[asyncio.Task] = []
+        self.stopping = False
+
+    async def __aenter__(self) -> "Daemon":
+        settings = self.settings
+        enter = self.stack.enter_async_context
+        self.store = await enter(HttpStore(settings.store_url))
+        self.pool = await enter(PeerPool(self.node, settings.peers_key))
+        address = await self.pool.listen(settings.peers)
+        self.replica = Replica()
+        self.views = Views(self.replica)
+        self.spreader = await enter(
+            DocumentSpreader(self.replica, self.pool, self._push_targets)
+        )
+        self.link = ControllerLink(
+            self.node, self.pool, self.views, lambda item: self.controller.receive(item)
+        )
+        own = NodeRecord(self.node, address, settings.failure_domain, settings.region)
+        self.membership = Membership(
+            own, self.pool, self.views, self.link, self.spreader
+        )
+        self.dispatcher = await enter(
+            Dispatcher(
+                self.node, self.pool, self.views, self.membership.holder.valid_until
+            )
+        )
+        self.handover = Handover(
+            self.node, self.pool, self.views, self.dispatcher, self.link
+        )
+        self._build_controller(address)
+        self.reporter = Reporter(self.node, self.views, self.dispatcher, self.link)
+        self.router = Router(self.node, self.pool, self.views, self.dispatcher)
+        self._build_metrics()
+        await self._listen()
+        self._start_tasks()
+        log.info("daemon_started", node=str(self.node), callers=settings.callers)
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.leadership.resign()
+        await self.stack.aclose()
+        log.info("daemon_stopped", node=str(self.node))
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Run until ``stop`` is set and the planned stop is done, or until fenced.
+
+        Raises the exception of a task that failed, since a daemon that lost one of
+        its tasks would only seem to work.
+        """
+        waits = {
+            asyncio.ensure_future(stop.wait()),
+            asyncio.ensure_future(self.membership.fenced.wait()),
+        }
+        try:
+            done, _ = await asyncio.wait(
+                [*waits, *self.tasks], return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+            if stop.is_set():
+                await self._stop()
+        finally:
+            for wait in waits:
+                wait.cancel()
+
+    async def _stop(self) -> None:
+        """Hand the partitions over and finish the requests in flight."""
+        self.stopping = True
+        log.info("daemon_stopping", node=str(self.node))
+        self.membership.leave()
+        deadline = boottime() + self.settings.stop_timeout_s
+        idle_since = None
+        while boottime() < deadline and not self.membership.fenced.is_set():
+            busy = self._owns_anything() or self.callers.in_flight
+            busy = busy or self.dispatcher.tasks
+            now = boottime()
+            if busy:
+                idle_since = None
+            elif idle_since is None:
+                idle_since = now
+            elif now - idle_since >= LINGER_S:
+                return
+            await asyncio.sleep(STOP_POLL_S)
+        log.warning("stop_timed_out", node=str(self.node))
+
+    def _build_controller(self, address: Address) -> None:
+        self.reader = StoreReader(
+            self.store, self.replica, lambda: self.leadership.wants_store()
+        )
+        self.leadership = Leadership(
+            self.store,
+            self.reader,
+            ControllerRecord(self.node, address),
+            self._is_candidate,
+        )
+        self.controller = Controller(
+            self.node,
+            self.pool,
+            self.views,
+            self.store,
+            self.reader,
+            self.leadership,
+        )
+        self.queries = FleetQueries(self.node, self.pool, self.views, self.controller)
+
+    def _build_metrics(self) -> None:
+        self.metrics = Metrics(self._team_of)
+        self.stack.callback(self.metrics.close)
+        for part in ("router", "dispatcher", "pool", "spreader", "membership"):
+            self.metrics.add_counters(part, getattr(self, part).counters)
+        self.metrics.add_counters("controller", self.controller.counters)
+        self.metrics.add_counters("handover", self.handover.counters)
+
+    async def _listen(self) -> None:
+        settings = self.settings
+        enter = self.stack.enter_async_context
+        self.endpoint_server = await enter(
+            EndpointServer(self.dispatcher.announce, self.dispatcher.withdraw)
+        )
+        self.endpoints_address = await self.endpoint_server.listen(settings.endpoints)
+        self.operators = await enter(OperatorServer(self._fleet_source()))
+        self.operators_address = await self.operators.listen(settings.operators)
+        self.callers = await enter(
+            CallerServer(self.router, self.metrics.observe_request)
+        )
+        self.callers_address = await self.callers.listen(settings.callers)
+        self.metrics.add_counters("callers", self.callers.counters)
+        self.metrics.add_counters("endpoint_server", self.endpoint_server.counters)
+
+    def _start_tasks(self) -> None:
+        runs = (
+            self.membership.run,
+            self.dispatcher.run,
+            self.reader.run,
+            self.leadership.run,
+            self.controller.run,
+            self.reporter.run,
+            self._learn_from_seeds,
+        )
+        self.tasks = [asyncio.create_task(run(), name=run.__qualname__) for run in runs]
+
+    async def _learn_from_seeds(self) -> None:
+        """Fetch the documents from seeds until this node is in the fleet."""
+        while True:
+            if not self.membership.joined.is_set():
+                for seed in self.settings.seeds[:MAX_SEEDS_USED]:
+                    await self.spreader.fetch_from(seed)
+            if self.views.controller is not None and self.link.reached_controller:
+                self.leadership.note_controller()
+            await asyncio.sleep(SEED_INTERVAL_S)
+
+    def _is_candidate(self) -> bool:
+        fleet = self.views.fleet
+        candidates = list(controller_candidates(fleet))
+        if len(candidates) < MIN_CANDIDATES:
+            names = sorted(record.node for record in fleet.active_records())
+            others = (node for node in names if node not in candidates)
+            candidates += islice(others, MIN_CANDIDATES - len(candidates))
+        return self.node in candidates
+
+    def _push_targets(self) -> list[tuple[NodeId, Address]]:
+        fleet = self.views.fleet
+        targets = {
+            node: fleet.get(node).address for node in neighbours(fleet, self.node)
+        }
+        seeds = set(self.settings.seeds[:MAX_SEEDS_USED])
+        for record in fleet.live_records():
+            if record.address in seeds and record.node != self.node:
+                targets[record.node] = record.address
+        if self.leadership.leads:
+            # Nodes that joined a moment ago have no neighbours that know them yet.
+            for node, stream in self.pool.streams.items():
+                if node not in targets and fleet.get(node) is None and stream.is_open:
+                    targets[node] = Address("", 0)
+        return list(targets.items())
+
+    def _owns_anything(self) -> bool:
+        return any(
+            self.node in owners_of(assignment)
+            for assignment in self.views.assignments.values()
+        )
+
+    def _team_of(self, service: str) -> str:
+        branch = self.views.teams.get(service)
+        return "" if branch is None else branch.team
+
+    def _fleet_source(self) -> FleetSource:
+        return FleetSource(
+            self.node,
+            self.views,
+            self._not_ready_because,
+            self.queries.ask,
+            self._services,
+            self.metrics.render,
+            _process_usage,
+        )
+
+    def _not_ready_because(self) -> str:
+        if self.stopping:
+            return "the daemon is stopping"
+        if not self.membership.joined.is_set():
+            return "the node is not in the fleet yet"
+        if not self.views.services:
+            return "no team's settings are known yet"
+        for service in self.views.services:
+            assignment = self.views.assignments.get(service)
+            if assignment is None or not owners_of(assignment):
+                return f"no partition of service {service} has an owner yet"
+        return ""
+
+    def _services(self) -> dict[str, list[str]]:
+        return {
+            service: sorted(node.vm for node in owners_of(assignment))
+            for service, assignment in self.views.assignments.items()
+        }
+
+
+def _process_usage() -> dict:
+    times = os.times()
+    with open("/proc/self/statm") as statm:
+        resident_pages = int(statm.read().split()[1])
+    return {
+        "pid": os.getpid(),
+        "cpu_s": times.user + times.system,
+        "rss_bytes": resident_pages * resource.getpagesize(),
+        "unix_s": time.time(),
+    }
--- /dev/null
+++ b/src/sesamepost/internal/daemon/reporting.py
@@ -0,0 +1,129 @@
+"""Reports this node's load and state to the controller."""
+
+import asyncio
+import random
+
+from sesamepost.internal.balance.reports import (
+    NodeLoad,
+    ReleasedItem,
+    ReleasedKind,
+    ServiceLoad,
+    build_report,
+    measure_service,
+    report_interval_s,
+)
+from sesamepost.internal.balance.sketch import LoadCounters
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.controller.link import ControllerLink
+from sesamepost.internal.dispatch.dispatcher import Dispatcher
+from sesamepost.internal.dispatch.served import ServedEndpoint
+from sesamepost.internal.documents.views import (
+    CONTROLLER_DOCUMENT,
+    SETTINGS_PREFIX,
+    Views,
+)
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.ownership.items import Item
+
+TICK_S = 0.2
+ADVANCE_INTERVAL_S = 1.0
+# Nodes answer a change of controller or of settings at different moments, so that 480
+# reports do not arrive at once.
+JITTER_S_PER_NODE = 0.002
+
+
+class Reporter:
+    """Counts requests and sends load reports.
+
+    A change of an endpoint is reported at once, since partitions may have to move.
+    """
+
+    def __init__(
+        self, node: NodeId, views: Views, dispatcher: Dispatcher, link: ControllerLink
+    ) -> None:
+        self.node = node
+        self.views = views
+        self.dispatcher = dispatcher
+        self.link = link
+        self.counters: dict[str, LoadCounters] = {}
+        self.next_report = 0.0
+        self.advanced_at = 0.0
+        self.offers: list = []
+        dispatcher.on_request = self._on_request
+        self.subscription = views.changed.subscribe(self._on_document)
+
+    async def run(self) -> None:
+        """Send reports when they are due; never returns."""
+        while True:
+            self.tick(boottime())
+            await asyncio.sleep(TICK_S)
+
+    def tick(self, now: float) -> None:
+        """Advance the counters and report if it is time."""
+        if now - self.advanced_at >= ADVANCE_INTERVAL_S:
+            self.advanced_at = now
+            for counters in self.counters.values():
+                counters.advance(now)
+        offers = [
+            (service, endpoint.may_own(now), endpoint.is_draining)
+            for service, endpoint in self.dispatcher.endpoints.items()
+        ]
+        if offers == self.offers and now < self.next_report:
+            return
+        self.offers = offers
+        self.next_report = now + report_interval_s(len(self.views.fleet))
+        self.link.send(build_report(self._load(now)))
+
+    def _load(self, now: float) -> NodeLoad:
+        return NodeLoad(
+            self.node,
+            tuple(
+                self._service_load(service, endpoint, now)
+                for service, endpoint in self.dispatcher.endpoints.items()
+            ),
+            tuple(
+                ReleasedItem(
+                    item.service,
+                    ReleasedKind.KEY if item.is_key else ReleasedKind.PARTITION,
+                    item.number,
+                    epoch,
+                )
+                for item, epoch in self.dispatcher.releases.released()
+            ),
+            dict(self.views.in_force),
+        )
+
+    def _service_load(
+        self, service: str, endpoint: ServedEndpoint, now: float
+    ) -> ServiceLoad:
+        return measure_service(
+            service,
+            self._counters_of(service),
+            endpoint.slots if endpoint.may_own(now) else 0,
+            endpoint.gate.used,
+            endpoint.longest_in_flight_s(),
+            endpoint.cold_start_fraction(now),
+            endpoint.is_draining,
+        )
+
+    def _counters_of(self, service: str) -> LoadCounters:
+        counters = self.counters.get(service)
+        if counters is None:
+            partitions = self.views.services[service].partitions
+            counters = LoadCounters(partitions, boottime())
+            self.counters[service] = counters
+        return counters
+
+    def _on_request(self, item: Item, key_hash: int) -> None:
+        counters = self.counters.get(item.service)
+        if counters is None:
+            counters = self._counters_of(item.service)
+        if item.is_key:
+            counters.record_exception(key_hash)
+        else:
+            counters.record(key_hash)
+
+    def _on_document(self, name: str) -> None:
+        if name == CONTROLLER_DOCUMENT or name.startswith(SETTINGS_PREFIX):
+            jitter_s = random.uniform(0, JITTER_S_PER_NODE * len(self.views.fleet))
+            self.next_report = min(self.next_report, boottime() + jitter_s)
--- a/src/sesamepost/internal/membership/fleet.py
+++ b/src/sesamepost/internal/membership/fleet.py
@@ -1,6 +1,6 @@
 """The fleet document: the nodes, their witnesses and which of them are fenced."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, replace
 from enum import IntEnum
 
@@ -140,13 +140,20 @@
             replace(record, state=NodeState.FENCED, fenced_at=int(fenced_at))
         )
 
-    def drop_old_tombstones(self, unix_now: float) -> "Fleet":
-        """Remove nodes that were fenced ``TOMBSTONE_KEPT_S`` ago or earlier."""
+    def drop_old_tombstones(
+        self, unix_now: float, owners: Collection[NodeId] = ()
+    ) -> "Fleet":
+        """Remove nodes that were fenced ``TOMBSTONE_KEPT_S`` ago or earlier.
+
+        ``owners`` are kept: an assignment still names them, and only the record shows
+        that they are fenced.
+        """
         kept = [
             record
             for record in self
             if record.state is not NodeState.FENCED
             or unix_now - record.fenced_at < TOMBSTONE_KEPT_S
+            or record.node in owners
         ]
         return self if len(kept) == len(self) else Fleet(self.version, kept)
 
--- /dev/null
+++ b/src/sesamepost/internal/membership/task.py
@@ -0,0 +1,219 @@
+"""Runs this node's side of the leases: holder, witness and membership."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Collection
+
+import structlog
+
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.controller.link import ControllerLink
+from sesamepost.internal.documents.spread import DocumentSpreader
+from sesamepost.internal.documents.views import FLEET_DOCUMENT, Views
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.lease.holder import LeaseHolder, Proposal
+from sesamepost.internal.lease.messages import (
+    Promise,
+    Renew,
+    Renewed,
+    RenewRefused,
+)
+from sesamepost.internal.lease.witness import Witness
+from sesamepost.internal.membership.fleet import NodeRecord
+from sesamepost.internal.membership.messages import ChangeWitnesses, Join, Leave
+from sesamepost.internal.membership.witness_choice import choose_witnesses
+from sesamepost.internal.wire.pool import PeerPool
+from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
+
+TICK_S = 0.1
+REPEAT_TO_CONTROLLER_S = 0.5
+MIN_PROPOSAL_INTERVAL_S = 2.0
+FULL_WITNESS_COUNT = 3
+
+log = structlog.get_logger()
+
+
+class Membership:
+    """Keeps this node recorded in the fleet and its lease renewed.
+
+    ``fenced`` is set when the record shows this incarnation fenced; the process must
+    then go on under a new incarnation.
+    """
+
+    def __init__(
+        self,
+        own: NodeRecord,
+        pool: PeerPool,
+        views: Views,
+        link: ControllerLink,
+        spreader: DocumentSpreader,
+    ) -> None:
+        self.own = own
+        self.node: NodeId = own.node
+        self.pool = pool
+        self.views = views
+        self.link = link
+        self.spreader = spreader
+        self.holder = LeaseHolder(own.node)
+        self.witness = Witness(own.node)
+        self.counters: Counter[str] = Counter()
+        self.fenced = asyncio.Event()
+        self.joined = asyncio.Event()
+        self.leaving = False
+        self.was_valid = False
+        self.last_sent_to_controller = float("-inf")
+        self.last_proposal = float("-inf")
+        self.tasks: set[asyncio.Task] = set()
+        pool.on(Renew, self._on_renew)
+        pool.on(Renewed, self._on_renewed)
+        pool.on(RenewRefused, self._on_refused)
+        pool.on(Promise, self._on_promise)
+        self.subscription = views.changed.subscribe(self._on_document)
+
+    async def run(self) -> None:
+        """Renew, report and replace witnesses; never returns."""
+        while True:
+            self.tick(boottime())
+            await asyncio.sleep(TICK_S)
+
+    def tick(self, now: float) -> None:
+        """Send everything that is due at ``now``."""
+        digest = self.views.replica.digest
+        for renew in self.holder.renewals_due(now, digest):
+            self._send_to(renew.witness, renew)
+        for suspect in self.witness.suspects_due(now):
+            self.counters["suspects_sent"] += 1
+            self.link.send(suspect)
+        self._note_validity(now)
+        if now - self.last_sent_to_controller < REPEAT_TO_CONTROLLER_S:
+            return
+        if self.views.fleet.get(self.node) is None:
+            self._ask_to_join(now)
+        elif self.leaving:
+            self._send_to_controller(Leave(self.node), now)
+        else:
+            self._keep_witnesses(now)
+
+    def leave(self) -> None:
+        """Ask the controller to move this node's partitions away."""
+        self.leaving = True
+
+    def _note_validity(self, now: float) -> None:
+        is_valid = self.holder.is_valid(now)
+        if is_valid != self.was_valid:
+            log.info(
+                "lease_valid" if is_valid else "lease_invalid", node=str(self.node)
+            )
+            self.was_valid = is_valid
+
+    def _ask_to_join(self, now: float) -> None:
+        if self.views.controller is None:
+            return
+        proposal = self.holder.wanted_set()
+        if proposal is None:
+            proposal = self.holder.propose(self._choose())
+            self.last_proposal = now
+        self._send_to_controller(
+            Join(
+                self.node,
+                *self.own.address,
+                self.own.failure_domain,
+                self.own.region,
+                proposal.witnesses,
+                proposal.sequence,
+            ),
+            now,
+        )
+
+    def _keep_witnesses(self, now: float) -> None:
+        if self.holder.fenced:
+            return
+        lost = set(self.holder.witnesses_to_replace(now))
+        wanted = self.holder.wanted_set()
+        gone = {w for w in wanted.witnesses if self.views.fleet.live(w) is None}
+        may_propose = now - self.last_proposal >= MIN_PROPOSAL_INTERVAL_S
+        if may_propose and (lost or gone or self._is_set_too_small(wanted)):
+            kept = set(wanted.witnesses) - lost - gone
+            chosen = self._choose(avoid=lost | gone, keep=kept)
+            if set(chosen) != set(wanted.witnesses):
+                wanted = self.holder.propose(chosen)
+                self.last_proposal = now
+                self.counters["witness_changes"] += 1
+                log.info(
+                    "witnesses_proposed",
+                    node=str(self.node),
+                    lost=sorted(str(w) for w in lost | gone),
+                )
+        if self.holder.proposals:
+            change = ChangeWitnesses(self.node, wanted.witnesses, wanted.sequence)
+            self._send_to_controller(change, now)
+
+    def _is_set_too_small(self, wanted: Proposal) -> bool:
+        if len(wanted.witnesses) >= FULL_WITNESS_COUNT:
+            return False
+        return len(self._choose()) > len(wanted.witnesses)
+
+    def _choose(
+        self, avoid: Collection[NodeId] = (), keep: Collection[NodeId] = ()
+    ) -> tuple[NodeId, ...]:
+        return choose_witnesses(
+            self.views.fleet,
+            self.node,
+            self.own.failure_domain,
+            self.own.region,
+            avoid,
+            keep,
+        )
+
+    def _on_document(self, name: str) -> None:
+        if name != FLEET_DOCUMENT:
+            return
+        fleet = self.views.fleet
+        self.holder.observe(fleet)
+        self.witness.observe(fleet, boottime())
+        if fleet.get(self.node) is not None:
+            self.joined.set()
+        if self.holder.fenced and not self.fenced.is_set():
+            log.warning("node_fenced", node=str(self.node))
+            self.fenced.set()
+
+    def _on_renew(self, stream: PeerStream, item: Renew) -> None:
+        digest = self.views.replica.digest
+        stream.send(self.witness.receive_renew(item, digest, boottime()))
+        self.spreader.compare(stream, item.digest)
+
+    def _on_renewed(self, stream: PeerStream, item: Renewed) -> None:
+        self.holder.receive_renewed(item)
+        self.spreader.compare(stream, item.digest)
+
+    def _on_refused(self, stream: PeerStream, item: RenewRefused) -> None:
+        self.counters["renewals_refused"] += 1
+        self.holder.receive_refused(item)
+        # A refusal can mean that the witness has not yet seen this node's record.
+        self.spreader.exchange(stream)
+
+    def _on_promise(self, stream: PeerStream, item: Promise) -> None:
+        stream.send(self.witness.receive_promise(item, boottime()))
+
+    def _send_to_controller(self, item, now: float) -> None:
+        self.last_sent_to_controller = now
+        self.link.send(item)
+
+    def _send_to(self, node: NodeId, item) -> None:
+        stream = self.pool.streams.get(node)
+        if stream is not None and stream.is_open:
+            stream.send(item)
+            return
+        address = self.views.address_of(node)
+        if address is None:
+            return
+        task = asyncio.ensure_future(self._dial_and_send(address, node, item))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _dial_and_send(self, address, node: NodeId, item) -> None:
+        try:
+            stream = await self.pool.stream_to(address, node)
+            stream.send(item)
+        except StreamClosedError:
+            self.counters["renewals_not_sent"] += 1
--- /dev/null
+++ b/src/sesamepost/internal/operations/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' port."""
--- /dev/null
+++ b/src/sesamepost/internal/store/reader.py
@@ -0,0 +1,94 @@
+"""Follows the documents in the store by a watch."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+
+import structlog
+
+from sesamepost.internal.documents.replica import Replica
+from sesamepost.internal.store.envelope import EnvelopeError, decode_envelope
+from sesamepost.internal.store.interface import Store, StoreUnavailableError
+
+WATCH_WAIT_MS = 10_000
+RETRY_S = 0.5
+ROLE_CHECK_INTERVAL_S = 0.25
+ALL_KEYS = ""
+
+log = structlog.get_logger()
+
+
+class StoreReader:
+    """Keeps the replica up to date while this daemon has a role that reads the store.
+
+    ``is_wanted`` says whether it has such a role. ``present`` holds the keys that the
+    store had at the last look, with their versions; it shows when the controller's
+    lease has ended.
+    """
+
+    def __init__(
+        self, store: Store, replica: Replica, is_wanted: Callable[[], bool]
+    ) -> None:
+        self.store = store
+        self.replica = replica
+        self.is_wanted = is_wanted
+        self.counters: Counter[str] = Counter()
+        self.present: dict[str, int] = {}
+        self.revision = 0
+        self.is_current = False
+        self.changed = asyncio.Event()
+
+    async def run(self) -> None:
+        """Watch for as long as the role lasts; never returns."""
+        while True:
+            if not self.is_wanted():
+                self.is_current = False
+                await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
+                continue
+            try:
+                await self._follow()
+            except StoreUnavailableError as error:
+                self._lose_contact(error)
+                await asyncio.sleep(RETRY_S)
+
+    async def read(self, name: str) -> None:
+        """Read one document at once, as after a conflicting write."""
+        stored = await self.store.get(name)
+        if stored is None:
+            self.present.pop(name, None)
+            return
+        self.present[name] = stored.version
+        try:
+            body = decode_envelope(stored.value).body
+        except EnvelopeError as error:
+            log.error("stored_value_rejected", name=name, error=str(error))
+            return
+        self.replica.offer(name, stored.version, body)
+
+    async def _follow(self) -> None:
+        changes = await self.store.watch(
+            ALL_KEYS, self.revision, WATCH_WAIT_MS if self.is_current else 0
+        )
+        if changes.revision < self.revision:
+            # The store was replaced or restored; read everything again.
+            self.present.clear()
+            self.revision = 0
+            return
+        for name, version in changes.changed:
+            if version == 0:
+                self.present.pop(name, None)
+                continue
+            self.present[name] = version
+            if version > self.replica.version_of(name):
+                await self.read(name)
+        self.revision = changes.revision
+        if not self.is_current:
+            log.info("store_followed", revision=self.revision)
+        self.is_current = True
+        self.changed.set()
+
+    def _lose_contact(self, error: StoreUnavailableError) -> None:
+        self.counters["failures"] += 1
+        if self.is_current:
+            log.warning("store_unreachable", error=str(error))
+        self.is_current = False
--- /dev/null
+++ b/src/sesamepost/internal/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and logs."""
--- /dev/null
+++ b/src/sesamepost/tools/forwarder.py
@@ -0,0 +1,56 @@
+"""A bare HTTP forwarder: one aiohttp server hop and one client hop, no checks.
+
+Its processor time for each request is what the two HTTP hops cost alone, so the
+difference to the daemons' is the price of the router.
+"""
+
+import asyncio
+import os
+
+os.environ["UV_USE_IO_URING"] = "0"
+
+import aiohttp
+import defopt
+import uvloop
+from aiohttp import web
+from aiohttp.web_request import BaseRequest
+
+HOST = "127.0.0.1"
+
+
+async def _serve(port: int, target: str) -> None:
+    async with aiohttp.ClientSession(
+        cookie_jar=aiohttp.DummyCookieJar(),
+        connector=aiohttp.TCPConnector(limit=110),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+    ) as session:
+
+        async def forward(request: BaseRequest) -> web.Response:
+            body = await request.read() if request.body_exists else None
+            async with session.request(
+                request.method, target + request.raw_path, data=body
+            ) as answer:
+                return web.Response(status=answer.status, body=await answer.read())
+
+        runner = web.ServerRunner(web.Server(forward), handle_signals=False)
+        await runner.setup()
+        await web.TCPSite(runner, HOST, port).start()
+        await asyncio.Event().wait()
+
+
+def run(*, port: int, target: str) -> None:
+    """Forward every request to one target.
+
+    :param port: port on loopback to listen at
+    :param target: base URL of the endpoint
+    """
+    uvloop.run(_serve(port, target))
+
+
+def main() -> None:
+    """Parse the command line and run."""
+    defopt.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/e2e/local.py
@@ -0,0 +1,170 @@
+"""A fleet of real daemons, endpoints and a store in one event loop, on real sockets."""
+
+import asyncio
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from sesamepost.internal.daemon.daemon import Daemon
+from sesamepost.internal.settings.model import ProcessSettings
+from sesamepost.internal.store.envelope import write_document
+from sesamepost.internal.store.http import HttpStore
+from sesamepost.internal.wire.pool import Address
+from sesamepost.standins.endpoint import EndpointStandIn
+from sesamepost.standins.store import StoreStandIn
+
+ANY_PORT = Address("127.0.0.1", 0)
+WAIT_S = 15.0
+POLL_S = 0.02
+BRANCH = """\
+[team]
+
+[service:ledger]
+partitions = 16
+slots = 4
+timeout_ms = 3000
+"""
+
+
+@dataclass(slots=True)
+class Vm:
+    """One daemon and its endpoint."""
+
+    daemon: Daemon
+    endpoint: EndpointStandIn
+    stack: AsyncExitStack
+    stop: asyncio.Event = field(default_factory=asyncio.Event)
+    run: asyncio.Task | None = None
+
+    @property
+    def callers(self):
+        return "http://{}:{}".format(*self.daemon.callers_address)
+
+    @property
+    def operators(self):
+        return "http://{}:{}".format(*self.daemon.operators_address)
+
+
+class Fleet:
+    """Starts VMs and sends requests to them."""
+
+    def __init__(self, stack, store, session):
+        self.stack = stack
+        self.store = store
+        self.session = session
+        self.vms = []
+
+    async def add(self, name, domain="fd-0", region="r-0", **endpoint_options):
+        """Start a VM; its daemon and endpoint end with the fleet."""
+        settings = ProcessSettings(
+            vm=name,
+            failure_domain=domain,
+            region=region,
+            callers=ANY_PORT,
+            peers=ANY_PORT,
+            operators=ANY_PORT,
+            endpoints=ANY_PORT,
+            peers_key=b"key of the peers",
+            seeds=(),
+            store_url=self.store.url,
+            stop_timeout_s=10.0,
+        )
+        stack = await self.stack.enter_async_context(AsyncExitStack())
+        daemon = await stack.enter_async_context(Daemon(settings))
+        announce = "http://{}:{}".format(*daemon.endpoints_address)
+        endpoint = await stack.enter_async_context(
+            EndpointStandIn("ledger", announce=announce, name=name, **endpoint_options)
+        )
+        vm = Vm(daemon, endpoint, stack)
+        vm.run = asyncio.create_task(daemon.run(vm.stop))
+        self.vms.append(vm)
+        return vm
+
+    async def put(self, team, text, expected=0):
+        """Write a team's branch and return its version."""
+        async with HttpStore(self.store.url) as store:
+            return await write_document(
+                store, f"settings/{team}", text.encode(), "test", expected
+            )
+
+    async def send(self, vm, key, method="POST", body=b"", **headers):
+        """Send one request; header names are given with underscores."""
+        names = {
+            "Sesamepost-Service": "ledger",
+            "Sesamepost-Key": key,
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        async with self.session.request(
+            method, f"{vm.callers}/entry", data=body, headers=names
+        ) as answer:
+            return Reply(answer.status, answer.headers, await answer.read())
+
+    async def ready(self):
+        """Wait until every daemon is ready and the partitions are spread."""
+        await self.until(lambda: all(not self._unready(vm) for vm in self.vms))
+
+    def _unready(self, vm):
+        reason = vm.daemon._not_ready_because()
+        assignment = vm.daemon.views.assignments.get("ledger")
+        return reason or len(self.owners(assignment)) < len(self.vms)
+
+    @staticmethod
+    def owners(assignment):
+        """Return the nodes that own partitions."""
+        indexes = set(assignment.owners)
+        return {assignment.nodes[i] for i in indexes if i < len(assignment.nodes)}
+
+    async def until(self, condition):
+        """Wait until ``condition()`` holds."""
+        async with asyncio.timeout(WAIT_S):
+            while not condition():  # noqa: ASYNC110 - the condition spans daemons
+                await asyncio.sleep(POLL_S)
+
+    def owner_vm(self, key):
+        """Return the VM whose daemon owns ``key`` by the first daemon's view."""
+        from sesamepost.internal.identity import hash_key
+
+        view = self.vms[0].daemon.views.assignments["ledger"]
+        node = view.find(hash_key(key)).owner
+        return next(vm for vm in self.vms if vm.daemon.node == node)
+
+    def runs(self, request_id):
+        """Return how often a request ran, over all endpoints."""
+        return sum(
+            execution.count
+            for vm in self.vms
+            for execution in vm.endpoint.executions.values()
+            if execution.request_id == request_id
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer to a caller."""
+
+    status: int
+    headers: object
+    body: bytes
+
+    @property
+    def kind(self):
+        return self.headers.get("Sesamepost-Error")
+
+    @property
+    def outcome(self):
+        return self.headers.get("Sesamepost-Outcome")
+
+
+@asynccontextmanager
+async def running_fleet(vms=3, branch=BRANCH, **endpoint_options):
+    """Run a fleet of ``vms`` VMs in as many failure domains."""
+    async with AsyncExitStack() as stack:
+        store = await stack.enter_async_context(StoreStandIn())
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        fleet = Fleet(stack, store, session)
+        await fleet.put("team", branch)
+        for index in range(vms):
+            await fleet.add(f"vm-{index}", f"fd-{index}", **endpoint_options)
+        await fleet.ready()
+        yield fleet
