Add the measurement of the planner

Cause: the weights and the rule need figures for both users and a baseline. Ruled out: a cluster simulator; the tool uses only the planner and load vectors. Keys above the even share of an added VM as smallest churn: the planner gives it hot keys and needs fewer keys than that, so the smallest churn counts only keys whose owner does not stay.

--- /dev/null
+++ b/src/sesamepost/tools/measure.py
@@ -0,0 +1,421 @@
+"""Measures imbalance, churn and moves of the planner for typical events.
+
+Only the planner and load vectors take part: no process is started and no time passes.
+The loads of a round are exact, so errors of reports are not measured here. Unavailable
+time comes from a model (see ``MOVE_UNAVAILABLE_S``) and is labelled as such.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from math import gcd, lcm
+
+import defopt
+
+from sesamepost.internal.balance.plan import (
+    ItemKind,
+    Loads,
+    NodeCapacity,
+    NodeState,
+    Plan,
+)
+from sesamepost.internal.balance.planner import apply, plan
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.ownership.assignment import Assignment
+from sesamepost.internal.settings.model import RestartPolicy, TeamBranch, Weights
+
+LONGEST_IN_FLIGHT_S = 0.2
+STORE_WRITE_S = 0.005
+MOVE_UNAVAILABLE_S = LONGEST_IN_FLIGHT_S + STORE_WRITE_S
+LOSS_UNAVAILABLE_S = 2.0
+
+HOT_KEYS = 11
+# The hottest key relative to the mean node's load; the others follow 1/rank.
+HOTTEST_KEY_SHARE = 0.4
+# Spread of the loads of partitions (sigma of a log-normal distribution).
+PARTITION_SIGMA = 0.4
+
+MAX_ROUNDS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class User:
+    """A user's weights and policy on planned restarts."""
+
+    name: str
+    weights: Weights
+    restart: RestartPolicy
+
+
+USERS = (
+    User("Lahore", Weights(1.0, 0.1, 5.0), RestartPolicy.MOVE),
+    User("valuation host", Weights(1.0, 2.0, 0.1), RestartPolicy.WAIT),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """A fleet: each VM has a worker of one service, services alternate over VMs."""
+
+    name: str
+    vms: int
+    services: int
+    failure_domains: int
+    regions: int
+    slots: float
+    partitions: int
+    keys: int
+    rate: float
+
+
+SIZES = (
+    Size("Lahore today", 18, 3, 6, 3, 6.0, 512, 3_000_000, 1_800.0),
+    Size("valuation host today", 18, 3, 6, 3, 12.0, 512, 30_000_000, 9_000.0),
+    Size("480 nodes", 480, 1, 5, 2, 12.0, 4096, 450_000_000, 1_704_000.0),
+)
+
+
+@dataclass(slots=True)
+class Service:
+    """The true load of one service and its nodes."""
+
+    nodes: list[NodeCapacity]
+    rates: list[float]
+    partition_keys: list[int]
+    hot_keys: dict[int, float]
+
+    def loads(self, assignment: Assignment) -> Loads:
+        """Return the planner's input; hot keys count where their owner is."""
+        rates = list(self.rates)
+        for key, rate in self.hot_keys.items():
+            if key not in assignment.exceptions:
+                rates[assignment.partition_of(key)] += rate
+        keys = dict(enumerate(self.partition_keys))
+        return Loads(rates, self.hot_keys, keys, MOVE_UNAVAILABLE_S)
+
+
+@dataclass(slots=True)
+class Result:
+    """What one event caused, summed over the services."""
+
+    imbalance_before: float = 1.0
+    imbalance_after: float = 1.0
+    churn: float = 0.0
+    smallest_churn: float = 0.0
+    moves: int = 0
+    rounds: int = 0
+    unavailable_key_s: float = 0.0
+    unavailable_worst_s: float = 0.0
+
+    def add_unavailable(self, keys: float, seconds: float) -> None:
+        """Add the modelled time without service of some keys."""
+        self.unavailable_key_s += keys * seconds
+        if keys:
+            self.unavailable_worst_s = max(self.unavailable_worst_s, seconds)
+
+
+def build_services(size: Size, chance: random.Random) -> list[Service]:
+    """Return the services of a fleet with loads drawn from ``chance``."""
+    services = []
+    for number in range(size.services):
+        nodes = [
+            NodeCapacity(
+                NodeId(f"vm-{vm:03}", chance.getrandbits(63)),
+                f"domain-{vm // size.services % size.failure_domains}",
+                f"region-{vm // size.services % size.regions}",
+                size.slots,
+            )
+            for vm in range(number, size.vms, size.services)
+        ]
+        mean_keys = size.keys / size.services / size.partitions
+        raw = [
+            chance.lognormvariate(0.0, PARTITION_SIGMA) for _ in range(size.partitions)
+        ]
+        hot_keys = draw_hot_keys(size, chance)
+        rest = size.rate / size.services - sum(hot_keys.values())
+        services.append(
+            Service(
+                nodes,
+                [rate * rest / sum(raw) for rate in raw],
+                [round(chance.gauss(mean_keys, mean_keys**0.5)) for _ in raw],
+                hot_keys,
+            )
+        )
+    return services
+
+
+def draw_hot_keys(size: Size, chance: random.Random) -> dict[int, float]:
+    """Return hot keys with their rates in requests/s."""
+    hottest = HOTTEST_KEY_SHARE * size.rate / size.vms
+    return {chance.getrandbits(64): hottest / rank for rank in range(1, HOT_KEYS + 1)}
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """Something that happens to a service.
+
+    ``phases`` change the service one after the other; the planner finishes its rounds
+    after each.
+    """
+
+    name: str
+    phases: tuple[Callable[[Service, Size, random.Random], None], ...]
+    first_service_only: bool
+
+
+def lose_vm(service: Service, size: Size, chance: random.Random) -> None:
+    """Remove the first VM."""
+    del service.nodes[0]
+
+
+def leave(service: Service, size: Size, chance: random.Random) -> None:
+    """Begin the planned restart of the first VM."""
+    service.nodes[0] = replace(service.nodes[0], state=NodeState.LEAVING)
+
+
+def replace_vm(service: Service, size: Size, chance: random.Random) -> None:
+    """Bring the first VM back with a new incarnation."""
+    vm = service.nodes[0].node.vm
+    service.nodes[0] = replace(
+        service.nodes[0],
+        node=NodeId(vm, chance.getrandbits(63)),
+        state=NodeState.IN_SERVICE,
+    )
+
+
+def lose_domain(service: Service, size: Size, chance: random.Random) -> None:
+    """Remove all VMs of the first failure domain."""
+    lost = service.nodes[0].failure_domain
+    service.nodes = [node for node in service.nodes if node.failure_domain != lost]
+
+
+def shift_hot_keys(service: Service, size: Size, chance: random.Random) -> None:
+    """Make other keys hot."""
+    service.hot_keys = draw_hot_keys(size, chance)
+
+
+def double_load(service: Service, size: Size, chance: random.Random) -> None:
+    """Double the load of all keys."""
+    service.rates = [2 * rate for rate in service.rates]
+    service.hot_keys = {key: 2 * rate for key, rate in service.hot_keys.items()}
+
+
+def add_vm(service: Service, size: Size, chance: random.Random) -> None:
+    """Add a VM in the first failure domain."""
+    node = NodeId("vm-new", chance.getrandbits(63))
+    service.nodes.append(replace(service.nodes[0], node=node))
+
+
+def smallest_churn(service: Service, before: Assignment, user: User) -> float:
+    """Return the number of keys whose owner does not stay, which must move once.
+
+    Under the policy ``wait`` a VM stays the owner across its restart.
+    """
+    nodes = {item.node for item in service.nodes}
+    vms = {item.node.vm for item in service.nodes}
+    keys = 0
+    for partition, number in enumerate(service.partition_keys):
+        owner = before.owner_of_partition(partition)
+        stays = user.restart is RestartPolicy.WAIT and owner.vm in vms
+        if owner not in nodes and not stays:
+            keys += number
+    return keys
+
+
+EVENTS = (
+    Event("VM lost", (lose_vm,), True),
+    Event("VM replaced", (leave, replace_vm), True),
+    Event("failure domain lost", (lose_domain,), False),
+    Event("hottest keys shift", (shift_hot_keys,), False),
+    Event("load doubles", (double_load,), True),
+    Event("VM added", (add_vm,), True),
+)
+
+
+def imbalance(service: Service, load: dict[NodeId, float]) -> float:
+    """Return the maximum over the mean load for each slot."""
+    relative = [load.get(item.node, 0.0) / item.slots for item in service.nodes]
+    mean = sum(relative) / len(relative)
+    return max(relative) / mean
+
+
+def load_of_nodes(service: Service, assignment: Assignment) -> dict[NodeId, float]:
+    """Return the load of each owner, in requests/s."""
+    load: dict[NodeId, float] = {}
+    for partition, rate in enumerate(service.rates):
+        owner = assignment.owner_of_partition(partition)
+        load[owner] = load.get(owner, 0.0) + rate
+    for key, rate in service.hot_keys.items():
+        owner = assignment.find(key).owner
+        load[owner] = load.get(owner, 0.0) + rate
+    return load
+
+
+def run_rounds(
+    service: Service, assignment: Assignment, user: User, result: Result
+) -> Assignment:
+    """Plan and apply until nothing changes, and add the effects to ``result``."""
+    continuing = False
+    for _ in range(MAX_ROUNDS):
+        decided = plan(
+            assignment,
+            service.nodes,
+            service.loads(assignment),
+            user.weights,
+            user.restart,
+            TeamBranch("measure").max_moves_per_round,
+            continuing=continuing,
+        )
+        if not decided.assign and not decided.moves:
+            return assignment
+        count(service, assignment, decided, result)
+        assignment = apply(decided, assignment, assignment.version + 1)
+        continuing = decided.unfinished
+    raise RuntimeError(f"the planner still moves items after {MAX_ROUNDS} rounds")
+
+
+def count(
+    service: Service, assignment: Assignment, decided: Plan, result: Result
+) -> None:
+    """Add a plan to ``result``. A VM's next incarnation is the same owner for churn."""
+    result.rounds += 1
+    result.moves += len(decided.assign) + len(decided.moves)
+    for move in decided.assign + decided.moves:
+        keys = 1
+        previous = assignment.find(move.item).owner
+        if move.kind is ItemKind.PARTITION:
+            keys = service.partition_keys[move.item]
+            previous = assignment.owner_of_partition(move.item)
+        if previous is None or previous.vm != move.destination.vm:
+            result.churn += keys
+        result.add_unavailable(
+            keys, LOSS_UNAVAILABLE_S if move.source is None else MOVE_UNAVAILABLE_S
+        )
+
+
+def measure_planner(size: Size, event: Event, user: User, seed: int) -> Result:
+    """Return what an event causes with the planner."""
+    chance = random.Random(seed)
+    result = Result()
+    services = build_services(size, chance)
+    for service in services[:1] if event.first_service_only else services:
+        empty = Assignment("measured", size.partitions)
+        settled = run_rounds(service, empty, user, Result())
+        before = imbalance(service, load_of_nodes(service, settled))
+        result.imbalance_before = max(result.imbalance_before, before)
+        assignment = settled
+        for phase in event.phases:
+            phase(service, size, chance)
+            assignment = run_rounds(service, assignment, user, result)
+        result.smallest_churn += smallest_churn(service, settled, user)
+        after = imbalance(service, load_of_nodes(service, assignment))
+        result.imbalance_after = max(result.imbalance_after, after)
+    return result
+
+
+def measure_static(size: Size, event: Event, seed: int) -> Result:
+    """Return what an event causes with ``hash mod n`` over the present nodes."""
+    chance = random.Random(seed)
+    result = Result()
+    services = build_services(size, chance)
+    for service in services[:1] if event.first_service_only else services:
+        nodes = list(service.nodes)
+        before = imbalance(service, static_loads(service, nodes))
+        result.imbalance_before = max(result.imbalance_before, before)
+        for phase in event.phases:
+            phase(service, size, chance)
+            present = [
+                item for item in service.nodes if item.state is NodeState.IN_SERVICE
+            ]
+            count_static(service, nodes, present, result)
+            nodes = present
+        after = imbalance(service, static_loads(service, nodes))
+        result.imbalance_after = max(result.imbalance_after, after)
+    return result
+
+
+def static_loads(service: Service, nodes: list[NodeCapacity]) -> dict[NodeId, float]:
+    """Return the load of each node if a key belongs to node ``hash mod n``."""
+    load = dict.fromkeys((item.node for item in nodes), 0.0)
+    # The hashes of one partition share their remainder by the common divisor and are
+    # spread evenly over the nodes with that remainder.
+    step = gcd(len(nodes), len(service.rates))
+    for partition, rate in enumerate(service.rates):
+        for index in range(partition % step, len(nodes), step):
+            load[nodes[index].node] += rate * step / len(nodes)
+    for key, rate in service.hot_keys.items():
+        load[nodes[key % len(nodes)].node] += rate
+    return load
+
+
+def count_static(
+    service: Service,
+    before: list[NodeCapacity],
+    after: list[NodeCapacity],
+    result: Result,
+) -> None:
+    """Add the keys whose node changes between two lists of nodes."""
+    cycle = lcm(len(before), len(after))
+    present = {item.node for item in service.nodes}
+    moved = lost = 0
+    for residue in range(cycle):
+        old = before[residue % len(before)].node
+        if old.vm == after[residue % len(after)].node.vm:
+            continue
+        if old in present:
+            moved += 1
+        else:
+            lost += 1
+    keys = sum(service.partition_keys)
+    result.churn += keys * (moved + lost) / cycle
+    result.add_unavailable(keys * moved / cycle, MOVE_UNAVAILABLE_S)
+    result.add_unavailable(keys * lost / cycle, LOSS_UNAVAILABLE_S)
+
+
+HEADER = (
+    f"{'fleet':<21}{'event':<21}{'rule':<16}{'imbalance':>15}{'churn':>13}"
+    f"{'smallest':>13}{'moves':>7}{'rounds':>7}{'key-s':>13}{'worst s':>9}"
+)
+
+
+def format_row(
+    size: Size, event: Event, rule: str, result: Result, smallest: str
+) -> str:
+    """Return one line of the table."""
+    change = f"{result.imbalance_before:.2f} -> {result.imbalance_after:.2f}"
+    steps = f"{result.moves:>7}{result.rounds:>7}" if result.rounds else f"{'-':>7}" * 2
+    return (
+        f"{size.name:<21}{event.name:<21}{rule:<16}{change:>15}{result.churn:>13,.0f}"
+        f"{smallest:>13}{steps}{result.unavailable_key_s:>13,.0f}"
+        f"{result.unavailable_worst_s:>9.3f}"
+    )
+
+
+def measure(*, seed: int = 1) -> None:
+    """Print imbalance, churn and moves of the planner and of static hashing.
+
+    :param seed: Seed of the loads and hot keys.
+    """
+    print(f"seed {seed}; churn in keys; key-s and worst s (unavailable) are modelled:")
+    print(
+        f"move {MOVE_UNAVAILABLE_S:.3f} s = longest request in flight + store write, "
+        f"loss or awaited restart {LOSS_UNAVAILABLE_S} s"
+    )
+    print(HEADER)
+    for size in SIZES:
+        for event in EVENTS:
+            for user in USERS:
+                result = measure_planner(size, event, user, seed)
+                smallest = f"{result.smallest_churn:,.0f}"
+                print(format_row(size, event, user.name, result, smallest))
+            result = measure_static(size, event, seed)
+            print(format_row(size, event, "hash mod n", result, ""))
+
+
+def main() -> None:
+    """Run the command line."""
+    defopt.run(measure)
+
+
+if __name__ == "__main__":
+    main()
