Keep the partitions of a VM that restarts under the policy wait

Cause: while the slots of the new incarnation ramp from 20%, its load for each slot is up to five times the mean, so balance moves took its partitions away in spite of the policy. A cold hot key on a node that waits for its restart was returned, and the round would have waited for a stopped node's release. Ruled out: the ramped capacity for the node as a source; the ramp ends within 30 s and the partitions would come back. Failures seen with a mechanism switched off: with the ramped capacity for the source partition 2 leaves the restarted VM; without the check of the owner key 77 is returned from the stopped node. Conclusion: NodeCapacity has full_slots, to be set while a node ramps.

--- a/src/sesamepost/internal/balance/balancing.py
+++ b/src/sesamepost/internal/balance/balancing.py
@@ -109,7 +109,7 @@
     def _measure(self) -> None:
         """Set the units, which do not change within a round."""
         board = self.board
-        slots = sum(board.slots[target] for target in board.targets)
+        slots = sum(board.full_slots[target] for target in board.targets)
         load = sum(board.load[target] for target in board.targets)
         self.mean_slots = slots / len(board.targets)
         # Without any owned partition there is nothing to move and no load to divide by.
@@ -129,9 +129,13 @@
         ]
 
     def _relative_load(self, node: int) -> float:
-        return self.board.load[node] / (
-            self.board.slots[node] * self.mean_load_per_slot
-        )
+        """Return the load for each slot relative to the mean, of a node that may give.
+
+        The full capacity counts: a VM that restarted under the policy ``wait`` would
+        otherwise lose partitions during its short ramp and get them back after it.
+        """
+        slots = self.board.full_slots[node]
+        return self.board.load[node] / (slots * self.mean_load_per_slot)
 
     def _terms(
         self, source: int, destination: int, starts: bool
@@ -143,9 +147,11 @@
         """
         slots = self.board.slots
         source_load = self._relative_load(source)
-        destination_load = self._relative_load(destination)
+        destination_load = self.board.load[destination] / slots[destination]
+        destination_load /= self.mean_load_per_slot
         # Both nodes' relative loads change by the load over their own slots.
-        change = self.mean_slots * (1 / slots[source] + 1 / slots[destination]) / 2
+        change = 1 / self.board.full_slots[source] + 1 / slots[destination]
+        change *= self.mean_slots / 2
         cost = 1.0
         if starts:
             source_load /= START_MARGIN
@@ -221,6 +227,9 @@
             partition = board.assignment.partition_of(key)
             if self._is_full() or partition in self.touched:
                 continue
+            # A node that waits for its restart may not answer any more.
+            if not {board.key_owner[key], board.owner[partition]} <= self.targets:
+                continue
             self.moves.append(board.return_key(key, Reason.KEY_COLD))
             self.touched.add(partition)
 
--- a/src/sesamepost/internal/balance/board.py
+++ b/src/sesamepost/internal/balance/board.py
@@ -40,6 +40,7 @@
 
     __slots__ = (
         "assignment",
+        "full_slots",
         "held",
         "index",
         "key_owner",
@@ -65,6 +66,10 @@
         self.assignment = assignment
         self.nodes = sorted(nodes, key=lambda capacity: capacity.node)
         self.slots = [max(0.0, capacity.slots) for capacity in self.nodes]
+        self.full_slots = [
+            slots if capacity.full_slots is None else max(slots, capacity.full_slots)
+            for slots, capacity in zip(self.slots, self.nodes, strict=True)
+        ]
         self.index = {item.node: index for index, item in enumerate(self.nodes)}
         self.targets = self._choose_targets()
         self.rate = _floored_rates(loads.partitions, len(assignment))
--- a/src/sesamepost/internal/balance/plan.py
+++ b/src/sesamepost/internal/balance/plan.py
@@ -28,7 +28,8 @@
 class NodeCapacity:
     """A node that is neither fenced nor gone, as the planner sees it.
 
-    ``slots`` is the capacity after the cold-start ramp.
+    ``slots`` is the capacity that the cold-start ramp allows so far; ``full_slots`` the
+    one after it, None if the ramp has ended.
     """
 
     node: NodeId
@@ -36,6 +37,7 @@
     region: str
     slots: float
     state: NodeState = NodeState.IN_SERVICE
+    full_slots: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/balance/test_measure.py
+++ b/tests/balance/test_measure.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from fleets import fleet
+from balance_fleets import fleet
 
 from sesamepost.tools.measure import (
     EVENTS,
--- a/tests/balance/test_planner.py
+++ b/tests/balance/test_planner.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 import pytest
-from fleets import (
+from balance_fleets import (
     EQUAL,
     LAHORE,
     VALUATION,
@@ -123,10 +123,24 @@
     assert not decide(before, leaving, **wait).moves
     assert not decide(before, leaving, **wait).assign
     assert decide(before, with_state(nodes, NodeState.DRAINING, 2), **wait).moves
-    restarted = replace(nodes[2], node=NodeId(nodes[2].node.vm, 99), slots=1.2)
+    restarted = replace(
+        nodes[2], node=NodeId(nodes[2].node.vm, 99), slots=1.2, full_slots=6.0
+    )
     result = decide(before, [*nodes[:2], restarted, *nodes[3:]], **wait)
     assert items(result.assign) == partitions_of(before, nodes[2].node)
     assert {move.destination for move in result.assign} == {restarted.node}
+    nodes[2] = restarted
+    assert not decide(apply(result, before, 3), nodes, **wait).moves
+
+
+def test_a_cold_key_of_a_node_that_waits_for_its_restart_stays():
+    # Guards against a round that waits for the release of a stopped node.
+    nodes = fleet(6)
+    before = placed(nodes)
+    before.set_key_owner(77, nodes[2].node, 5, records_kept=True)
+    assert decide(before, nodes).moves
+    leaving = with_state(nodes, NodeState.LEAVING, 2)
+    assert not decide(before, leaving, restart=RestartPolicy.WAIT).moves
 
 
 @pytest.mark.parametrize("weights", [LAHORE, VALUATION, Weights(1.0, 1e9, 1e9)])
--- a/tests/balance/test_reports.py
+++ b/tests/balance/test_reports.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from fleets import fleet, placed
+from balance_fleets import fleet, placed
 
 from sesamepost.internal.balance.load_table import LoadTable
 from sesamepost.internal.balance.reports import (
