Show by tests that a fenced node never has a valid lease

Cause: the proof in design section 4 rests on several mechanisms at once, and none of them had a test that fails without it. Found and mended by these tests: a removed VM was never fenced if the controller asked for promises directly before each decision; the count of unanswered requests alone decides now. Ruled out: a walk with every message under way separately.

--- a/src/sesamepost/internal/lease/fencing.py
+++ b/src/sesamepost/internal/lease/fencing.py
@@ -158,11 +158,8 @@
             return False
         if len(attempt.promised) >= majority(len(attempt.witnesses)):
             return True
-        return (
-            removed
-            and attempt.unrefused_requests >= REMOVAL_REQUESTS
-            and now - attempt.asked_at >= SUSPECT_INTERVAL_S
-        )
+        # The newest request has not had time to be answered.
+        return removed and attempt.unrefused_requests > REMOVAL_REQUESTS
 
     def _is_replaced(self, record: NodeRecord, now: float) -> bool:
         """Return whether the VM joined again after this node.
--- /dev/null
+++ b/tests/lease/test_lease_failures.py
@@ -0,0 +1,176 @@
+"""Named failures of a cluster: which nodes keep their lease and which are fenced."""
+
+import pytest
+from lease_cluster import Cluster
+
+from sesamepost.internal.lease.messages import Renewed
+
+THREE_REGIONS = ("a1", "a2", "b1", "b2", "c1", "c2")
+TWO_REGIONS = ("a1", "a2", "b1", "b2", "b3")
+
+
+def cluster_of(domains, per_domain=3):
+    cluster = Cluster({f"{d}-{i}": d for d in domains for i in range(per_domain)})
+    cluster.run(1)
+    assert all(map(cluster.is_valid, cluster.nodes))
+    return cluster
+
+
+def vms(cluster, prefix):
+    return [vm for vm in cluster.nodes if vm.startswith(prefix)]
+
+
+def fenced(cluster):
+    return {vm for vm in cluster.nodes if cluster.is_fenced(vm)}
+
+
+def lose(cluster, prefix):
+    for vm in vms(cluster, prefix):
+        cluster.nodes[vm].paused = True
+
+
+def test_witnesses_lost_one_after_another_are_replaced():
+    cluster = cluster_of(THREE_REGIONS)
+    lost = set()
+    for _ in range(4):
+        # The loss of each present witness in turn must never end the lease.
+        victim = cluster.stored.get(cluster.nodes["a1-0"].id).witnesses[0].vm
+        cluster.nodes[victim].paused = True
+        lost.add(victim)
+        for _ in range(60):
+            cluster.run(0.1)
+            assert cluster.is_valid("a1-0")
+    assert len(lost) == 4
+    assert fenced(cluster) == lost
+
+
+@pytest.mark.parametrize("domains", [THREE_REGIONS, TWO_REGIONS])
+def test_a_region_that_is_cut_off_keeps_its_leases(domains):
+    cluster = cluster_of(domains)
+    inside, outside = vms(cluster, "a"), [*vms(cluster, "b"), *vms(cluster, "c")]
+    cluster.separate(inside, [*outside, "k1", "k2"])
+    for _ in range(100):
+        cluster.run(0.1)
+        assert all(map(cluster.is_valid, cluster.nodes))
+    assert fenced(cluster) == set()
+
+
+@pytest.mark.parametrize("domains", [THREE_REGIONS, TWO_REGIONS])
+def test_the_loss_of_a_failure_domain_fences_exactly_its_nodes(domains):
+    cluster = cluster_of(domains)
+    lose(cluster, "a1")
+    for _ in range(40):
+        cluster.run(0.1)
+        others = set(cluster.nodes) - set(vms(cluster, "a1"))
+        assert all(map(cluster.is_valid, others))
+    assert fenced(cluster) == set(vms(cluster, "a1"))
+
+
+def test_fencing_takes_less_than_two_and_a_half_seconds():
+    cluster = cluster_of(THREE_REGIONS)
+    lose(cluster, "a1-0")
+    cluster.run(2.5)
+    assert fenced(cluster) == {"a1-0"}
+
+
+def test_a_witness_on_each_side_of_a_cut_keeps_the_lease_of_one_side():
+    # The holder reaches one witness, the controller the two others.
+    cluster = cluster_of(THREE_REGIONS)
+    record = cluster.stored.get(cluster.nodes["a1-0"].id)
+    near = record.witnesses[0].vm
+    far = set(cluster.nodes) - {"a1-0", near}
+    cluster.separate(["a1-0", near], [*far, "k1", "k2"])
+    cluster.run(1.5)
+    assert not cluster.is_valid("a1-0")
+    cluster.run(2)
+    assert cluster.is_fenced("a1-0")
+    cluster.cut.clear()
+    cluster.run(3)
+    assert cluster.nodes["a1-0"].holder.fenced
+
+
+def test_a_witness_is_lost_while_the_store_is_down():
+    # The open proposal makes the lease need both sets, which still have majorities.
+    cluster = cluster_of(THREE_REGIONS)
+    cluster.store_down = True
+    holder = cluster.nodes["a1-0"].holder
+    victim = holder.recorded.witnesses[1].vm
+    lose(cluster, victim)
+    for _ in range(100):
+        cluster.run(0.1)
+        assert cluster.is_valid("a1-0")
+    assert holder.proposals
+    assert fenced(cluster) == set()
+    cluster.store_down = False
+    cluster.run(4)
+    assert not holder.proposals
+    assert victim not in {witness.vm for witness in holder.recorded.witnesses}
+    assert fenced(cluster) == {victim}
+
+
+def test_a_paused_holder_wakes_without_its_lease():
+    cluster = cluster_of(THREE_REGIONS)
+    cluster.nodes["a1-0"].paused = True
+    cluster.run(5)
+    assert cluster.is_fenced("a1-0")
+    cluster.wake("a1-0")
+    assert not cluster.is_valid("a1-0")
+    cluster.run(3)
+    assert not cluster.is_valid("a1-0")
+    assert cluster.nodes["a1-0"].holder.fenced
+
+
+def test_a_short_pause_costs_no_lease():
+    cluster = cluster_of(THREE_REGIONS)
+    cluster.nodes["a1-0"].paused = True
+    cluster.run(1)
+    cluster.wake("a1-0")
+    cluster.run(1)
+    assert cluster.is_valid("a1-0")
+    assert fenced(cluster) == set()
+
+
+def test_one_failure_domain_in_a_region_is_fenced_by_the_operator():
+    # Its loss leaves one witness of three, which must not be enough by itself.
+    cluster = cluster_of(("a1", "b1"))
+    lose(cluster, "a1")
+    cluster.run(8)
+    assert fenced(cluster) == set()
+    for fencing in cluster.fencings.values():
+        fencing.set_removed_vms(cluster.nodes)
+    cluster.run(4)
+    assert fenced(cluster) == set(vms(cluster, "a1"))
+    assert all(map(cluster.is_valid, vms(cluster, "b1")))
+
+
+def test_answers_that_were_under_way_for_long_do_not_extend_the_lease():
+    # Counted from the receipt they would keep the node valid after its fencing.
+    cluster = cluster_of(THREE_REGIONS)
+    deliver, held = cluster.deliver, []
+
+    def hold_answers(source, target, message):
+        if target == "a1-0" and isinstance(message, Renewed):
+            held.append((source, target, message))
+        else:
+            deliver(source, target, message)
+
+    cluster.deliver = hold_answers
+    cluster.run(0.5)
+    assert held
+    cluster.separate(["a1-0"], [*cluster.nodes, "k1", "k2"])
+    cluster.run(1)
+    for item in held:
+        deliver(*item)
+    cluster.run(3)
+    assert cluster.is_fenced("a1-0")
+
+
+def test_a_fast_clock_of_the_witnesses_does_not_fence_a_valid_node():
+    # Without the margin between the two times the witnesses would promise early.
+    cluster = cluster_of(THREE_REGIONS)
+    for vm, node in cluster.nodes.items():
+        node.rate = 1.0 if vm == "a1-0" else 1.05
+    cluster.run(1)
+    cluster.separate(["a1-0"], [*cluster.nodes, "k1", "k2"])
+    cluster.run(3, step=0.01)
+    assert cluster.is_fenced("a1-0")
--- a/tests/lease/test_lease_parts.py
+++ b/tests/lease/test_lease_parts.py
@@ -175,7 +175,7 @@
     fencing.observe(fleet(7, (W1, W2, W3)), 0.0)
     assert start_round(fencing, witnesses=(W1, W4)) == [], "W4 is not in the record"
     assert start_round(fencing) == [Promise(H, w, 7) for w in (W1, W2, W3)]
-    for promised in (Promised(H, W1, 6), Promised(H, W4, 7), Promised(H, W1, 7)):
+    for promised in (Promised(H, W2, 6), Promised(H, W4, 7), Promised(H, W1, 7)):
         fencing.receive_promised(promised)
     assert fencing.decisions(0.1) == []
     fencing.receive_refused(PromiseRefused(H, W1, 7))
--- /dev/null
+++ b/tests/lease/test_lease_walk.py
@@ -0,0 +1,306 @@
+"""An exhaustive walk: no order of messages gives a fenced node a valid lease.
+
+One holder, four possible witnesses and one fencing controller are the real classes.
+Sending to any subset of the witnesses, late answers, promises, proposals, reads and
+writes are steps that happen in every order or never (a loss). Time moves in steps that
+are longer than a lease.
+
+Three simplifications keep the number of states small. A renewal reaches its witness at
+once or never, because a late one makes the witness wait longer. Each witness reads a
+fleet version at once, because an old one makes it refuse. A promise is asked for and
+answered in one step, because a lost answer only keeps the controller from fencing.
+"""
+
+import copy
+import itertools
+import math
+from collections import deque
+from dataclasses import dataclass, replace
+
+import pytest
+
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.lease.fencing import Fencing
+from sesamepost.internal.lease.holder import LeaseHolder, WitnessState
+from sesamepost.internal.lease.messages import (
+    Promised,
+    Renewed,
+    Suspect,
+)
+from sesamepost.internal.lease.witness import TrackedHolder, Witness
+from sesamepost.internal.membership.fleet import Fleet, NodeRecord
+from sesamepost.internal.wire.pool import Address
+
+STEP_S = 2.0
+H = NodeId("h", 1)
+W = tuple(NodeId(f"w{i}", 1) for i in (1, 2, 3, 4))
+FIRST_SET = (W[0], W[1], W[2])
+OTHER_SET = (W[0], W[1], W[3])
+
+
+@dataclass
+class World:
+    """One state; steps replace the parts that they change.
+
+    ``answers`` are the time of sending and the late answers under way.
+    """
+
+    holder: LeaseHolder
+    witnesses: tuple
+    fencing: Fencing
+    stored: Fleet
+    now: float = 0.0
+    answers: tuple = (0.0, [])
+    unwritten: tuple = ()
+    restarts: int = 0
+
+    @property
+    def fenced(self):
+        return self.stored.live(H) is None
+
+    def key(self):
+        """Return what distinguishes this state; W1 and W2 are interchangeable."""
+        first, second, *rest = (self.witness_key(i) for i in range(4))
+        attempt = self.fencing._rounds.get(H)
+        controller = (self.fencing.fleet.version, attempt and attempt.version)
+        return (
+            *sorted((first, second)),
+            *rest,
+            self.now,
+            self.answers[0],
+            self.holder.fleet_version,
+            self.holder.last_proposal,
+            not self.fenced and controller,
+            self.stored.version,
+            self.fenced,
+            self.stored.get(H).witness_sequence,
+            tuple(proposal.sequence for proposal in self.unwritten),
+            self.restarts,
+        )
+
+    def witness_key(self, i):
+        witness = W[i]
+        tracked = self.witnesses[i].holders.get(H)
+        state = self.holder.states.get(witness)
+        attempt = self.fencing._rounds.get(H)
+        late = any(answer.witness == witness for answer in self.answers[1])
+        return (
+            self.witnesses[i].node.incarnation,
+            tracked is not None and 1 + (tracked.expiry > self.now),
+            tracked is not None and tracked.promised,
+            -1.0 if state is None else max(0.0, state.expiry - self.now),
+            state is not None and state.last_sent == self.now,
+            late,
+            not self.fenced and attempt is not None and witness in attempt.promised,
+        )
+
+
+def cloned_holder(holder):
+    result = copy.copy(holder)
+    result.proposals = list(holder.proposals)
+    result.states = {
+        w: WitnessState(s.expiry, s.last_sent, s.waiting_since, s.lost, dict(s.sent))
+        for w, s in holder.states.items()
+    }
+    return result
+
+
+def cloned_witness(witness):
+    result = Witness(witness.node)
+    result.fleet = witness.fleet
+    result.holders = {
+        n: TrackedHolder(t.expiry, t.named, t.promised, t.suspected_at)
+        for n, t in witness.holders.items()
+    }
+    return result
+
+
+def cloned_fencing(fencing):
+    result = copy.copy(fencing)
+    result._suspects = {n: dict(found) for n, found in fencing._suspects.items()}
+    result._rounds = {
+        n: replace(attempt, promised=set(attempt.promised))
+        for n, attempt in fencing._rounds.items()
+    }
+    return result
+
+
+def put(values, index, value):
+    return (*values[:index], value, *values[index + 1 :])
+
+
+def store(world, fleet):
+    """Return the world after a write; all witnesses read the new version."""
+    stored = Fleet(world.stored.version + 1, fleet)
+    witnesses = tuple(map(cloned_witness, world.witnesses))
+    for witness in witnesses:
+        witness.observe(stored, world.now)
+    return replace(world, stored=stored, witnesses=witnesses)
+
+
+def first_world():
+    holder = LeaseHolder(H)
+    first = holder.propose(FIRST_SET)
+    record = NodeRecord(H, Address("h", 1), "a1", "a", first.witnesses, first.sequence)
+    world = World(holder, tuple(map(Witness, W)), Fencing(), Fleet())
+    world = store(world, [record])
+    holder.observe(world.stored)
+    world.fencing.observe(world.stored, world.now)
+    return world
+
+
+def send_renewals(world, last):
+    """Send to all; any subset is answered at once, or all in a later step."""
+    sender = cloned_holder(world.holder)
+    due = sender.renewals_due(world.now, b"")
+    for reached in itertools.product((False, True), repeat=len(due)) if due else ():
+        witnesses, answers = world.witnesses, []
+        for renew in itertools.compress(due, reached):
+            i = W.index(renew.witness)
+            witness = cloned_witness(witnesses[i])
+            answers.append(witness.receive_renew(renew, b"", world.now))
+            witnesses = put(witnesses, i, witness)
+        after = replace(world, witnesses=witnesses, holder=cloned_holder(sender))
+        name = f"send to {[r.witness.vm for r in itertools.compress(due, reached)]}"
+        if all(reached) and world.now < last:
+            yield f"{name}, late", replace(after, answers=(world.now, answers))
+        deliver(after.holder, answers)
+        yield name, after
+
+
+def deliver_late_answers(world):
+    sent_at, answers = world.answers
+    if answers and sent_at < world.now:
+        holder = cloned_holder(world.holder)
+        deliver(holder, answers)
+        yield "late answers", replace(world, holder=holder, answers=(0.0, []))
+
+
+def deliver(holder, answers):
+    for answer in answers:
+        if isinstance(answer, Renewed):
+            holder.receive_renewed(answer)
+
+
+def change_witnesses(world, proposals):
+    made = world.holder.last_proposal - 1
+    if made < len(proposals):
+        holder = cloned_holder(world.holder)
+        proposal = holder.propose(proposals[made])
+        unwritten = (*world.unwritten, proposal)
+        yield "propose", replace(world, holder=holder, unwritten=unwritten)
+    for proposal in world.unwritten:
+        changed = world.stored.change_witnesses(
+            H, proposal.sequence, proposal.witnesses
+        )
+        left = tuple(p for p in world.unwritten if p is not proposal)
+        after = replace(world, unwritten=left)
+        if changed is not world.stored:
+            yield f"write proposal {proposal.sequence}", store(after, changed)
+    if world.holder.fleet_version < world.stored.version:
+        holder = cloned_holder(world.holder)
+        holder.observe(world.stored)
+        yield "holder reads", replace(world, holder=holder)
+
+
+def fence(world):
+    if world.fenced:
+        return
+    if world.fencing.fleet.version < world.stored.version:
+        fencing = cloned_fencing(world.fencing)
+        fencing.observe(world.stored, world.now)
+        yield "controller reads", replace(world, fencing=fencing)
+    yield from ask_for_promises(world)
+    for decision in world.fencing.decisions(world.now):
+        if decision.version == world.stored.version:
+            yield "write fencing", store(world, world.stored.fence(H, 1))
+
+
+def ask_for_promises(world):
+    asking = cloned_fencing(world.fencing)
+    for witness in world.witnesses:
+        tracked = witness.holders.get(H)
+        if tracked is not None and tracked.named and world.now >= tracked.expiry:
+            asking.receive_suspect(Suspect(H, witness.node), world.now)
+    for promise in asking.promises_due(world.now):
+        i = W.index(promise.witness)
+        fencing, witness = cloned_fencing(asking), cloned_witness(world.witnesses[i])
+        answer = witness.receive_promise(promise, world.now)
+        if isinstance(answer, Promised):
+            fencing.receive_promised(answer)
+        else:
+            fencing.receive_refused(answer)
+        # The next request is not delayed, so the time of this one is not state.
+        fencing._suspects.clear()
+        if H in fencing._rounds:
+            fencing._rounds[H].asked_at = -math.inf
+        witnesses = put(world.witnesses, i, witness)
+        yield (
+            f"promise of {W[i].vm}",
+            replace(world, fencing=fencing, witnesses=witnesses),
+        )
+
+
+def restart(world):
+    for i, old in enumerate(world.witnesses):
+        witness = Witness(NodeId(old.node.vm, 2))
+        witness.observe(world.stored, world.now)
+        yield (
+            f"restart of {old.node.vm}",
+            replace(
+                world,
+                witnesses=put(world.witnesses, i, witness),
+                restarts=world.restarts - 1,
+            ),
+        )
+
+
+def steps(world, proposals, last):
+    yield from send_renewals(world, last)
+    yield from deliver_late_answers(world)
+    yield from change_witnesses(world, proposals)
+    yield from fence(world)
+    if world.restarts:
+        yield from restart(world)
+    if world.now < last:
+        yield "wait", replace(world, now=world.now + STEP_S)
+
+
+def walk(proposals, restarts, last):
+    """Visit every state once; return the number of states and the steps taken."""
+    first = replace(first_world(), restarts=restarts)
+    came_from = {first.key(): None}
+    queue = deque([first])
+    taken = set()
+    while queue:
+        world = queue.popleft()
+        key = world.key()
+        for name, after in steps(world, proposals, last):
+            taken.add(name)
+            reached = after.key()
+            if reached in came_from:
+                continue
+            came_from[reached] = (key, name)
+            if after.fenced and after.holder.is_valid(after.now):
+                pytest.fail(f"fenced but valid after {path(came_from, reached)}")
+            queue.append(after)
+    return len(came_from), taken
+
+
+def path(came_from, key):
+    names = []
+    while came_from[key] is not None:
+        key, name = came_from[key]
+        names.append(name)
+    return ", ".join(reversed(names))
+
+
+@pytest.mark.parametrize(
+    ("proposals", "restarts", "states"),
+    [((OTHER_SET, FIRST_SET), 0, 20_000), ((), 2, 1_000)],
+    ids=["witness changes", "witness restarts"],
+)
+def test_no_order_of_messages_makes_a_fenced_node_valid(proposals, restarts, states):
+    count, taken = walk(proposals, restarts, STEP_S)
+    assert "write fencing" in taken
+    assert count > states, "the walk has become too small to prove anything"
