Let claims in the store decide which team a service belongs to

Cause: `put` compared a branch with the other branches and then wrote only its own document. Two teams that added the same service at the same moment both succeeded, and each daemon rejected the branch that it received last. Daemons disagreed, and a restarted daemon could replace the branch in force by the other.

`put` now claims the services in the document `services` by compare-and-swap before it writes the branch. Daemons take the claims as the only authority. A branch with another team's service is rejected whole; a branch with a service without a claim waits, and is examined again when the claims rise. Waiting versions are settled in ascending order, because an older one may be the last good one where the claims arrived first. Claims are never given back.

Ruled out: a tie-break by version or team name in the daemons. A branch already in force would have to be taken back when the preferred one arrives. Ruled out: giving a claim back with the service. Its partitions and its assignment still exist.

/status gives version and reason of rejected documents and lists waiting ones. A document that can be read again is no longer listed as rejected.

Changed tests: three tests compared the store's count of puts with a fixed number, in which claims now count. They compare it with the count directly before the refused command, which is as strict. The fake daemon answers `rejected` and `waiting` in the form of the real one.

--- a/src/sesamepost/internal/cli/branches.py
+++ b/src/sesamepost/internal/cli/branches.py
@@ -16,7 +16,13 @@
     check_tree,
     parse_branch,
 )
+from sesamepost.internal.settings.claims import (
+    CLAIMS_DOCUMENT,
+    ServicesClaimedError,
+    claim_services,
+)
 from sesamepost.internal.settings.model import TeamBranch
+from sesamepost.internal.settings.problems import SettingsProblem
 from sesamepost.internal.store.envelope import decode_envelope, write_document
 from sesamepost.internal.store.interface import Store, StoreConflictError
 
@@ -68,7 +74,8 @@
     """Check a branch against itself, its predecessor and the tree, then write it.
 
     Nothing is written unless the branch has no problem and its version in the store is
-    ``expected``. Returns the new version.
+    ``expected``. The services are claimed for the team before the branch is written;
+    the claims stay if the write then fails. Returns the new version.
     """
     new = parse_or_refuse(team, text, file)
     stored = await read_branch(store, team)
@@ -84,6 +91,7 @@
     problems += check_tree([*await _read_other_branches(store, team), new])
     if problems:
         raise ProblemsError(file, problems)
+    await _claim(store, new, file, author)
     return await _write(store, team, text, author, expected)
 
 
@@ -117,6 +125,34 @@
     raise conflict
 
 
+async def _claim(store: Store, branch: TeamBranch, file: str, author: str) -> None:
+    try:
+        await claim_services(store, branch.team, branch.services, author)
+    except ServicesClaimedError as error:
+        problems = [
+            SettingsProblem(
+                file,
+                f"service:{name}",
+                "",
+                "",
+                f"the service belongs to team {team}",
+                "choose a name that no other team has used",
+            )
+            for name, team in error.teams.items()
+        ]
+        raise ProblemsError(file, problems) from error
+    except StoreConflictError as error:
+        raise CommandError(
+            ExitCode.UNAVAILABLE,
+            f"the services of team {branch.team} could not be claimed, because other"
+            f" writers were first each time ({error}); nothing was written, try again",
+        ) from error
+    except ValueError as error:
+        raise CommandError(
+            ExitCode.FAILED, f"store: {CLAIMS_DOCUMENT} cannot be used: {error}"
+        ) from error
+
+
 async def _write(store: Store, team: str, text: str, author: str, expected: int) -> int:
     try:
         return await write_document(
--- a/src/sesamepost/internal/cli/commands.py
+++ b/src/sesamepost/internal/cli/commands.py
@@ -160,13 +160,14 @@
     rows = [["DOCUMENT", "VERSION", "BEHIND", "REJECTED"]]
     for name, version in sorted(status.documents.items()):
         behind = _find_behind(status, nodes, name, version)
-        reason = " ".join(status.rejected.get(name, "-").split())
+        rejection = status.rejected.get(name)
+        reason = "-" if rejection is None else " ".join(str(rejection).split())
         rows.append([name, str(version), _name_vms(behind) or "-", reason])
     return Output(
         {
             "node": status.node,
             "documents": status.documents,
-            "rejected": status.rejected,
+            "rejected": {name: str(item) for name, item in status.rejected.items()},
             "nodes": {vm: asdict(report) for vm, report in nodes.items()},
         },
         _format_table(rows),
@@ -272,7 +273,7 @@
         raise CommandError(
             ExitCode.REFUSED,
             f"the fleet rejected {name}: {status.rejected[name]}",
-            reason=status.rejected[name],
+            reason=status.rejected[name].reason,
         )
     expected = _members_in_force(status)
     behind = _find_behind(status, nodes, name, version)
--- a/src/sesamepost/internal/cli/daemon.py
+++ b/src/sesamepost/internal/cli/daemon.py
@@ -23,18 +23,32 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """The version of a document that a daemon does not put in force, and why."""
+
+    version: int
+    reason: str
+
+    def __str__(self) -> str:
+        return f"version {self.version}: {self.reason}"
+
+
 @dataclass(frozen=True, slots=True)
 class Status:
     """The answer of ``GET /status``.
 
-    ``services`` lists the VMs with an endpoint in service for each service.
+    ``documents`` holds the versions in force. ``waiting`` lists branches that name a
+    service without a known claim. ``services`` lists the VMs with an endpoint in
+    service for each service.
     """
 
     node: str
     fleet: tuple[Member, ...]
     controller: str | None
     documents: dict[str, int]
-    rejected: dict[str, str]
+    rejected: dict[str, Rejection]
+    waiting: dict[str, Rejection]
     services: dict[str, list[str]]
 
 
@@ -87,10 +101,11 @@
                 fleet=tuple(Member(**_pick(item)) for item in answer["fleet"]),
                 controller=answer["controller"],
                 documents=dict(answer["documents"]),
-                rejected=dict(answer["rejected"]),
+                rejected=_rejections(answer["rejected"]),
+                waiting=_rejections(answer["waiting"]),
                 services=dict(answer["services"]),
             )
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise self._malformed("/status", error) from None
 
     async def fleet(self) -> dict[str, NodeReport]:
@@ -156,3 +171,10 @@
 def _pick(item: dict) -> dict:
     """Drop fields that a newer daemon may send."""
     return {name: item[name] for name in Member.__dataclass_fields__}
+
+
+def _rejections(items: dict) -> dict[str, Rejection]:
+    return {
+        name: Rejection(int(item["version"]), str(item["reason"]))
+        for name, item in items.items()
+    }
--- a/src/sesamepost/internal/documents/views.py
+++ b/src/sesamepost/internal/documents/views.py
@@ -12,6 +12,11 @@
 from sesamepost.internal.membership.fleet import Fleet
 from sesamepost.internal.ownership.assignment import Assignment
 from sesamepost.internal.settings.branch import check_change, parse_branch
+from sesamepost.internal.settings.claims import (
+    CLAIMS_DOCUMENT,
+    claimed_by_others,
+    decode_claims,
+)
 from sesamepost.internal.settings.model import ServiceSettings, TeamBranch
 from sesamepost.internal.wire.pool import Address
 
@@ -19,6 +24,8 @@
 CONTROLLER_DOCUMENT = "controller"
 ASSIGNMENT_PREFIX = "assignment/"
 SETTINGS_PREFIX = "settings/"
+# sesamepostctl claims services before it writes a branch, so a branch seldom waits.
+MAX_WAITING_VERSIONS = 16
 
 log = structlog.get_logger()
 
@@ -41,11 +48,24 @@
         return cls(NodeId(*node), Address(*address))
 
 
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """The newest version of a document that was rejected, and why."""
+
+    version: int
+    reason: str
+
+
 class Views:
     """Decoded documents; ``changed`` is an observable of the names that changed.
 
     A team's branch that does not pass its checks is rejected as a whole: the last good
     one stays in force and ``rejected`` holds the reason.
+
+    The claims document alone decides which team a service belongs to. A branch that
+    names a service without a claim is not in force yet: its version waits in
+    ``unclaimed`` and is examined again with the next claims. Claims are only added, so
+    all daemons come to the same result in any order of arrival.
     """
 
     def __init__(self, replica: Replica) -> None:
@@ -53,15 +73,28 @@
         self.fleet = Fleet()
         self.controller: ControllerRecord | None = None
         self.assignments: dict[str, Assignment] = {}
+        self.claims: dict[str, str] = {}
+        self.unclaimed: dict[str, dict[int, TeamBranch]] = {}
         self.branches: dict[str, TeamBranch] = {}
         self.services: dict[str, ServiceSettings] = {}
         self.teams: dict[str, TeamBranch] = {}
         self.in_force: dict[str, int] = {}
-        self.rejected: dict[str, str] = {}
+        self.rejected: dict[str, Rejection] = {}
         self.changed: Subject = Subject()
         self.next_change = asyncio.Event()
         self.subscription = replica.changes.subscribe(self._on_change)
 
+    @property
+    def waiting(self) -> dict[str, Rejection]:
+        """The newest version of each document that waits for claims, and why."""
+        found = {}
+        for team, versions in self.unclaimed.items():
+            newest = max(versions)
+            names = ", ".join(self._without_claim(versions[newest]))
+            reason = f"no team's claim of {names} is known yet"
+            found[SETTINGS_PREFIX + team] = Rejection(newest, reason)
+        return found
+
     def address_of(self, node: NodeId) -> Address | None:
         """Return the peer address of a node in the fleet."""
         record = self.fleet.get(node)
@@ -70,55 +103,109 @@
     def _on_change(self, change: DocumentChange) -> None:
         document = change.current
         try:
-            self._decode(document)
+            names = self._decode(document)
         except (ValueError, TypeError, KeyError) as error:
-            self.rejected[document.name] = f"cannot be decoded: {error}"
+            self._reject(document.name, document.version, f"cannot be decoded: {error}")
             log.error("document_rejected", name=document.name, error=str(error))
             return
-        self.changed.on_next(document.name)
+        for name in names:
+            self.changed.on_next(name)
         self.next_change.set()
         self.next_change = asyncio.Event()
 
-    def _decode(self, document: Document) -> None:
+    def _decode(self, document: Document) -> list[str]:
+        """Take a document and return the names of the documents that changed by it."""
         name, version = document.name, document.version
         body = document.body
+        names = [name]
         if name == FLEET_DOCUMENT:
             self.fleet = Fleet.decode(version, body)
         elif name == CONTROLLER_DOCUMENT:
             self.controller = ControllerRecord.decode(body)
+        elif name == CLAIMS_DOCUMENT:
+            self.claims = decode_claims(body)
+            settled = [team for team in sorted(self.unclaimed) if self._examine(team)]
+            names += [SETTINGS_PREFIX + team for team in settled]
         elif name.startswith(ASSIGNMENT_PREFIX):
             service = name.removeprefix(ASSIGNMENT_PREFIX)
             self.assignments[service] = Assignment.decode(service, version, body)
         elif name.startswith(SETTINGS_PREFIX):
             self._decode_branch(document, body.decode())
-            return
-        self.in_force[name] = version
+            return names
+        self._accept(name, version)
+        return names
 
     def _decode_branch(self, document: Document, text: str) -> None:
         team = document.name.removeprefix(SETTINGS_PREFIX)
         result = parse_branch(team, text)
-        is_ok = result.is_ok()
-        problems = self._conflicts(team, result.ok) if is_ok else result.error
+        if result.is_error():
+            self._reject_branch(team, document.version, result.error)
+            return
+        versions = self.unclaimed.setdefault(team, {})
+        versions[document.version] = result.ok
+        if len(versions) > MAX_WAITING_VERSIONS:
+            del versions[min(versions)]
+        self._examine(team)
+
+    def _examine(self, team: str) -> bool:
+        """Settle the versions of a branch that need no further claim, oldest first.
+
+        An older version is settled although a newer one is known: where the claims
+        were there first it has been in force, and may be the last good one.
+        """
+        versions = self.unclaimed.pop(team)
+        is_settled = False
+        for version in sorted(versions):
+            branch = versions[version]
+            if version <= self.in_force.get(SETTINGS_PREFIX + team, 0):
+                continue
+            others = claimed_by_others(self.claims, team, branch.services)
+            if not others and self._without_claim(branch):
+                self.unclaimed.setdefault(team, {})[version] = branch
+                continue
+            is_settled = True
+            self._settle(team, version, branch, others)
+        older = self.unclaimed.get(team, {})
+        for version in sorted(older):
+            if version <= self.in_force.get(SETTINGS_PREFIX + team, 0):
+                del older[version]
+        if not older:
+            self.unclaimed.pop(team, None)
+        return is_settled
+
+    def _settle(
+        self, team: str, version: int, branch: TeamBranch, others: dict[str, str]
+    ) -> None:
+        problems: list = [
+            f"service {name} belongs to team {other}" for name, other in others.items()
+        ]
+        problems += check_change(self.branches.get(team), branch)
         if problems:
-            reason = "; ".join(str(problem) for problem in problems)
-            self.rejected[document.name] = f"version {document.version}: {reason}"
-            log.error("settings_rejected", team=team, version=document.version)
+            self._reject_branch(team, version, problems)
             return
-        self.rejected.pop(document.name, None)
-        self.branches[team] = result.ok
-        self.in_force[document.name] = document.version
+        self.branches[team] = branch
+        self._accept(SETTINGS_PREFIX + team, version)
         self._index_services()
-        log.info("settings_in_force", team=team, version=document.version)
-
-    def _conflicts(self, team: str, branch: TeamBranch) -> list:
-        problems = []
-        for name in branch.services:
-            other = self.teams.get(name)
-            if other is not None and other.team != team:
-                problems.append(f"service {name} belongs to team {other.team}")
-        if team in self.branches:
-            problems.extend(check_change(self.branches[team], branch))
-        return problems
+        log.info("settings_in_force", team=team, version=version)
+
+    def _without_claim(self, branch: TeamBranch) -> list[str]:
+        return sorted(branch.services.keys() - self.claims.keys())
+
+    def _accept(self, name: str, version: int) -> None:
+        self.in_force[name] = version
+        rejection = self.rejected.get(name)
+        if rejection is not None and rejection.version <= version:
+            del self.rejected[name]
+
+    def _reject(self, name: str, version: int, reason: str) -> None:
+        known = self.rejected.get(name)
+        if known is None or known.version < version:
+            self.rejected[name] = Rejection(version, reason)
+
+    def _reject_branch(self, team: str, version: int, problems: list) -> None:
+        reason = "; ".join(str(problem) for problem in problems)
+        self._reject(SETTINGS_PREFIX + team, version, reason)
+        log.error("settings_rejected", team=team, version=version)
 
     def _index_services(self) -> None:
         self.services = {}
--- a/src/sesamepost/internal/operations/server.py
+++ b/src/sesamepost/internal/operations/server.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from sesamepost.internal.documents.views import Views
+from sesamepost.internal.documents.views import Rejection, Views
 from sesamepost.internal.identity import NodeId, hash_key
 from sesamepost.internal.wire.pool import Address
 
@@ -92,7 +92,8 @@
                 ],
                 "controller": None if controller is None else str(controller.node),
                 "documents": dict(views.in_force),
-                "rejected": dict(views.rejected),
+                "rejected": _with_reasons(views.rejected),
+                "waiting": _with_reasons(views.waiting),
                 "services": self.source.services(),
                 "process": self.source.process_usage(),
             }
@@ -123,3 +124,10 @@
                 "epoch": placement.epoch,
             }
         )
+
+
+def _with_reasons(documents: dict[str, Rejection]) -> dict[str, dict]:
+    return {
+        name: {"version": item.version, "reason": item.reason}
+        for name, item in documents.items()
+    }
--- a/src/sesamepost/internal/settings/reference.py
+++ b/src/sesamepost/internal/settings/reference.py
@@ -43,7 +43,8 @@
 
 Each team has one branch, which `sesamepostctl put` writes to the store. A change is in
 force on all VMs within seconds. The number of partitions of a service can't be changed
-once the service exists, and a service is defined by one team only.
+once the service exists. The name of a service belongs to the first team that defines
+it, also after its branch has dropped the service.
 """
 
 
--- a/tests/cli/conftest.py
+++ b/tests/cli/conftest.py
@@ -65,6 +65,7 @@
                 "controller": "vm-1@00000000000000aa",
                 "documents": self.documents,
                 "rejected": self.rejected,
+                "waiting": {},
                 "services": self.services,
             }
         )
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -9,6 +9,7 @@
 from sesamepost.internal.cli.context import Context
 from sesamepost.internal.cli.errors import CommandError, ExitCode
 from sesamepost.internal.settings.branch import parse_branch
+from sesamepost.internal.settings.claims import CLAIMS_DOCUMENT
 from sesamepost.internal.settings.model import VmState
 from sesamepost.internal.store import envelope as envelope_module
 from sesamepost.internal.store.envelope import write_document
@@ -95,9 +96,46 @@
 async def test_refused_branch_is_not_written(put, standin, text, reason):
     await put(BRANCH, 0)
     await put("[service:valuation]", 0, team="spain")
+    puts = standin.calls["put"]
     error = await refusal(put(text, 1))
     assert reason in str(error.problems[0])
-    assert standin.calls["put"] == 2
+    assert standin.calls["put"] == puts
+
+
+async def test_one_of_two_teams_that_add_the_same_service_at_once_is_refused(
+    put, store
+):
+    # Guards against two branches that both define a service, of which each daemon
+    # rejects the one that it receives last.
+    texts = {"lahore": "[service:shop]\n[service:a]\n", "spain": "[service:shop]\n"}
+    done, (lost,) = split(
+        await asyncio.gather(
+            *(put(text, 0, team, team) for team, text in texts.items()),
+            return_exceptions=True,
+        )
+    )
+    winner = done[0].payload["team"]
+    (loser,) = texts.keys() - {winner}
+    assert lost.code is ExitCode.REFUSED
+    assert f"the service belongs to team {winner}" in str(lost.problems[0])
+    assert (await read_branch(store, winner)).version == 1
+    assert (await read_branch(store, loser)).version == 0
+
+
+async def test_a_service_that_a_branch_dropped_stays_claimed(put):
+    # Guards against a second team that gets the partitions of a dropped service.
+    await put("[service:shop]\n[service:a]\n", 0)
+    await put("[service:a]\n", 1)
+    error = await refusal(put("[service:shop]\n", 0, team="spain"))
+    assert "the service belongs to team lahore" in str(error.problems[0])
+    assert (await put("[service:shop]\n", 2)).payload["version"] == 3
+
+
+async def test_a_claims_document_that_is_not_one_is_an_error(put, store):
+    # Guards against a traceback, and against claims that are written over.
+    await write_document(store, CLAIMS_DOCUMENT, b"\x91\x01", "other program", 0)
+    assert CLAIMS_DOCUMENT in str(await refusal(put(BRANCH, 0), ExitCode.FAILED))
+    assert (await read_branch(store, "lahore")).version == 0
 
 
 async def test_another_teams_broken_branch_does_not_block_a_team(put, store):
@@ -182,18 +220,20 @@
 ):
     monkeypatch.setattr(envelope_module, "RESOLVE_TIMEOUT_S", 0.2)
     await put(BRANCH, 0)
+    puts = standin.calls["put"]
     standin.set_faults(outage=True)
     for failing in (put(BRANCH, 1), drain("vm-1")):
         with pytest.raises(StoreUnavailableError):
             await failing
-    assert standin.calls["put"] == 1
+    assert standin.calls["put"] == puts
 
 
 async def test_drain_without_a_daemon_writes_nothing(put, drain, daemon, standin):
     await put(BRANCH, 0)
     daemon.failing_calls = 1
+    puts = standin.calls["put"]
     await refusal(drain("vm-1"), ExitCode.UNAVAILABLE)
-    assert standin.calls["put"] == 1
+    assert standin.calls["put"] == puts
 
 
 async def test_wait_ends_when_the_last_node_reports(context, daemon):
@@ -226,7 +266,9 @@
 
 
 async def test_wait_stops_when_the_fleet_rejects_the_version(context, daemon):
-    daemon.rejected = {"settings/lahore": "service ledger is defined twice"}
+    daemon.rejected = {
+        "settings/lahore": {"version": 1, "reason": "service ledger is defined twice"}
+    }
     waiting = commands.wait(context, "lahore", 1, timeout_s=30)
     assert "defined twice" in str(await refusal(waiting))
 
--- a/tests/e2e/local.py
+++ b/tests/e2e/local.py
@@ -7,6 +7,8 @@
 import aiohttp
 
 from sesamepost.internal.daemon.daemon import Daemon
+from sesamepost.internal.settings.branch import parse_branch
+from sesamepost.internal.settings.claims import claim_services
 from sesamepost.internal.settings.model import ProcessSettings
 from sesamepost.internal.store.envelope import write_document
 from sesamepost.internal.store.http import HttpStore
@@ -82,8 +84,11 @@
         return vm
 
     async def put(self, team, text, expected=0):
-        """Write a team's branch and return its version."""
+        """Claim the services of a team's branch, write it and return its version."""
+        branch = parse_branch(team, text)
         async with HttpStore(self.store.url) as store:
+            if branch.is_ok():
+                await claim_services(store, team, branch.ok.services, "test")
             return await write_document(
                 store, f"settings/{team}", text.encode(), "test", expected
             )
