--- a/src/sesamepost/internal/cli/commands.py
+++ b/src/sesamepost/internal/cli/commands.py
@@ -269,11 +269,15 @@
         if error.code is not ExitCode.UNAVAILABLE:
             raise
         return error, 0
-    if name in status.rejected and status.documents.get(name, 0) >= version:
+    rejection = status.rejected.get(name)
+    # A rejected version never counts as in force, so it is compared by itself.
+    if rejection is not None and (
+        status.documents.get(name, 0) < version <= rejection.version
+    ):
         raise CommandError(
             ExitCode.REFUSED,
-            f"the fleet rejected {name}: {status.rejected[name]}",
-            reason=status.rejected[name].reason,
+            f"the fleet rejected {name}: {rejection}",
+            reason=rejection.reason,
         )
     expected = _members_in_force(status)
     behind = _find_behind(status, nodes, name, version)
@@ -285,6 +289,8 @@
         if behind
         else "the daemon knows no nodes of the fleet yet"
     )
+    if name in status.waiting:
+        message += f"; {status.waiting[name]}"
     return CommandError(ExitCode.UNAVAILABLE, message, behind=behind), 0
 
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -267,10 +267,17 @@
 
 async def test_wait_stops_when_the_fleet_rejects_the_version(context, daemon):
     daemon.rejected = {
-        "settings/lahore": {"version": 1, "reason": "service ledger is defined twice"}
+        "settings/lahore": {"version": 3, "reason": "service ledger is defined twice"}
     }
-    waiting = commands.wait(context, "lahore", 1, timeout_s=30)
-    assert "defined twice" in str(await refusal(waiting))
+    for version in (2, 3):
+        waiting = commands.wait(context, "lahore", version, timeout_s=30)
+        error = await refusal(waiting)
+        assert "version 3: service ledger is defined twice" in str(error)
+    # The last good version is in force, and a later one may still arrive.
+    output = await commands.wait(context, "lahore", 1, timeout_s=0)
+    assert output.payload["nodes"] == 3
+    later = commands.wait(context, "lahore", 4, timeout_s=0)
+    await refusal(later, ExitCode.UNAVAILABLE)
 
 
 async def test_unreachable_daemon_is_unavailable(daemon, standin):
