--- a/src/sesamepost/internal/operations/server.py
+++ b/src/sesamepost/internal/operations/server.py
@@ -108,8 +108,12 @@
     async def _owner(self, request: web.Request) -> web.Response:
         service = request.query.get("service", "")
         key = request.query.get("key", "")
+        if not service or not key:
+            return web.Response(
+                status=400, text="give both, as in /owner?service=SERVICE&key=KEY\n"
+            )
         assignment = self.source.views.assignments.get(service)
-        if assignment is None or not key:
+        if assignment is None:
             return web.Response(
                 status=404, text=f"no assignment of service {service!r} is known\n"
             )
--- a/tests/e2e/test_operators.py
+++ b/tests/e2e/test_operators.py
@@ -13,6 +13,7 @@
 from sesamepost.internal.store.envelope import write_document
 from sesamepost.internal.store.http import HttpStore
 from tests.e2e.local import BRANCH, WAIT_S, running_fleet
+from tests.operations.metrics import read_requests
 
 IN_FORCE_WITHIN_S = 7.0
 CHANGED = BRANCH + "queue_length = 99\n"
@@ -223,3 +224,17 @@
         await claim_services(store, "lahore", ["shop"], "ayesha")
         assert await operator.wait(1, "lahore") == 2
         assert all("shop" in vm.daemon.views.services for vm in fleet.vms)
+
+
+async def test_the_metrics_of_a_daemon_count_its_callers_requests(tmp_path):
+    # Guards against a request histogram that the daemon does not feed or mislabels.
+    async with running_fleet(vms=2) as fleet:
+        for number in range(5):
+            assert (await fleet.send(fleet.vms[0], f"k{number}")).status == 200
+        assert (await fleet.send(fleet.vms[0], "")).outcome == "not-run"
+        async with fleet.session.get(f"{fleet.vms[0].operators}/metrics") as answer:
+            counts = read_requests(await answer.text())
+        assert counts == {
+            ("team", "ledger", "default", "ran"): 5,
+            ("", "", "default", "not-run"): 1,
+        }
