Generate the table of error kinds in the callers' guide

Cause: the table between the two comments in docs/callers.md was empty, and a table kept by hand would fall behind errors.py. Ruled out: generating the whole page, as for the settings. The rest of the callers' guide is prose that belongs to no table in the code. Before: test_page_is_up_to_date failed on the empty table.

--- /dev/null
+++ b/src/sesamepost/internal/operations/error_reference.py
@@ -0,0 +1,53 @@
+"""Writes the table of error kinds in ``docs/callers.md`` from ``errors.py``.
+
+Run ``python -m sesamepost.internal.operations.error_reference docs/callers.md`` after a
+change of the error kinds.
+"""
+
+from pathlib import Path
+
+import defopt
+
+from sesamepost.errors import ANSWERS, ErrorKind
+
+BEGIN = "<!-- error table: begin -->\n"
+END = "<!-- error table: end -->\n"
+HEADER = "| kind | status | outcome | meaning |\n|---|---|---|---|\n"
+
+
+def generate_table() -> str:
+    """Return the table of all error kinds as Markdown."""
+    return HEADER + "".join(_row(kind) for kind in ErrorKind)
+
+
+def replace_table(page: str) -> str:
+    """Return the page with the present table between its two comments.
+
+    Raises ``ValueError`` unless each comment is there once, in this order.
+    """
+    before, begin, rest = page.partition(BEGIN)
+    _, end, after = rest.partition(END)
+    if not begin or not end or BEGIN in rest or END in before + after:
+        raise ValueError(
+            f"the page must have {BEGIN.strip()!r} and then {END.strip()!r}, once each,"
+            " on lines of their own"
+        )
+    return before + BEGIN + generate_table() + END + after
+
+
+def write_table(path: Path) -> None:
+    """Write the table of error kinds into the callers' guide.
+
+    :param path: Page to change.
+    """
+    path.write_text(replace_table(path.read_text()))
+
+
+def _row(kind: ErrorKind) -> str:
+    answer = ANSWERS[kind]
+    text = answer.text.replace("|", "\\|")
+    return f"| `{kind}` | {answer.status} | `{answer.outcome}` | {text} |\n"
+
+
+if __name__ == "__main__":
+    defopt.run(write_table)
