--- a/src/sesamepost/internal/admission/queue.py
+++ b/src/sesamepost/internal/admission/queue.py
@@ -59,7 +59,7 @@
     service_time_s: float = INITIAL_SERVICE_TIME_S
     measured: bool = False
     peak: int = 0
-    worked_until: float = -math.inf
+    held_until: float = -math.inf
 
     @property
     def has_work(self) -> bool:
@@ -68,7 +68,7 @@
 
     def note_arrival(self, now: float) -> None:
         """Count a request that is about to be queued or started."""
-        if not self.has_work and now - self.worked_until >= SHARE_HOLD_S:
+        if not self.has_work and now >= self.held_until:
             self.peak = 0
         self.peak = max(self.peak, self.running + len(self.queue) + 1)
 
@@ -80,7 +80,7 @@
         """
         if self.has_work:
             return max(0, self.share - self.running)
-        if now - self.worked_until >= SHARE_HOLD_S:
+        if now >= self.held_until:
             return 0
         return min(self.share, self.peak)
 
@@ -142,9 +142,7 @@
             return None
         times = [self.deadlines[0][0]]
         times += [
-            c.worked_until + SHARE_HOLD_S
-            for c in self.classes
-            if not c.has_work and c.set_aside(now)
+            c.held_until for c in self.classes if not c.has_work and c.set_aside(now)
         ]
         return min(times)
 
@@ -184,7 +182,7 @@
         """
         request_class, started = self.running.pop(ticket)
         request_class.running -= 1
-        request_class.worked_until = now
+        request_class.held_until = now + SHARE_HOLD_S
         if measured:
             request_class.measure(now - started)
         return self.poll(now)
@@ -294,7 +292,7 @@
 
     def _remove_queued(self, ticket: Ticket, now: float) -> None:
         request_class = self.queued.pop(ticket)
-        request_class.worked_until = now
+        request_class.held_until = now + SHARE_HOLD_S
         del request_class.queue[ticket]
 
     def _push_deadline(self, ticket: Ticket, deadline: float) -> None:
--- a/src/sesamepost/internal/routing/__init__.py
+++ b/src/sesamepost/internal/routing/__init__.py
@@ -1,1 +1,1 @@
-"""The callers' port and the choice of the owner for each request."""
+"""The callers' side of a request: choice of owner, holding and retries."""
