Cover the records of a hot key that leaves its partition

Cause: the coverage that a hot key takes from its partition, and what forget removes, had no test. In a scratch copy: without the partition's coverage a first submission after the move is refused ("assert False" for Run); without dropping coverage in forget "Run == Refuse(DUPLICATE_UNKNOWN)"; with running records removed by forget "0 == 1". Conclusion: moves of single keys keep at-most-once runs.

--- a/tests/dispatch/test_records.py
+++ b/tests/dispatch/test_records.py
@@ -1,5 +1,7 @@
 """A request with an idempotency key runs at most once, whatever happens between."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
@@ -159,6 +161,26 @@
     assert begin(new, early, 1101.0) == DUPLICATE
 
 
+def test_a_hot_key_takes_its_records_and_their_coverage_along():
+    # Guards against a hot key whose records stay behind with its partition, and
+    # against coverage that the old owner claims after the item has gone.
+    old, new = covered_records(), IdempotencyRecords()
+    run = begin(old, submission(), 1000.0)
+    old.finish(run.record, Ran(ANSWER))
+    hot = Item(ITEM.service, True, hash_key("k"))
+    placement = submission().placement
+    parts = old.export(hot, placement, lambda h: h == hot.number, 1100.0)
+    assert [len(part.records) for part in parts] == [1]
+    assert new.import_records(decode(encode(parts[0])), 1100.0)
+    moved = replace(submission(epoch=2), item=hot)
+    assert begin(new, moved, 1101.0) == Replay(ANSWER)
+    assert isinstance(begin(new, replace(moved, idempotency_key="j"), 1101.0), Run)
+    new.forget(hot, everything)
+    assert len(new) == 1
+    assert begin(new, replace(moved, idempotency_key="l"), 1102.0) == DUPLICATE
+    assert begin(old, submission(), 1102.0) == Replay(ANSWER)
+
+
 @pytest.mark.parametrize(
     ("born", "now", "expected"),
     [
