Resign at the end of a planned stop, and keep partitions for a restart

Cause: under the restart policy wait a stopping daemon waited for moves that never came, and after any planned stop its witnesses had to suspect and fence it. A VM lost within 2 s of its start could not be fenced: the first node of a fleet joins without witnesses and looked for some only after 2 s, and a prepared set was proposed only if all of its witnesses answered, which a lost one never does. Ruled out: trusting the controller's view that a leaving node is gone; the node itself gives its lease up for good before it asks to be fenced. Conclusion: readiness now needs all witnesses that the fleet allows.

--- a/src/sesamepost/internal/controller/capacity.py
+++ b/src/sesamepost/internal/controller/capacity.py
@@ -8,7 +8,7 @@
 from sesamepost.internal.membership.fleet import NodeRecord
 from sesamepost.internal.membership.fleet import NodeState as RecordState
 from sesamepost.internal.ownership.assignment import NO_OWNER, Assignment
-from sesamepost.internal.settings.model import VmState
+from sesamepost.internal.settings.model import RestartPolicy, VmState
 
 DRAINED = (VmState.DRAINED_FOR_DEPLOY, VmState.DRAINED_FOR_MAINTENANCE)
 
@@ -19,6 +19,7 @@
     loads: LoadTable,
     assignment: Assignment,
     leading_for_s: float,
+    unix_now: float,
 ) -> list[NodeCapacity]:
     """Return the capacity of every live node for one service.
 
@@ -44,9 +45,9 @@
             state = NodeState.FAILING
         elif load.is_draining and state is NodeState.IN_SERVICE:
             state = NodeState.DRAINING
-        slots = load.slots * load.cold_start_fraction
-        found.append(_capacity(record, slots, state))
+        found.append(_capacity(record, load.slots, state, load.cold_start_fraction))
     found.extend(_unknown_owners(owners, views))
+    found.extend(_restarting_owners(owners, views, loads, service, unix_now))
     return found
 
 
@@ -70,8 +71,43 @@
     ]
 
 
-def _capacity(record: NodeRecord, slots: float, state: NodeState) -> NodeCapacity:
-    return NodeCapacity(record.node, record.failure_domain, record.region, slots, state)
+def _restarting_owners(
+    owners: set[NodeId], views: Views, loads: LoadTable, service: str, unix_now: float
+) -> list[NodeCapacity]:
+    """Return owners that resigned in a planned restart and whose VM is awaited.
+
+    Under the policy ``wait`` their partitions stay with them until the VM's next
+    incarnation announces the service or ``restart_wait_s`` has passed.
+    """
+    branch = views.teams[service]
+    if branch.restart is not RestartPolicy.WAIT:
+        return []
+    returned = {
+        record.node.vm
+        for record in views.fleet.live_records()
+        if loads.service_load(record.node, service) is not None
+    }
+    found = []
+    for node in sorted(owners):
+        record = views.fleet.get(node)
+        if record is None or not record.resigned or node.vm in returned:
+            continue
+        if unix_now - record.fenced_at < branch.restart_wait_s:
+            found.append(_capacity(record, 0, NodeState.LEAVING))
+    return found
+
+
+def _capacity(
+    record: NodeRecord, slots: int, state: NodeState, cold_start_fraction: float = 1.0
+) -> NodeCapacity:
+    return NodeCapacity(
+        record.node,
+        record.failure_domain,
+        record.region,
+        slots * cold_start_fraction,
+        state,
+        slots,
+    )
 
 
 def _state(record: NodeRecord, wanted: VmState) -> NodeState:
--- a/src/sesamepost/internal/controller/controller.py
+++ b/src/sesamepost/internal/controller/controller.py
@@ -30,7 +30,12 @@
 from sesamepost.internal.lease.fencing import Fencing
 from sesamepost.internal.lease.messages import Promised, PromiseRefused, Suspect
 from sesamepost.internal.membership.fleet import Fleet, NodeFencedError, NodeRecord
-from sesamepost.internal.membership.messages import ChangeWitnesses, Join, Leave
+from sesamepost.internal.membership.messages import (
+    ChangeWitnesses,
+    Join,
+    Leave,
+    Resign,
+)
 from sesamepost.internal.ownership.assignment import Assignment
 from sesamepost.internal.ownership.items import Item
 from sesamepost.internal.ownership.messages import Released
@@ -84,6 +89,7 @@
             Join,
             ChangeWitnesses,
             Leave,
+            Resign,
             Suspect,
             Promised,
             PromiseRefused,
@@ -103,6 +109,7 @@
         self.joins: dict[NodeId, Join] = {}
         self.changes: dict[NodeId, ChangeWitnesses] = {}
         self.leaves: set[NodeId] = set()
+        self.resigns: set[NodeId] = set()
         self.unfinished: dict[str, bool] = {}
         self.planned_at: dict[str, float] = {}
 
@@ -119,6 +126,8 @@
                 self.changes[item.node] = item
             case Leave():
                 self.leaves.add(item.node)
+            case Resign():
+                self.resigns.add(item.node)
             case Suspect():
                 self.fencing.receive_suspect(item, now)
             case Promised():
@@ -193,6 +202,7 @@
         self.joins.clear()
         self.changes.clear()
         self.leaves.clear()
+        self.resigns.clear()
 
     def _ask_for_promises(self, now: float) -> None:
         self.fencing.set_removed_vms(
@@ -211,7 +221,7 @@
         if changed is fleet:
             return
         joins, changes, leaves = self.joins, self.changes, self.leaves
-        self.joins, self.changes, self.leaves = {}, {}, set()
+        self.joins, self.changes, self.leaves, self.resigns = {}, {}, set(), set()
         await self._write(FLEET_DOCUMENT, changed.encode(), fleet.version)
         self.counters["fleet_writes"] += 1
         log.info(
@@ -248,6 +258,8 @@
             )
         for node in self.leaves:
             changed = changed.mark_leaving(node)
+        for node in self.resigns:
+            changed = changed.fence(node, int(time.time()), resigned=True)
         for decision in self.fencing.decisions(now):
             if decision.version == fleet.version:
                 changed = changed.fence(decision.node, int(time.time()))
@@ -301,22 +313,30 @@
             return Plan()
         branch = self.views.teams[service]
         capacities = capacities_of(
-            service, self.views, self.loads, assignment, now - self.leading_since
+            service,
+            self.views,
+            self.loads,
+            assignment,
+            now - self.leading_since,
+            time.time(),
         )
         if not capacities:
             return Plan()
         self.planned_at[service] = now
         expected = self.pending.expected(assignment)
+        # Balance waits for the moves under way; losses and evacuations do not.
+        is_moving = expected is not assignment
         made = plan(
             expected,
             capacities,
             self._loads(expected, capacities, now),
             branch.weights,
             branch.restart,
-            branch.max_moves_per_round,
+            0 if is_moving else branch.max_moves_per_round,
             continuing=self.unfinished.get(service, False),
         )
-        self.unfinished[service] = made.unfinished
+        if not is_moving:
+            self.unfinished[service] = made.unfinished
         return made
 
     def _loads(
--- a/src/sesamepost/internal/daemon/daemon.py
+++ b/src/sesamepost/internal/daemon/daemon.py
@@ -4,6 +4,7 @@
 import os
 import resource
 import time
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from itertools import islice
 
@@ -32,7 +33,7 @@
 from sesamepost.internal.operations.server import FleetSource, OperatorServer
 from sesamepost.internal.routing.router import Router
 from sesamepost.internal.routing.server import CallerServer
-from sesamepost.internal.settings.model import ProcessSettings
+from sesamepost.internal.settings.model import ProcessSettings, RestartPolicy
 from sesamepost.internal.store.http import HttpStore
 from sesamepost.internal.store.reader import StoreReader
 from sesamepost.internal.telemetry.metrics import Metrics
@@ -45,6 +46,7 @@
 # Peers still send requests by the previous assignment for a moment after the last
 # partition moved away.
 LINGER_S = 0.5
+RESIGN_WAIT_S = 2.0
 
 log = structlog.get_logger()
 
@@ -87,6 +89,7 @@
         )
         self._build_controller(address)
         self.reporter = Reporter(self.node, self.views, self.dispatcher, self.link)
+        self.handover.on_released = self.reporter.forget
         self.router = Router(self.node, self.pool, self.views, self.dispatcher)
         self._build_metrics()
         await self._listen()
@@ -125,24 +128,56 @@
                 wait.cancel()
 
     async def _stop(self) -> None:
-        """Hand the partitions over and finish the requests in flight."""
+        """Hand the partitions over, finish the requests in flight and resign.
+
+        Partitions of teams with the restart policy ``wait`` stay for the VM's next
+        incarnation. The node resigns, so that it is fenced without waiting for its
+        lease to expire.
+        """
         self.stopping = True
         log.info("daemon_stopping", node=str(self.node))
         self.membership.leave()
         deadline = boottime() + self.settings.stop_timeout_s
-        idle_since = None
+        is_done = await self._wait_while(self._must_hand_over, deadline)
+        self.dispatcher.close()
+        is_done &= await self._wait_while(self._is_busy, deadline, LINGER_S)
+        if not is_done:
+            log.warning("stop_timed_out", node=str(self.node))
+        self.membership.resign()
+        is_alone = len(self.views.fleet.active_records()) == 0
+        if not is_alone:
+            await self._wait_while(
+                lambda: not self.membership.fenced.is_set(), boottime() + RESIGN_WAIT_S
+            )
+
+    async def _wait_while(
+        self, condition: Callable[[], bool], deadline: float, quiet_s: float = 0.0
+    ) -> bool:
+        """Wait until ``condition()`` was false for ``quiet_s``; False if too late."""
+        quiet_since = None
         while boottime() < deadline and not self.membership.fenced.is_set():
-            busy = self._owns_anything() or self.callers.in_flight
-            busy = busy or self.dispatcher.tasks
             now = boottime()
-            if busy:
-                idle_since = None
-            elif idle_since is None:
-                idle_since = now
-            elif now - idle_since >= LINGER_S:
-                return
+            if condition():
+                quiet_since = None
+            elif quiet_since is None:
+                quiet_since = now
+            if quiet_since is not None and now - quiet_since >= quiet_s:
+                return True
             await asyncio.sleep(STOP_POLL_S)
-        log.warning("stop_timed_out", node=str(self.node))
+        return self.membership.fenced.is_set()
+
+    def _must_hand_over(self) -> bool:
+        """Return whether partitions that must move away are still owned here."""
+        for service, assignment in self.views.assignments.items():
+            branch = self.views.teams.get(service)
+            if branch is not None and branch.restart is RestartPolicy.WAIT:
+                continue
+            if self.node in owners_of(assignment):
+                return True
+        return False
+
+    def _is_busy(self) -> bool:
+        return self.callers.in_flight > 0 or not self.dispatcher.is_idle
 
     def _build_controller(self, address: Address) -> None:
         self.reader = StoreReader(
@@ -235,12 +270,6 @@
                     targets[node] = Address("", 0)
         return list(targets.items())
 
-    def _owns_anything(self) -> bool:
-        return any(
-            self.node in owners_of(assignment)
-            for assignment in self.views.assignments.values()
-        )
-
     def _team_of(self, service: str) -> str:
         branch = self.views.teams.get(service)
         return "" if branch is None else branch.team
@@ -261,6 +290,8 @@
             return "the daemon is stopping"
         if not self.membership.joined.is_set():
             return "the node is not in the fleet yet"
+        if not self.membership.has_all_witnesses:
+            return "the node does not have all its witnesses yet"
         if not self.views.services:
             return "no team's settings are known yet"
         for service in self.views.services:
--- a/src/sesamepost/internal/daemon/reporting.py
+++ b/src/sesamepost/internal/daemon/reporting.py
@@ -123,6 +123,16 @@
         else:
             counters.record(key_hash)
 
+    def forget(self, item: Item) -> None:
+        """Drop the load of an item that was released."""
+        counters = self.counters.get(item.service)
+        if counters is None:
+            return
+        if item.is_key:
+            counters.forget_key(item.number)
+        else:
+            counters.forget_partition(item.number)
+
     def _on_document(self, name: str) -> None:
         if name == CONTROLLER_DOCUMENT or name.startswith(SETTINGS_PREFIX):
             jitter_s = random.uniform(0, JITTER_S_PER_NODE * len(self.views.fleet))
--- a/src/sesamepost/internal/dispatch/dispatcher.py
+++ b/src/sesamepost/internal/dispatch/dispatcher.py
@@ -68,6 +68,7 @@
         self.counters: Counter[str] = Counter()
         self.on_item_idle: Callable[[Item], None] = lambda item: None
         self.on_request: Callable[[Item, int], None] = lambda item, key_hash: None
+        self.is_closed = False
         self.tasks: set[asyncio.Task] = set()
         self.remote: dict[tuple[PeerStream, int], asyncio.Task] = {}
         pool.on(Request, self._on_request)
@@ -116,6 +117,15 @@
             log.info("endpoint_withdrawn", service=service)
             self._start(endpoint.close())
 
+    def close(self) -> None:
+        """Dispatch nothing new; routers hold such requests for the next owner."""
+        self.is_closed = True
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is queued or running here."""
+        return not self.releases.in_flight
+
     def born_token(self, service: str) -> str:
         """Return a token for a first submission, empty if no assignment is known."""
         assignment = self.views.assignments.get(service)
@@ -154,7 +164,7 @@
             self.releases,
             self.lease_expiry(),
             now,
-            endpoint is not None and endpoint.is_in_service(now),
+            not self.is_closed and endpoint is not None and endpoint.is_in_service(now),
         )
 
     async def _run_once(
--- a/src/sesamepost/internal/dispatch/handover.py
+++ b/src/sesamepost/internal/dispatch/handover.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import structlog
@@ -58,6 +59,7 @@
         self.active: dict[Item, ActiveRelease] = {}
         self.waiting: dict[tuple[Item, int, int], asyncio.Future] = {}
         self.seen: dict[str, Assignment] = {}
+        self.on_released: Callable[[Item], None] = lambda item: None
         dispatcher.on_item_idle = self._on_item_idle
         pool.on(Release, self._on_release)
         pool.on(Records, self._on_records)
@@ -99,6 +101,7 @@
             return
         active.answer = Released(*item, request.epoch, request.target, kept)
         self.counters["released"] += 1
+        self.on_released(item)
         self.link.send(active.answer)
 
     async def _send_records(self, item: Item, request: Release) -> bool:
--- a/src/sesamepost/internal/lease/holder.py
+++ b/src/sesamepost/internal/lease/holder.py
@@ -62,12 +62,14 @@
         "prepared",
         "proposals",
         "recorded",
+        "resigned",
         "states",
     )
 
     def __init__(self, node: NodeId) -> None:
         self.node = node
         self.fenced = False
+        self.resigned = False
         self.fleet_version = 0
         self.recorded: Proposal | None = None
         self.proposals: list[Proposal] = []
@@ -92,6 +94,10 @@
             return False
         return all(now < self.states[witness].expiry for witness in self.prepared)
 
+    def is_majority_prepared(self, now: float) -> bool:
+        """Return whether the lease would stay valid with the prepared set."""
+        return bool(self.prepared) and now < self._set_valid_until(self.prepared)
+
     def propose(self, witnesses: tuple[NodeId, ...]) -> Proposal:
         """Return a numbered proposal, which counts from now on.
 
@@ -110,6 +116,10 @@
         self._update_states()
         return proposal
 
+    def resign(self) -> None:
+        """Give the lease up for good, before the controller is asked to fence."""
+        self.resigned = True
+
     def observe(self, fleet: Fleet) -> None:
         """Take over the recorded set of a newer fleet version."""
         if fleet.version <= self.fleet_version:
@@ -139,7 +149,7 @@
         if now - self._called_at > PAUSE_S:
             self._forgive_silence(now)
         self._called_at = now
-        if self.fenced:
+        if self.fenced or self.resigned:
             return []
         due = []
         for witness, state in self.states.items():
@@ -179,7 +189,7 @@
 
     def valid_until(self) -> float:
         """Return the end of the lease: ``math.inf`` without witnesses."""
-        if self.fenced or self.recorded is None:
+        if self.fenced or self.resigned or self.recorded is None:
             return -math.inf
         return min(
             self._set_valid_until(required.witnesses)
--- a/src/sesamepost/internal/membership/fleet.py
+++ b/src/sesamepost/internal/membership/fleet.py
@@ -35,6 +35,8 @@
 
     ``witness_sequence`` is the number of the holder's proposal that set ``witnesses``.
     ``fenced_at`` is in unix seconds and 0 unless the node is fenced.
+    ``resigned`` is true if it was fenced at its own request, at the end of a planned
+    stop.
     """
 
     node: NodeId
@@ -45,6 +47,7 @@
     witness_sequence: int = 0
     state: NodeState = NodeState.ACTIVE
     fenced_at: int = 0
+    resigned: bool = False
 
     def __post_init__(self) -> None:
         if len(set(self.witnesses)) != len(self.witnesses):
@@ -131,13 +134,18 @@
             return self
         return self._with(replace(record, state=NodeState.LEAVING))
 
-    def fence(self, node: NodeId, fenced_at: int) -> "Fleet":
+    def fence(self, node: NodeId, fenced_at: int, resigned: bool = False) -> "Fleet":
         """Record a node as fenced, at ``fenced_at`` in unix seconds."""
         record = self.live(node)
         if record is None:
             return self
         return self._with(
-            replace(record, state=NodeState.FENCED, fenced_at=int(fenced_at))
+            replace(
+                record,
+                state=NodeState.FENCED,
+                fenced_at=int(fenced_at),
+                resigned=resigned,
+            )
         )
 
     def drop_old_tombstones(
@@ -199,11 +207,13 @@
         record.witness_sequence,
         record.state,
         record.fenced_at,
+        record.resigned,
     ]
 
 
 def _from_array(array: list) -> NodeRecord:
-    vm, incarnation, host, port, domain, region, parts, sequence, state, at = array
+    vm, incarnation, host, port, domain, region, parts, sequence, state, *end = array
+    fenced_at, resigned = end
     return NodeRecord(
         NodeId(vm, incarnation),
         Address(host, port),
@@ -212,5 +222,6 @@
         tuple(map(NodeId, parts[::2], parts[1::2])),
         sequence,
         NodeState(state),
-        at,
+        fenced_at,
+        resigned,
     )
--- a/src/sesamepost/internal/membership/messages.py
+++ b/src/sesamepost/internal/membership/messages.py
@@ -39,6 +39,13 @@
     node: NodeId
 
 
+@message(43)
+class Resign:
+    """Tells that a node has stopped serving for good and may be fenced at once."""
+
+    node: NodeId
+
+
 def _node_ids(values) -> tuple[NodeId, ...]:
     """Return decoded or given node ids as ``NodeId``."""
     found = []
--- a/src/sesamepost/internal/membership/task.py
+++ b/src/sesamepost/internal/membership/task.py
@@ -20,7 +20,12 @@
 )
 from sesamepost.internal.lease.witness import Witness
 from sesamepost.internal.membership.fleet import NodeRecord
-from sesamepost.internal.membership.messages import ChangeWitnesses, Join, Leave
+from sesamepost.internal.membership.messages import (
+    ChangeWitnesses,
+    Join,
+    Leave,
+    Resign,
+)
 from sesamepost.internal.membership.witness_choice import choose_witnesses
 from sesamepost.internal.wire.pool import PeerPool
 from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
@@ -89,15 +94,30 @@
             return
         if self.views.fleet.get(self.node) is None:
             self._ask_to_join(now)
+        elif self.holder.resigned:
+            self._send_to_controller(Resign(self.node), now)
         elif self.leaving:
             self._send_to_controller(Leave(self.node), now)
         else:
             self._keep_witnesses(now)
 
+    @property
+    def has_all_witnesses(self) -> bool:
+        """Whether the record names as many witnesses as the fleet allows."""
+        recorded = self.holder.recorded
+        if recorded is None or self.holder.proposals:
+            return False
+        return len(recorded.witnesses) >= len(self._choose())
+
     def leave(self) -> None:
         """Ask the controller to move this node's partitions away."""
         self.leaving = True
 
+    def resign(self) -> None:
+        """Give the lease up and ask to be fenced, once nothing is served any more."""
+        self.holder.resign()
+        self._send_to_controller(Resign(self.node), boottime())
+
     def _note_validity(self, now: float) -> None:
         is_valid = self.holder.is_valid(now)
         if is_valid != self.was_valid:
@@ -113,7 +133,6 @@
         proposal = self.holder.wanted_set()
         if proposal is None:
             proposal = self.holder.propose(self._choose())
-            self.last_choice = now
         self._send_to_controller(
             Join(
                 self.node,
@@ -131,12 +150,11 @@
             return
         wanted = self.holder.wanted_set()
         if self.holder.is_prepared(now):
-            wanted = self.holder.propose(self.holder.prepared)
-            self.counters["witness_changes"] += 1
-            log.info("witnesses_proposed", node=str(self.node))
+            self._propose_prepared()
         elif not self.holder.proposals:
             self._prepare_change(wanted, now)
         if self.holder.proposals:
+            wanted = self.holder.wanted_set()
             change = ChangeWitnesses(self.node, wanted.witnesses, wanted.sequence)
             self._send_to_controller(change, now)
 
@@ -161,8 +179,20 @@
         kept = set(wanted.witnesses) - lost
         silent = set(self.holder.prepared) - kept
         chosen = self._choose(avoid=lost | silent, keep=kept)
-        is_other = set(chosen) != set(wanted.witnesses)
-        self.holder.prepare(chosen if is_other else ())
+        if set(chosen) == set(wanted.witnesses):
+            self.holder.prepare(())
+        elif set(chosen) == set(self.holder.prepared) and (
+            self.holder.is_majority_prepared(now)
+        ):
+            # No better choice is left, as in a small fleet with one node lost.
+            self._propose_prepared()
+        else:
+            self.holder.prepare(chosen)
+
+    def _propose_prepared(self) -> None:
+        self.holder.propose(self.holder.prepared)
+        self.counters["witness_changes"] += 1
+        log.info("witnesses_proposed", node=str(self.node))
 
     def _choose(
         self, avoid: Collection[NodeId] = (), keep: Collection[NodeId] = ()
