Test a node that starts, and a change of settings, in an outage of the store

Cause: no test showed that a daemon without the store gets the documents from its seeds. It does: it routes, is not ready with "the node is not in the fleet yet", and joins after the outage, whether it was the controller or not.

A change in an outage failed with "GET /v1/values/settings/team: the store answered 503", which does not say whether the branch was written. A failure before the write now says that the branch "was not written", with the store's error.

Ruled out: retrying the reads of a command in an outage. The operator would wait for nothing, since an outage lasts longer than a command may. The end of a process closes such a stream. The pool is left to its package.

--- a/src/sesamepost/internal/cli/branches.py
+++ b/src/sesamepost/internal/cli/branches.py
@@ -1,6 +1,7 @@
 """Reads and writes the teams' branches in the store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from sesamepost.internal.cli.errors import (
@@ -24,7 +25,12 @@
 from sesamepost.internal.settings.model import TeamBranch
 from sesamepost.internal.settings.problems import SettingsProblem
 from sesamepost.internal.store.envelope import decode_envelope, write_document
-from sesamepost.internal.store.interface import Store, StoreConflictError
+from sesamepost.internal.store.interface import (
+    Store,
+    StoreConflictError,
+    StoreRefusedError,
+    StoreUnavailableError,
+)
 
 MAX_EDIT_ATTEMPTS = 20
 
@@ -78,20 +84,22 @@
     the claims stay if the write then fails. Returns the new version.
     """
     new = parse_or_refuse(team, text, file)
-    stored = await read_branch(store, team)
-    if stored.version != expected:
-        raise conflict_error(
-            StoreConflictError(
-                branch_key(team), expected, stored.version, stored.author
+    with _before_the_write(team):
+        stored = await read_branch(store, team)
+        if stored.version != expected:
+            raise conflict_error(
+                StoreConflictError(
+                    branch_key(team), expected, stored.version, stored.author
+                )
             )
-        )
-    # A stored branch that this release can't read must not prevent its replacement.
-    old = parse_branch(team, stored.text).default_value(None)
-    problems = check_change(old, new)
-    problems += check_tree([*await _read_other_branches(store, team), new])
-    if problems:
-        raise ProblemsError(file, problems)
-    await _claim(store, new, file, author)
+        # A stored branch that this release can't read must not prevent its
+        # replacement.
+        old = parse_branch(team, stored.text).default_value(None)
+        problems = check_change(old, new)
+        problems += check_tree([*await _read_other_branches(store, team), new])
+        if problems:
+            raise ProblemsError(file, problems)
+        await _claim(store, new, file, author)
     return await _write(store, team, text, author, expected)
 
 
@@ -109,7 +117,8 @@
     """
     conflict: CommandError | None = None
     for _ in range(MAX_EDIT_ATTEMPTS):
-        stored = await require_branch(store, team)
+        with _before_the_write(team):
+            stored = await require_branch(store, team)
         branch = parse_or_refuse(team, stored.text, branch_key(team))
         text = edit(branch, stored.text)
         if text == stored.text:
@@ -125,6 +134,20 @@
     raise conflict
 
 
+@contextmanager
+def _before_the_write(team: str) -> Iterator[None]:
+    """Say that the branch was not written if the store fails in this block.
+
+    The outcome of the claims does not matter here, since a repeated command finds them.
+    """
+    try:
+        yield
+    except StoreUnavailableError as error:
+        raise StoreRefusedError(
+            f"{branch_key(team)} was not written: {error}"
+        ) from error
+
+
 async def _claim(store: Store, branch: TeamBranch, file: str, author: str) -> None:
     try:
         await claim_services(store, branch.team, branch.services, author)
--- a/tests/e2e/local.py
+++ b/tests/e2e/local.py
@@ -39,6 +39,10 @@
     stop: asyncio.Event = field(default_factory=asyncio.Event)
     run: asyncio.Task | None = None
 
+    @property
+    def peers(self):
+        return self.daemon.membership.own.address
+
     @property
     def callers(self):
         return "http://{}:{}".format(*self.daemon.callers_address)
@@ -57,7 +61,9 @@
         self.session = session
         self.vms = []
 
-    async def add(self, name, domain="fd-0", region="r-0", **endpoint_options):
+    async def add(
+        self, name, domain="fd-0", region="r-0", seeds=(), **endpoint_options
+    ):
         """Start a VM; its daemon and endpoint end with the fleet."""
         settings = ProcessSettings(
             vm=name,
@@ -68,7 +74,7 @@
             operators=ANY_PORT,
             endpoints=ANY_PORT,
             peers_key=b"key of the peers",
-            seeds=(),
+            seeds=tuple(seeds),
             store_url=self.store.url,
             stop_timeout_s=10.0,
         )
@@ -83,6 +89,17 @@
         self.vms.append(vm)
         return vm
 
+    async def remove(self, vm):
+        """End a VM without a planned stop; its partitions are not handed over."""
+        self.vms.remove(vm)
+        await vm.stack.aclose()
+        for other in self.vms:
+            # The pool forgets one of two streams that daemons opened to each other at
+            # the same moment. The end of a process closes it; here nothing else does.
+            stream = other.daemon.pool.streams.get(vm.daemon.node)
+            if stream is not None:
+                stream.close("the other VM has ended")
+
     async def put(self, team, text, expected=0):
         """Claim the services of a team's branch, write it and return its version."""
         branch = parse_branch(team, text)
--- /dev/null
+++ b/tests/e2e/test_store_outage.py
@@ -0,0 +1,123 @@
+"""A node that restarts and an operator who changes settings while the store is down."""
+
+import asyncio
+
+import pytest
+
+from sesamepost.internal.cli import commands
+from sesamepost.internal.cli.context import Context
+from sesamepost.internal.controller.capacity import owners_of
+from sesamepost.internal.identity import hash_key
+from sesamepost.internal.store.interface import StoreUnavailableError
+from tests.e2e.local import BRANCH, WAIT_S, running_fleet
+
+CHANGED = BRANCH + "queue_length = 99\n"
+
+
+def controller_of(fleet):
+    node = fleet.vms[0].daemon.views.controller.node
+    return next(vm for vm in fleet.vms if vm.daemon.node == node)
+
+
+def documents_of(vm):
+    """Return the versions of the documents that do not depend on the controller."""
+    versions = dict(vm.daemon.views.in_force)
+    versions.pop("controller", None)
+    return versions
+
+
+def keys_of(others, count=6):
+    """Return keys that these VMs own."""
+    assignment = others[0].daemon.views.assignments["ledger"]
+    names = (f"key-{number}" for number in range(1000))
+    owners = {other.daemon.node for other in others}
+    found = [name for name in names if assignment.find(hash_key(name)).owner in owners]
+    return found[:count]
+
+
+def has_owners(fleet, vms):
+    """Tell whether every daemon knows exactly these VMs as the owners."""
+    nodes = {vm.daemon.node for vm in vms}
+    views = [vm.daemon.views.assignments["ledger"] for vm in fleet.vms]
+    return all(set(owners_of(view)) == nodes for view in views)
+
+
+async def send_until_answered(fleet, vm, key):
+    async with asyncio.timeout(WAIT_S):
+        while True:
+            reply = await fleet.send(vm, key)
+            if reply.status == 200:
+                return
+            assert reply.outcome == "not-run", (key, reply.kind, reply.body)
+
+
+@pytest.mark.parametrize("restarted", ["controller", "other"])
+async def test_a_node_that_starts_in_an_outage_learns_all_from_its_seeds(restarted):
+    # Guards against a daemon that needs the store to route, and against one that never
+    # joins because its first attempts failed.
+    async with running_fleet(vms=4) as fleet:
+        leader = controller_of(fleet)
+        old = leader if restarted == "controller" else fleet.vms[fleet.vms[0] is leader]
+        fleet.store.set_faults(outage=True)
+        await fleet.remove(old)
+        others = list(fleet.vms)
+        settings = old.daemon.settings
+        new = await fleet.add(
+            settings.vm, settings.failure_domain, seeds=[vm.peers for vm in others]
+        )
+        await fleet.until(lambda: documents_of(new) == documents_of(others[0]))
+        assert {"settings/team", "services", "assignment/ledger", "fleet"} <= set(
+            documents_of(new)
+        )
+        for key in keys_of(others):
+            reply = await fleet.send(new, key)
+            assert reply.status == 200, reply.body
+        assert not new.daemon.membership.joined.is_set(), "the store was not down"
+        ready = f"{new.operators}/ready"
+        async with fleet.session.get(ready) as answer:
+            assert (answer.status, await answer.text()) == (
+                503,
+                "the node is not in the fleet yet\n",
+            )
+        fleet.store.set_faults(outage=False)
+        for number in range(12):
+            for vm in fleet.vms:
+                await send_until_answered(fleet, vm, f"key-{number}")
+        await fleet.until(lambda: has_owners(fleet, fleet.vms))
+        for number in range(12):
+            for vm in fleet.vms:
+                assert (await fleet.send(vm, f"key-{number}")).status == 200
+
+
+async def test_a_change_in_an_outage_fails_clearly_and_takes_effect_once_after_it(
+    tmp_path,
+):
+    # Guards against a command that leaves it open whether the change will come, and
+    # against a change that is written by a late attempt in addition.
+    async with running_fleet(vms=2) as fleet:
+        context = Context(fleet.store.url, fleet.vms[0].operators, False)
+        file = tmp_path / "team.ini"
+        file.write_text(CHANGED)
+
+        def put():
+            return commands.put(context, "team", file, if_version=1, author="ayesha")
+
+        def drain():
+            return commands.drain(
+                context, "vm-1", team="team", reason="deploy", author="ayesha"
+            )
+
+        fleet.store.set_faults(outage=True)
+        for change in (put, drain, put):
+            with pytest.raises(StoreUnavailableError, match="team was not written: "):
+                await change()
+        assert (await fleet.send(fleet.vms[1], "k")).status == 200
+        for vm in fleet.vms:
+            assert vm.daemon.views.in_force["settings/team"] == 1
+        fleet.store.set_faults(outage=False)
+        assert (await put()).payload["version"] == 2
+        output = await commands.wait(context, "team", 2, timeout_s=7)
+        assert output.payload["nodes"] == 2
+        for vm in fleet.vms:
+            assert vm.daemon.views.services["ledger"].queue_length == 99
+        assert (await commands.show(context, "team")).payload["version"] == 2
