--- a/src/sesamepost/internal/admission/__init__.py
+++ b/src/sesamepost/internal/admission/__init__.py
@@ -1,1 +1,1 @@
-"""Limits of one endpoint: slots, connections, classes, warm-up and health."""
+"""Limits of one endpoint: slots, queues of classes, cold start and health."""
--- a/src/sesamepost/internal/balance/balancing.py
+++ b/src/sesamepost/internal/balance/balancing.py
@@ -1,7 +1,7 @@
 """Balance moves: the trade-off between imbalance, churn and unavailable time."""
 
 import heapq
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from sesamepost.internal.balance.board import ABSENT, MAX_SHARE, Board
 from sesamepost.internal.balance.plan import Loads, Move, Plan, Reason
@@ -12,12 +12,10 @@
 # this share of the mean.
 IMBALANCE_UNIT = 0.1
 
-# Factors on load differences and costs before a series of moves starts. Noise of 5% on
-# each partition changes a ratio to the mean by up to 10.5%, in either direction.
-START_SOURCE_FACTOR = 0.9
-START_DESTINATION_FACTOR = 1.1
-START_LOAD_FACTOR = 1.11
-START_COST_FACTOR = 1.15
+# Before a series of moves starts, the source's load counts as this much lower and the
+# cost as this much higher. Noise of 5% on each partition changes a load relative to the
+# mean, or to another load, by up to 1.05 / 0.95 = 1.105.
+START_MARGIN = 1.11
 
 # A key below this share of the mean partition's load is cold. The distance from the
 # threshold of a hot key keeps a key from moving back and forth.
@@ -51,6 +49,7 @@
         "partitions_limit",
         "partitions_minimum",
         "received",
+        "reported",
         "targets",
         "touched",
         "unavailable_s",
@@ -65,6 +64,12 @@
         self.weights = weights
         self.unavailable_s = loads.unavailable_s
         self.unreported = loads.unreported
+        # Nodes that may give or receive items for the sake of balance.
+        self.reported = frozenset(
+            target
+            for target in board.targets
+            if board.node_id(target) not in loads.unreported
+        )
         self.max_moves = max_moves
         self.inbound_limit = max(
             MIN_MOVES_PER_DESTINATION, int(max_moves * MAX_MOVES_SHARE_PER_DESTINATION)
@@ -111,7 +116,7 @@
     def _measure(self) -> None:
         """Set the units, which do not change within a round."""
         board = self.board
-        slots = sum(board.slots[target] for target in board.targets)
+        slots = sum(board.full_slots[target] for target in board.targets)
         load = sum(board.load[target] for target in board.targets)
         self.mean_slots = slots / len(board.targets)
         # Without any owned partition there is nothing to move and no load to divide by.
@@ -131,9 +136,13 @@
         ]
 
     def _relative_load(self, node: int) -> float:
-        return self.board.load[node] / (
-            self.board.slots[node] * self.mean_load_per_slot
-        )
+        """Return the load for each slot relative to the mean, of a node that may give.
+
+        The full capacity counts: a VM that restarted under the policy ``wait`` would
+        otherwise lose partitions during its short ramp and get them back after it.
+        """
+        slots = self.board.full_slots[node]
+        return self.board.load[node] / (slots * self.mean_load_per_slot)
 
     def _terms(
         self, source: int, destination: int, starts: bool
@@ -145,15 +154,16 @@
         """
         slots = self.board.slots
         source_load = self._relative_load(source)
-        destination_load = self._relative_load(destination)
+        destination_load = self.board.load[destination] / slots[destination]
+        destination_load /= self.mean_load_per_slot
         # Both nodes' relative loads change by the load over their own slots.
-        change = self.mean_slots * (1 / slots[source] + 1 / slots[destination]) / 2
+        change = 1 / self.board.full_slots[source] + 1 / slots[destination]
+        change *= self.mean_slots / 2
         cost = 1.0
         if starts:
-            source_load *= START_SOURCE_FACTOR
-            destination_load *= START_DESTINATION_FACTOR
-            change *= START_LOAD_FACTOR
-            cost = START_COST_FACTOR
+            source_load /= START_MARGIN
+            change *= START_MARGIN
+            cost = START_MARGIN
         gain = self.weights.imbalance / IMBALANCE_UNIT
         unavailable = self.unavailable_s * self.weights.unavailable * cost
         return (
@@ -169,7 +179,7 @@
         empty nodes the larger comes first.
         """
         heap = []
-        for target in self.board.targets:
+        for target in self.reported:
             if len(self.board.held[target]) >= self.partitions_limit[target]:
                 continue
             if self.received[target] < self.inbound_limit:
@@ -193,7 +203,11 @@
         heapq.heapreplace(heap, (self._load_to_receive(node), node))
 
     def _seed_new_nodes(self) -> None:
-        """Give nodes with hardly any partitions a few, from the most loaded nodes."""
+        """Give nodes with hardly any partitions a few light ones.
+
+        They come from the most loaded nodes. Heavy ones may contain hot keys, which are
+        moved by exceptions instead.
+        """
         board = self.board
         sources = None
         for target in board.targets:
@@ -205,7 +219,7 @@
                 while sources and partition is None:
                     source = heapq.heappop(sources)[1]
                     if source != target:
-                        partition, _ = self._best_partition(source, target, False)
+                        partition = self._lightest_partition(source)
                 if partition is None:
                     return
                 move = board.move_partition(partition, target, Reason.NEW_NODE)
@@ -220,6 +234,9 @@
             partition = board.assignment.partition_of(key)
             if self._is_full() or partition in self.touched:
                 continue
+            # A node that waits for its restart may not answer any more.
+            if not {board.key_owner[key], board.owner[partition]} <= self.targets:
+                continue
             self.moves.append(board.return_key(key, Reason.KEY_COLD))
             self.touched.add(partition)
 
@@ -239,42 +256,51 @@
         if not destinations:
             return False
         destination = destinations[0][1]
-        if self._hottest_key(destination, starts=True) is not None:
-            return True
+        for key, rate in self._hot_keys(starts=True):
+            if self._is_key_worth_moving(key, rate, destination, starts=True):
+                return True
         for _, source in sorted(self._sources()):
-            if source == destination:
+            if source == destination or source not in self.reported:
                 continue
             if self._best_partition(source, destination, starts=True)[1] > 0.0:
                 return True
         return False
 
-    def _hottest_key(self, destination: int, starts: bool) -> int | None:
-        """Return the hottest key that is worth a move, or None."""
-        board = self.board
-        limit = self.mean_partition_rate * (START_LOAD_FACTOR if starts else 1.0)
+    def _hot_keys(self, starts: bool) -> Iterator[tuple[int, float]]:
+        """Return the hot keys with their rates, the hottest first."""
+        limit = self.mean_partition_rate * (START_MARGIN if starts else 1.0)
         for key, rate in self.hottest_keys:
             if rate <= limit:
-                break
-            source = board.owner_of_key(key)
-            if source == destination or source not in self.targets:
-                continue
-            if board.assignment.partition_of(key) in self.touched:
-                continue
-            if key not in board.key_owner and len(board.key_owner) >= MAX_EXCEPTIONS:
-                continue
-            a, b, c = self._terms(source, destination, starts)
-            if a * rate - b * rate * rate - c > 0.0:
-                return key
-        return None
+                return
+            yield key, rate
+
+    def _is_key_worth_moving(
+        self, key: int, rate: float, destination: int, starts: bool
+    ) -> bool:
+        board = self.board
+        source = board.owner_of_key(key)
+        if source == destination or source not in self.reported:
+            return False
+        if board.assignment.partition_of(key) in self.touched:
+            return False
+        if key not in board.key_owner and len(board.key_owner) >= MAX_EXCEPTIONS:
+            return False
+        a, b, c = self._terms(source, destination, starts)
+        return a * rate - b * rate * rate - c > 0.0
 
     def _move_hot_keys(self) -> None:
+        """Move hot keys while it is worth it.
+
+        One pass is enough, since the least loaded destination only becomes more loaded.
+        """
         board = self.board
         destinations = self._destinations()
-        while destinations and not self._is_full():
-            destination = destinations[0][1]
-            key = self._hottest_key(destination, starts=False)
-            if key is None:
+        for key, rate in self._hot_keys(starts=False):
+            if not destinations or self._is_full():
                 return
+            destination = destinations[0][1]
+            if not self._is_key_worth_moving(key, rate, destination, starts=False):
+                continue
             partition = board.assignment.partition_of(key)
             self.touched.add(partition)
             if key in board.key_owner and board.owner[partition] == destination:
@@ -295,7 +321,7 @@
             source = sources[0][1]
             destination = destinations[0][1]
             partition = None
-            if source != destination:
+            if source != destination and source in self.reported:
                 partition, value = self._best_partition(source, destination, False)
             if partition is None or value <= 0.0:
                 heapq.heappop(sources)
@@ -306,6 +332,13 @@
             self._received(destinations)
             heapq.heapreplace(sources, (-self._relative_load(source), source))
 
+    def _lightest_partition(self, source: int) -> int | None:
+        held = self.board.held[source]
+        if len(held) <= self.partitions_minimum[source]:
+            return None
+        free = held - self.touched
+        return min(free, key=lambda item: (self.board.rate[item], item), default=None)
+
     def _best_partition(
         self, source: int, destination: int, starts: bool
     ) -> tuple[int | None, float]:
--- a/src/sesamepost/internal/balance/plan.py
+++ b/src/sesamepost/internal/balance/plan.py
@@ -28,7 +28,8 @@
 class NodeCapacity:
     """A node that is neither fenced nor gone, as the planner sees it.
 
-    ``slots`` is the capacity after the cold-start ramp.
+    ``slots`` is the capacity that the cold-start ramp allows so far; ``full_slots`` the
+    one after it, None if the ramp has ended.
     """
 
     node: NodeId
@@ -36,6 +37,7 @@
     region: str
     slots: float
     state: NodeState = NodeState.IN_SERVICE
+    full_slots: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,8 +48,9 @@
     partition's rate contains those of its hot keys, except keys that have an exception.
     ``keys`` maps the hashes of hot keys to their rates. ``partition_keys`` holds the
     number of keys of the partitions for which it is known. ``unavailable_s`` is the
-    expected time without service of one planned move. ``unreported`` names nodes
-    without a usable report; their exceptions are not taken for cold.
+    expected time without service of one planned move. ``unreported`` names nodes whose
+    load is not known well enough for balance moves; their exceptions are not taken for
+    cold. Rates for them are guesses, good enough to place items that must move.
     """
 
     partitions: Sequence[float] = ()
@@ -99,7 +102,9 @@
 
     ``assign`` needs no release and loses the idempotency records; ``moves`` need a
     release by their source. ``unfinished`` says that a limit of the round cut balance
-    moves short; the caller passes it to the next round as ``continuing``.
+    moves short; the caller passes it to the next round as ``continuing``. A caller with
+    moves of an earlier plan under way finishes or abandons them before it plans again,
+    since the planner knows nothing of releases.
     """
 
     assign: tuple[Move, ...] = ()
--- a/tests/balance/test_planner.py
+++ b/tests/balance/test_planner.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 import pytest
-from fleets import (
+from balance_fleets import (
     EQUAL,
     LAHORE,
     VALUATION,
@@ -123,10 +123,24 @@
     assert not decide(before, leaving, **wait).moves
     assert not decide(before, leaving, **wait).assign
     assert decide(before, with_state(nodes, NodeState.DRAINING, 2), **wait).moves
-    restarted = replace(nodes[2], node=NodeId(nodes[2].node.vm, 99), slots=1.2)
+    restarted = replace(
+        nodes[2], node=NodeId(nodes[2].node.vm, 99), slots=1.2, full_slots=6.0
+    )
     result = decide(before, [*nodes[:2], restarted, *nodes[3:]], **wait)
     assert items(result.assign) == partitions_of(before, nodes[2].node)
     assert {move.destination for move in result.assign} == {restarted.node}
+    nodes[2] = restarted
+    assert not decide(apply(result, before, 3), nodes, **wait).moves
+
+
+def test_a_cold_key_of_a_node_that_waits_for_its_restart_stays():
+    # Guards against a round that waits for the release of a stopped node.
+    nodes = fleet(6)
+    before = placed(nodes)
+    before.set_key_owner(77, nodes[2].node, 5, records_kept=True)
+    assert decide(before, nodes).moves
+    leaving = with_state(nodes, NodeState.LEAVING, 2)
+    assert not decide(before, leaving, restart=RestartPolicy.WAIT).moves
 
 
 @pytest.mark.parametrize("weights", [LAHORE, VALUATION, Weights(1.0, 1e9, 1e9)])
@@ -137,11 +151,49 @@
     before = placed(nodes[:6])
     result = decide(before, nodes, weights=weights)
     assert 4 <= len(result.moves) <= 16
+    skewed = skewed_loads(512)
+    mean = sum(skewed.partitions) / 512
+    first = decide(before, nodes, skewed, weights, max_moves=4).moves
+    assert all(skewed.partitions[move.item] < mean for move in first)
     assert (
         len(partitions_of(settle(before, nodes, weights=weights), nodes[6].node)) >= 4
     )
 
 
+def test_the_few_partitions_of_a_node_do_not_move_back_and_forth():
+    # Guards against balance that takes away what a nearly empty node was just given.
+    nodes = fleet(8)
+    before = placed(nodes, 64)
+    loads = Loads(partitions=[1000.0] + [10.0] * 63)
+    assert min(counts(settle(before, nodes, loads)).values()) >= 4
+
+
+def test_nodes_without_reports_take_no_part_in_balance():
+    # Guards against moves on guesses, such as a new controller's before any report.
+    nodes = fleet(7)
+    before = placed(nodes[:6])
+    loads = skewed_loads(512, sigma=1.5)
+    unknown = replace(loads, unreported=frozenset({nodes[0].node, nodes[6].node}))
+    moves = decide(before, nodes, unknown).moves
+    by_rule = [move for move in moves if move.reason is not Reason.NEW_NODE]
+    assert len(moves) - len(by_rule) == 4
+    assert by_rule
+    involved = {move.source for move in by_rule} | {m.destination for m in by_rule}
+    assert not involved & unknown.unreported
+    loads = Loads(unreported=frozenset(item.node for item in nodes))
+    assert {move.reason for move in decide(before, nodes, loads).moves} == {
+        Reason.NEW_NODE
+    }
+
+
+def test_a_series_cut_by_a_limit_continues_to_its_end():
+    # Guards against stopping between the two thresholds, where noise starts it again.
+    nodes = fleet(6)
+    loads = skewed_loads(512, sigma=1.5)
+    settled = settle(placed(nodes), nodes, loads, max_moves=1)
+    assert not decide(settled, nodes, loads, continuing=True).moves
+
+
 def test_balance_moves_are_limited_and_reduce_the_imbalance():
     nodes = fleet(6)
     loads = skewed_loads(512, sigma=1.2)
@@ -267,7 +319,12 @@
     lost = decide(before, nodes[:5], loads)
     taken = sum(move.destination == nodes[0].node for move in lost.assign)
     assert taken <= len(lost.assign) * 0.45
-    settled = settle(before, nodes, loads)
+
+    def as_reported(assignment):
+        held = partitions_of(assignment, nodes[0].node)
+        return Loads(partitions=[0.0 if p in held else 10.0 for p in range(512)])
+
+    settled = settle(before, nodes, as_reported)
     assert len(partitions_of(settled, nodes[0].node)) <= 2 * 512 / 6 + 1
 
 
@@ -276,7 +333,10 @@
     nodes = fleet(480, domains=5)
     before = placed(nodes, 4096)
     loads = skewed_loads(4096)
+    chance = random.Random(4)
+    keys = {chance.getrandbits(64): chance.uniform(10, 60) for _ in range(8 * 480)}
     for name, present, given_loads in (
+        ("eight hot keys a node", nodes, with_hot_keys(before, loads, keys)),
         ("new service", nodes, Loads()),
         ("failure domain lost", nodes[96:], loads),
         ("balance", nodes, loads),
