Give requests without a class to the class default

Cause: admission takes the first class of a service for requests that name none. A branch that lists [class:s/night] before [class:s/default] made that `night`, although the settings page promises `default`; the metrics label it `default`, too. Ruled out: a change of admission, which is another package and right for the order that it is given. Before: the new test got [('night', 2), ('default', 3)]. After: the 103 tests of settings and cli pass.

--- a/src/sesamepost/internal/settings/branch.py
+++ b/src/sesamepost/internal/settings/branch.py
@@ -138,6 +138,8 @@
         if all(item.name != DEFAULT_CLASS for item in classes):
             # Requests that name no class must not fail when a team adds its first one.
             classes.insert(0, ClassSettings(DEFAULT_CLASS))
+        # Admission gives requests that name no class to the first one.
+        classes.sort(key=lambda item: item.name != DEFAULT_CLASS)
         if all(item.weight == 0 for item in classes):
             self.report_header(
                 self.service_sections[name],
--- a/tests/settings/test_branch.py
+++ b/tests/settings/test_branch.py
@@ -138,3 +138,13 @@
     branches = [branch("[service:a]"), branch("[service:a]\n[service:b]", "valuation")]
     (problem,) = check_tree(branches)
     assert "settings/valuation: [service:a]: team lahore defines" in str(problem)
+
+
+def test_the_default_class_is_first_wherever_the_branch_has_it():
+    # Guards against requests without a class that land in whichever class is first.
+    text = "[service:s]\n[class:s/night]\nweight = 2\n[class:s/default]\nweight = 3\n"
+    classes = parse_branch("lahore", text).ok.services["s"].classes
+    assert [(item.name, item.weight) for item in classes] == [
+        ("default", 3),
+        ("night", 2),
+    ]
