Measure the request path against two bare HTTP hops

Cause: the load generator was one process, could not tell a crossing request from a local one, and gave no reference for the cost of HTTP itself.

Ruled out: comparing without weight_imbalance = 0.

--- /dev/null
+++ b/src/sesamepost/tools/compare.py
@@ -0,0 +1,190 @@
+"""Compares what a request costs through the daemons and through two bare HTTP hops."""
+
+import os
+import statistics
+import tempfile
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from sesamepost.tools.fleet import HOST, LocalFleet, LocalVm
+from sesamepost.tools.load import MIB, Outcome, Plan, drive
+
+FORWARDER_PORT_OFFSET = 5
+FORWARDER_ENDPOINT_PORT_OFFSET = 6
+CANDIDATE_KEYS = 400
+WARM_UP_S = 2.0
+BARE = "bare hops"
+LOCAL = "local"
+CROSSING = "crossing"
+# The load falls on one VM only, so the planner would move its partitions away during a
+# measurement; without weight for imbalance every key keeps its owner.
+# More slots than requests at once: waiting in the queue has a price of its own.
+SLOTS = 64
+BRANCH = f"""\
+[team]
+weight_imbalance = 0
+
+[service:lookup]
+partitions = 64
+slots = {SLOTS}
+connections = 110
+"""
+
+
+class LeanFleet(LocalFleet):
+    """A local fleet whose endpoints are lean ones, and a bare forwarder."""
+
+    @property
+    def forwarder(self) -> str:
+        """Base URL of the bare forwarder."""
+        return f"http://{HOST}:{self.base_port + FORWARDER_PORT_OFFSET}"
+
+    async def start_endpoint(self, vm: LocalVm, service: str) -> None:
+        """Start the lean endpoint of one VM."""
+        port = vm.endpoint_port(self.services.index(service))
+        vm.endpoints[service] = await self._run_endpoint(
+            port, "--announce", vm.announcements, "--service", service
+        )
+
+    async def start_forwarder(self) -> int:
+        """Start the forwarder with an endpoint of its own and return its process id."""
+        endpoint_port = self.base_port + FORWARDER_ENDPOINT_PORT_OFFSET
+        await self._run_endpoint(endpoint_port)
+        process = await self.run(
+            "sesamepost.tools.forwarder",
+            *("--port", str(self.base_port + FORWARDER_PORT_OFFSET)),
+            *("--target", f"http://{HOST}:{endpoint_port}"),
+        )
+        await self._wait_for(self.forwarder)
+        return process.pid
+
+    async def keys_by_owner(self, vm: LocalVm, service: str) -> dict[str, list[str]]:
+        """Return keys by the name of the VM that owns them, as ``vm`` sees it."""
+        keys: dict[str, list[str]] = {}
+        for number in range(CANDIDATE_KEYS):
+            query = {"service": service, "key": f"key-{number}"}
+            url = f"{vm.operators}/owner"
+            async with self.session.get(url, params=query) as answer:
+                owner = (await answer.json())["owner"].partition("@")[0]
+            keys.setdefault(owner, []).append(query["key"])
+        return keys
+
+    async def _run_endpoint(self, port: int, *arguments: str):
+        process = await self.run(
+            "sesamepost.tools.lean_endpoint",
+            *("--port", str(port), "--slots", str(SLOTS), *arguments),
+        )
+        await self._wait_for(f"http://{HOST}:{port}/")
+        return process
+
+
+@dataclass(frozen=True, slots=True)
+class MeasuredPath:
+    """One way for requests; ``pids`` are the processes whose CPU time it costs."""
+
+    name: str
+    plan: Plan
+    pids: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """One measurement; ``cpu_us`` has one figure per request for each process."""
+
+    outcome: Outcome
+    rate: float
+    cpu_us: tuple[float, ...]
+
+    @property
+    def total_us(self) -> float:
+        """CPU time of all processes of the path for one request."""
+        return sum(self.cpu_us)
+
+
+async def compare_paths(plan: Plan, rounds: int, base_port: int) -> int:
+    """Measure each path in turn, several times, and print the ratios."""
+    with tempfile.TemporaryDirectory(prefix="sesamepost-") as directory:
+        fleet = LeanFleet(Path(directory), 2, base_port, failure_domains=1)
+        async with fleet:
+            await fleet.start(BRANCH)
+            paths = await _paths(fleet, plan)
+            for path in paths:
+                await drive(replace(path.plan, seconds=WARM_UP_S, rate=0.0))
+            samples = {path.name: [] for path in paths}
+            for number in range(rounds):
+                for path in paths:
+                    sample = await _measure(path)
+                    samples[path.name].append(sample)
+                    _print_sample(f"{number + 1}. {path.name}", sample)
+            for vm in fleet.vms:
+                rss = _resident_bytes(vm.daemon.pid) / MIB
+                print(f"resident memory of {vm.name}'s daemon: {rss:.0f} MiB")
+    _print_summary(samples)
+    wrong = sum(s.outcome.wrong for group in samples.values() for s in group)
+    return 1 if wrong else 0
+
+
+async def _paths(fleet: LeanFleet, plan: Plan) -> list[MeasuredPath]:
+    entry, other = fleet.vms
+    service = fleet.services[0]
+    keys = await fleet.keys_by_owner(entry, service)
+    plan = replace(plan, callers=[entry.callers], service=service)
+    forwarder_pid = await fleet.start_forwarder()
+    local_keys, crossing_keys = keys[entry.name], keys[other.name]
+    return [
+        MeasuredPath(
+            BARE,
+            replace(plan, callers=[fleet.forwarder], keys=local_keys),
+            (forwarder_pid,),
+        ),
+        MeasuredPath(LOCAL, replace(plan, keys=local_keys), (entry.daemon.pid,)),
+        MeasuredPath(
+            CROSSING,
+            replace(plan, keys=crossing_keys),
+            (entry.daemon.pid, other.daemon.pid),
+        ),
+    ]
+
+
+async def _measure(path: MeasuredPath) -> Sample:
+    before = [_cpu_s(pid) for pid in path.pids]
+    outcome = await drive(path.plan)
+    after = [_cpu_s(pid) for pid in path.pids]
+    total = max(1, len(outcome.latencies))
+    costs = [(b - a) / total * 1e6 for a, b in zip(before, after, strict=True)]
+    return Sample(outcome, total / path.plan.seconds, tuple(costs))
+
+
+def _print_sample(title: str, sample: Sample) -> None:
+    outcome = sample.outcome
+    cpu = " + ".join(f"{cost:.0f}" for cost in sample.cpu_us)
+    print(
+        f"{title:>13}: {sample.rate:5.0f}/s, CPU {cpu} us a request, ms: "
+        f"p50 {outcome.percentile(50):.2f}, p99 {outcome.percentile(99):.2f}, "
+        f"p99.9 {outcome.percentile(99.9):.2f}, {dict(outcome.statuses)}, "
+        f"{outcome.wrong} wrong",
+        flush=True,
+    )
+
+
+def _print_summary(samples: dict[str, list[Sample]]) -> None:
+    bare = statistics.median(s.total_us for s in samples[BARE])
+    for name, group in samples.items():
+        costs = [s.total_us for s in group]
+        median = statistics.median(costs)
+        print(
+            f"{name}: median {median:.0f} us CPU ({min(costs):.0f} to "
+            f"{max(costs):.0f}), {median / bare:.2f} times the bare hops"
+        )
+
+
+def _cpu_s(pid: int) -> float:
+    # Fields 14 and 15 of /proc/PID/stat; the name before them may contain spaces.
+    with open(f"/proc/{pid}/stat") as stat:
+        fields = stat.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _resident_bytes(pid: int) -> int:
+    with open(f"/proc/{pid}/statm") as statm:
+        return int(statm.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
--- a/src/sesamepost/tools/forwarder.py
+++ b/src/sesamepost/tools/forwarder.py
@@ -16,6 +16,9 @@
 from aiohttp.web_request import BaseRequest
 
 HOST = "127.0.0.1"
+# Only what the load generator checks is passed on; filtering the headers is the
+# router's work and belongs to its price.
+PASSED_HEADERS = ("Sesamepost-Key", "X-Request-Id")
 
 
 async def _serve(port: int, target: str) -> None:
@@ -27,8 +30,10 @@
 
         async def forward(request: BaseRequest) -> web.Response:
             body = await request.read() if request.body_exists else None
+            given = request.headers
+            headers = {name: given[name] for name in PASSED_HEADERS if name in given}
             async with session.request(
-                request.method, target + request.raw_path, data=body
+                request.method, target + request.raw_path, data=body, headers=headers
             ) as answer:
                 return web.Response(status=answer.status, body=await answer.read())
 
--- /dev/null
+++ b/src/sesamepost/tools/lean_endpoint.py
@@ -0,0 +1,86 @@
+"""An endpoint that costs little, so that it does not limit a measurement.
+
+It answers every request with a small JSON body that echoes what the load generator
+checks. Unlike ``sesamepost-endpoint`` it simulates no faults and checks no fence.
+"""
+
+import asyncio
+import json
+import os
+
+os.environ["UV_USE_IO_URING"] = "0"
+
+import aiohttp
+import defopt
+import uvloop
+from aiohttp import web
+from aiohttp.web_request import BaseRequest
+
+HOST = "127.0.0.1"
+ANNOUNCE_INTERVAL_S = 1.0
+ANNOUNCE_TIMEOUT_S = 0.5
+CONNECTIONS = 110
+
+
+async def _answer(request: BaseRequest) -> web.Response:
+    body = await request.read() if request.body_exists else b""
+    content = {
+        "key": request.headers.get("Sesamepost-Key", ""),
+        "request_id": request.headers.get("X-Request-Id", ""),
+        "body_length": len(body),
+    }
+    return web.Response(
+        body=json.dumps(content).encode(), content_type="application/json"
+    )
+
+
+async def _announce(daemon: str, service: str, url: str, slots: int) -> None:
+    report = {
+        "url": url,
+        "fenced": False,
+        "slots": slots,
+        "connections": CONNECTIONS,
+        "state": "ready",
+        "load": 0.0,
+    }
+    timeout = aiohttp.ClientTimeout(total=ANNOUNCE_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        while True:
+            try:
+                async with session.put(f"{daemon}/v1/endpoints/{service}", json=report):
+                    pass
+            except (aiohttp.ClientError, TimeoutError):
+                # The daemon may start after the endpoint.
+                pass
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+
+async def _serve(port: int, service: str, announce: str, slots: int) -> None:
+    runner = web.ServerRunner(web.Server(_answer), handle_signals=False)
+    await runner.setup()
+    await web.TCPSite(runner, HOST, port).start()
+    if announce:
+        await _announce(announce, service, f"http://{HOST}:{port}", slots)
+    await asyncio.Event().wait()
+
+
+def run(
+    *, port: int, service: str = "lookup", announce: str = "", slots: int = 64
+) -> None:
+    """Answer every request at once.
+
+    :param port: port on loopback to listen at
+    :param service: the service to announce
+    :param announce: base URL of a daemon's endpoints' port; empty announces nothing
+    :param slots: requests at once that are announced
+    """
+    uvloop.run(_serve(port, service, announce, slots))
+
+
+def main() -> None:
+    """Parse the command line and run."""
+    defopt.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/sesamepost/tools/load.py
+++ b/src/sesamepost/tools/load.py
@@ -1,12 +1,14 @@
 """Drives a running fleet, checks every answer and prints latencies and costs."""
 
 import asyncio
+import multiprocessing
 import os
 import random
 import sys
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field, replace
 
 os.environ["UV_USE_IO_URING"] = "0"
 
@@ -15,6 +17,8 @@
 import uvloop
 
 REQUEST_ID_HEADER = "X-Request-Id"
+MAX_PROCESSES = 4
+START_DELAY_S = 1.5
 MIB = 1 << 20
 HISTOGRAM_BOUNDS_MS = (
     0.5,
@@ -38,17 +42,23 @@
 
 @dataclass(slots=True)
 class Plan:
-    """What to send. ``rate`` is in requests/s over all workers; 0 sends at once."""
+    """What to send.
+
+    ``rate`` is in requests/s over all processes; 0 sends the next request when one is
+    answered. ``start_at`` is on the wall clock, which the processes share.
+    """
 
     callers: list[str]
     service: str
     seconds: float
     concurrency: int
     rate: float
-    keys: int
+    keys: list[str]
     body: bytes
     repeatable: bool
     seed: int
+    processes: int = 1
+    start_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -60,6 +70,13 @@
     wrong: int = 0
     sent: Counter[str] = field(default_factory=Counter)
 
+    def add(self, other: "Outcome") -> None:
+        """Take in what another process received."""
+        self.latencies += other.latencies
+        self.statuses += other.statuses
+        self.wrong += other.wrong
+        self.sent += other.sent
+
     def percentile(self, percent: float) -> float:
         """Return a latency in milliseconds."""
         if not self.latencies:
@@ -70,9 +87,39 @@
 
 
 async def drive(plan: Plan) -> Outcome:
-    """Send requests until the time is over and return what came back."""
+    """Send requests from several processes and return what came back to all."""
+    if plan.processes == 1:
+        return await _drive_here(plan)
+    start_at = time.time() + START_DELAY_S
+    parts = [
+        replace(
+            plan,
+            concurrency=max(1, plan.concurrency // plan.processes),
+            rate=plan.rate / plan.processes,
+            seed=plan.seed * MAX_PROCESSES + number,
+            processes=1,
+            start_at=start_at,
+        )
+        for number in range(plan.processes)
+    ]
+    total = Outcome()
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(plan.processes, mp_context=context) as executor:
+        loop = asyncio.get_running_loop()
+        runs = [loop.run_in_executor(executor, _drive_part, part) for part in parts]
+        for outcome in await asyncio.gather(*runs):
+            total.add(outcome)
+    return total
+
+
+def _drive_part(plan: Plan) -> Outcome:
+    return uvloop.run(_drive_here(plan))
+
+
+async def _drive_here(plan: Plan) -> Outcome:
     outcome = Outcome()
     numbers = iter(range(sys.maxsize))
+    await asyncio.sleep(max(0.0, plan.start_at - time.time()))
     started = time.perf_counter()
     stop_at = started + plan.seconds
 
@@ -80,12 +127,16 @@
         choose = random.Random(plan.seed * 1000 + worker)
         while True:
             number = next(numbers)
+            began = time.perf_counter()
             if plan.rate:
-                due = started + number / plan.rate
-                await asyncio.sleep(max(0.0, due - time.perf_counter()))
-            if time.perf_counter() >= stop_at:
+                # Counted from the planned moment: a request that had to wait for a free
+                # worker is late because earlier answers were.
+                began = started + number / plan.rate
+                await asyncio.sleep(max(0.0, began - time.perf_counter()))
+            if max(began, time.perf_counter()) >= stop_at:
                 return
-            await _send_one(session, plan, choose, f"{plan.seed}-{number}", outcome)
+            request_id = f"{plan.seed}-{number}"
+            await _send_one(session, plan, choose, request_id, began, outcome)
 
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(
@@ -102,9 +153,10 @@
     plan: Plan,
     choose: random.Random,
     request_id: str,
+    began: float,
     outcome: Outcome,
 ) -> None:
-    key = f"key-{choose.randrange(plan.keys)}"
+    key = choose.choice(plan.keys)
     url = f"{choose.choice(plan.callers)}/load"
     headers = {
         "Sesamepost-Service": plan.service,
@@ -112,7 +164,6 @@
         "Sesamepost-Repeatable": "yes" if plan.repeatable else "no",
         REQUEST_ID_HEADER: request_id,
     }
-    began = time.perf_counter()
     try:
         async with session.post(url, data=plan.body, headers=headers) as answer:
             content = await answer.json(content_type=None) if answer.ok else None
@@ -164,7 +215,8 @@
         after = [await read_usage(session, url) for url in operators]
         duplicates = await count_duplicates(session, endpoints)
     total = len(outcome.latencies)
-    print(f"requests: {total}, {total / plan.seconds:.0f}/s, seed {plan.seed}")
+    rate = total / plan.seconds
+    print(f"requests: {total}, {rate:.0f}/s, seed {plan.seed}")
     for status, count in outcome.statuses.most_common():
         print(f"  {status}: {count}")
     print(f"answers that do not match their request: {outcome.wrong}")
@@ -196,7 +248,7 @@
 
 def run(
     *,
-    callers: list[str],
+    callers: list[str] | None = None,
     operators: list[str] | None = None,
     endpoints: list[str] | None = None,
     service: str = "lookup",
@@ -206,7 +258,11 @@
     keys: int = 10_000,
     body_bytes: int = 256,
     repeatable: bool = False,
+    processes: int = 1,
     seed: int = 1,
+    compare: bool = False,
+    rounds: int = 3,
+    base_port: int = 21000,
 ) -> None:
     """Send requests to a running fleet and check every answer.
 
@@ -220,19 +276,34 @@
     :param keys: number of different keys
     :param body_bytes: size of each request body in bytes
     :param repeatable: allow the router to repeat requests
+    :param processes: processes that send, at most 4
     :param seed: seed of the choice of keys and daemons
+    :param compare: start an own fleet of 2 VMs and a bare forwarder, and print what a
+        request costs through each
+    :param rounds: how often ``--compare`` measures each path
+    :param base_port: first port of the fleet that ``--compare`` starts
     """
+    if not 1 <= processes <= MAX_PROCESSES:
+        sys.exit(f"--processes must be 1 to {MAX_PROCESSES}, not {processes}")
+    if not callers and not compare:
+        sys.exit("--callers is missing; or use --compare, which starts its own fleet")
     plan = Plan(
-        callers,
+        callers or [],
         service,
         seconds,
         concurrency,
         rate,
-        keys,
+        [f"key-{number}" for number in range(keys)],
         b"x" * body_bytes,
         repeatable,
         seed,
+        processes,
     )
+    if compare:
+        # Only this option needs the fleet's module, which is slow to import.
+        from sesamepost.tools.compare import compare_paths
+
+        sys.exit(uvloop.run(compare_paths(plan, rounds, base_port)))
     sys.exit(uvloop.run(_run(plan, operators or [], endpoints or [])))
 
 
