Bound the fragments that a peer can leave unfinished

Cause: 64 open messages of 9 MiB each were allowed on one stream (576 MiB), empty fragments were unlimited, and each fragment summed up all earlier ones of its message. Now 36 MiB may be open, empty fragments are invalid and sizes are kept. The tests fail without this.

--- a/src/sesamepost/internal/wire/frames.py
+++ b/src/sesamepost/internal/wire/frames.py
@@ -11,6 +11,9 @@
 MAX_MESSAGE_BYTES = 9 << 20
 FRAGMENT_BYTES = 64 << 10
 MAX_OPEN_FRAGMENTED_MESSAGES = 64
+# A sender writes the fragments of one message in a row, so few messages are open.
+MAX_OPEN_FRAGMENT_BYTES = 4 * MAX_MESSAGE_BYTES
+MAX_FRAGMENTS = MAX_MESSAGE_BYTES // FRAGMENT_BYTES + 1
 
 
 class FrameReader:
@@ -54,24 +57,41 @@
 class FragmentAssembler:
     """Joins the fragments of large messages, with bounded memory."""
 
-    __slots__ = ("parts", "total_bytes")
+    __slots__ = ("parts", "sizes", "total_bytes")
 
     def __init__(self) -> None:
         self.parts: dict[int, list[bytes]] = {}
+        self.sizes: dict[int, int] = {}
         self.total_bytes = 0
 
     def add(self, fragment: Fragment) -> bytes | None:
-        """Return the whole message when its last fragment has arrived."""
-        parts = self.parts.setdefault(fragment.sequence, [])
+        """Return the whole message when its last fragment has arrived.
+
+        Raises ``ProtocolError`` if the peer exceeds a bound. Empty fragments are
+        invalid: any number of them would stay below every bound in bytes.
+        """
+        if not fragment.data:
+            raise ProtocolError("a fragment is empty")
+        sequence = fragment.sequence
+        parts = self.parts.setdefault(sequence, [])
         if len(self.parts) > MAX_OPEN_FRAGMENTED_MESSAGES:
             raise ProtocolError("too many fragmented messages are open")
         parts.append(fragment.data)
-        size = sum(map(len, parts))
+        size = self.sizes.get(sequence, 0) + len(fragment.data)
+        self.sizes[sequence] = size
+        self.total_bytes += len(fragment.data)
         if size > MAX_MESSAGE_BYTES:
             raise ProtocolError(f"a message exceeds {MAX_MESSAGE_BYTES} bytes")
+        if self.total_bytes > MAX_OPEN_FRAGMENT_BYTES:
+            raise ProtocolError(
+                f"open fragmented messages exceed {MAX_OPEN_FRAGMENT_BYTES} bytes"
+            )
+        if len(parts) > MAX_FRAGMENTS:
+            raise ProtocolError(f"a message has more than {MAX_FRAGMENTS} fragments")
         if not fragment.last:
             return None
-        del self.parts[fragment.sequence]
+        del self.parts[sequence], self.sizes[sequence]
+        self.total_bytes -= size
         return b"".join(parts)
 
 
--- /dev/null
+++ b/tests/wire/test_frames.py
@@ -0,0 +1,45 @@
+"""Bounds on what a peer can make the assembler of fragments keep."""
+
+import pytest
+
+from sesamepost.internal.wire.frames import (
+    FRAGMENT_BYTES,
+    MAX_MESSAGE_BYTES,
+    FragmentAssembler,
+)
+from sesamepost.internal.wire.messages import Fragment, ProtocolError
+
+FULL = b"x" * FRAGMENT_BYTES
+
+
+def added_until_refused(fragments):
+    """Return how many fragments one assembler takes; all of them fail the test."""
+    assembler = FragmentAssembler()
+    for count, fragment in enumerate(fragments):
+        try:
+            assembler.add(fragment)
+        except ProtocolError:
+            return count
+    pytest.fail("no fragment was refused")
+
+
+@pytest.mark.parametrize("data", [b"", b"x"])
+def test_a_flood_of_small_fragments_of_one_message_ends(data):
+    # Guards against memory and time that grow with fragments below the bound in bytes.
+    assert added_until_refused([Fragment(1, False, data)] * 1000) < 1000
+
+
+def test_a_flood_of_unfinished_messages_ends_below_64_mib():
+    # Guards against 64 open messages of 9 MiB each on one stream.
+    count = 64 * MAX_MESSAGE_BYTES // FRAGMENT_BYTES
+    flood = (Fragment(number % 60, False, FULL) for number in range(count))
+    assert added_until_refused(flood) * len(FULL) < 64 << 20
+
+
+def test_finished_messages_leave_nothing_behind():
+    # Guards against a count of bytes that never falls, which ends healthy streams.
+    assembler = FragmentAssembler()
+    for number in range(100):
+        assert assembler.add(Fragment(number, False, FULL)) is None
+        assert assembler.add(Fragment(number, True, FULL * 8)) == FULL * 9
+    assert (assembler.total_bytes, assembler.parts, assembler.sizes) == (0, {}, {})
