--- a/src/sesamepost/internal/dispatch/dispatcher.py
+++ b/src/sesamepost/internal/dispatch/dispatcher.py
@@ -69,6 +69,7 @@
         self.on_item_idle: Callable[[Item], None] = lambda item: None
         self.on_request: Callable[[Item, int], None] = lambda item, key_hash: None
         self.is_closed = False
+        self.born_tokens: dict[str, tuple[tuple[int, int], str]] = {}
         self.tasks: set[asyncio.Task] = set()
         self.remote: dict[tuple[PeerStream, int], asyncio.Task] = {}
         pool.on(Request, self._on_request)
@@ -131,16 +132,25 @@
         assignment = self.views.assignments.get(service)
         if assignment is None:
             return ""
-        return issue_born(assignment.version, time.time())
-
-    async def handle(self, request: Request) -> Answer | Refusal:
-        """Run one request, or say why it was not run."""
-        key_hash = hash_key(request.key)
+        issued = (assignment.version, int(time.time()))
+        known = self.born_tokens.get(service)
+        if known is None or known[0] != issued:
+            known = self.born_tokens[service] = (issued, issue_born(*issued))
+        return known[1]
+
+    async def handle(
+        self, request: Request, key_hash: int | None = None
+    ) -> Answer | Refusal:
+        """Run one request, or say why it was not run.
+
+        ``key_hash`` is given if the hash of the key is known already.
+        """
+        if key_hash is None:
+            key_hash = hash_key(request.key)
         deadline = boottime() + request.timeout_ms / 1000
-        right = self._right(request.service, key_hash)
-        if right.is_error():
-            return self._refuse(request, right.error)
-        placement = right.ok
+        placement = self._likely_placement(request.service, key_hash)
+        if placement is None:
+            return self._refuse(request, ErrorKind.NOT_OWNER)
         item = item_of(self.views.assignments[request.service], key_hash)
         self.on_request(item, key_hash)
         self.releases.enter(item, key_hash)
@@ -154,7 +164,25 @@
             for idle in self.releases.leave(item, key_hash):
                 self.on_item_idle(idle)
 
-    def _right(self, service: str, key_hash: int):
+    def _likely_placement(self, service: str, key_hash: int) -> Placement | None:
+        """Return the placement of a key that seems to be served here.
+
+        This spares a request a wait for nothing. Whether it may run is decided only by
+        ``right_to_serve``, immediately before it is sent or before its record is begun.
+        """
+        assignment = self.views.assignments.get(service)
+        endpoint = self.endpoints.get(service)
+        if assignment is None or endpoint is None:
+            return None
+        placement = assignment.find(key_hash)
+        if placement.owner != self.node or not endpoint.is_in_service(boottime()):
+            return None
+        item = item_of(assignment, key_hash)
+        if self.releases.refuses(item, key_hash, placement.epoch):
+            return None
+        return placement
+
+    def _right(self, service: str, key_hash: int, lease_expiry: float):
         now = boottime()
         endpoint = self.endpoints.get(service)
         return right_to_serve(
@@ -162,7 +190,7 @@
             key_hash,
             self.node,
             self.releases,
-            self.lease_expiry(),
+            lease_expiry,
             now,
             not self.is_closed and endpoint is not None and endpoint.is_in_service(now),
         )
@@ -175,6 +203,10 @@
         placement: Placement,
         deadline: float,
     ) -> Answer:
+        # A stored answer, too, may be given only under a valid lease.
+        right = self._right(request.service, key_hash, self.lease_expiry())
+        if right.is_error():
+            raise RouterError(right.error)
         submission = Submission(
             item,
             request.key,
@@ -261,14 +293,15 @@
         deadline: float,
     ) -> Answer:
         # The right may have ended while the request waited for a slot.
-        right = self._right(request.service, key_hash)
+        lease_expiry = self.lease_expiry()
+        right = self._right(request.service, key_hash, lease_expiry)
         if right.is_error():
             raise RouterError(right.error)
         if right.ok.epoch != placement.epoch:
             raise RouterError(ErrorKind.NOT_OWNER, "the epoch changed")
         item = item_of(self.views.assignments[request.service], key_hash)
         expires_at = dispatch_deadline(
-            deadline, self.lease_expiry(), endpoint.announcement.fenced
+            deadline, lease_expiry, endpoint.announcement.fenced
         )
         remaining = expires_at - boottime()
         if remaining <= 0:
@@ -292,6 +325,12 @@
         return Refusal(request.id, kind, detail, version)
 
     def _on_request(self, stream: PeerStream, request: Request) -> None:
+        if not stream.writable.is_set():
+            # The peer does not read; more answers would only fill the memory.
+            self.counters["refused_for_slow_peers"] += 1
+            detail = "the requesting daemon reads its answers too slowly"
+            stream.send(self._refuse(request, ErrorKind.OVERLOADED, detail))
+            return
         task = self._start(self._answer(stream, request))
         self.remote[stream, request.id] = task
 
@@ -323,7 +362,7 @@
             endpoint.granting = False
 
     def _start(self, coroutine) -> asyncio.Task:
-        task = asyncio.ensure_future(coroutine)
+        task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return task
