Keep requests in flight when the settings of a service change

Cause: every new version of a team's branch gave the dispatcher another ServiceSettings object, so the next announcement replaced the endpoint and closed its connections at once. Requests that it worked on were answered 504 outcome_unknown, also for an edit that concerned another VM, such as a drain.

An endpoint is now replaced only if its settings differ in value, and the connections of the one replaced are closed when its requests, running or queued, have ended.

Ruled out: the lease and the grant, which stay valid through the change.

Remaining: while the replaced endpoint's requests end, its slots are not counted by the new one, so more than `slots` requests can run for that long.

--- a/src/sesamepost/internal/dispatch/dispatcher.py
+++ b/src/sesamepost/internal/dispatch/dispatcher.py
@@ -41,6 +41,7 @@
 from sesamepost.internal.wire.stream import PeerStream
 
 GRANT_INTERVAL_S = 0.4
+RETIRE_POLL_S = 0.05
 
 log = structlog.get_logger()
 
@@ -99,14 +100,14 @@
         if settings is None:
             self.counters["announcements_of_unknown_services"] += 1
             return
-        is_same = present is not None and present.settings is settings
+        is_same = present is not None and present.settings == settings
         if is_same and present.renew(announcement):
             return
         endpoint = ServedEndpoint(announcement, settings)
         self.endpoints[service] = endpoint
         log.info("endpoint_announced", service=service, url=announcement.url)
         if present is not None:
-            self._start(present.close())
+            self._start(self._retire(present))
         self._start(self._grant(service, endpoint))
 
     def withdraw(self, service: str) -> None:
@@ -114,7 +115,19 @@
         endpoint = self.endpoints.pop(service, None)
         if endpoint is not None:
             log.info("endpoint_withdrawn", service=service)
-            self._start(endpoint.close())
+            self._start(self._retire(endpoint))
+
+    async def _retire(self, endpoint: ServedEndpoint) -> None:
+        """Close an endpoint's connections once its requests have ended.
+
+        A change of settings replaces the endpoint's limits, not its process, so the
+        requests that it works on or that wait for a slot must not be cut off.
+        """
+        try:
+            while endpoint.gate.used or endpoint.gate.queued:  # noqa: ASYNC110
+                await asyncio.sleep(RETIRE_POLL_S)
+        finally:
+            await endpoint.close()
 
     def born_token(self, service: str) -> str:
         """Return a token for a first submission, empty if no assignment is known."""
--- /dev/null
+++ b/tests/e2e/test_in_flight.py
@@ -0,0 +1,64 @@
+"""Requests in flight while settings change, and streams of a daemon that stopped."""
+
+import asyncio
+
+from sesamepost.internal.identity import new_node_id
+from sesamepost.internal.wire.pool import PeerPool
+from tests.e2e.local import ANY_PORT, BRANCH, running_fleet
+
+
+async def test_a_settings_change_cuts_off_no_request():
+    # Guards against a change of limits that closes the connections to the endpoint
+    # while it works on requests or while others wait for a slot.
+    async with running_fleet(vms=1, work_ms=2500) as fleet:
+        (vm,) = fleet.vms
+        dispatcher = vm.daemon.dispatcher
+        requests = [
+            asyncio.create_task(
+                fleet.send(vm, f"key-{n}", Sesamepost_Timeout_Ms="9000")
+            )
+            for n in range(6)
+        ]
+        await fleet.until(lambda: dispatcher.endpoints["ledger"].gate.queued == 2)
+        await fleet.put("team", BRANCH + "queue_length = 99\n", 1)
+        await fleet.until(
+            lambda: dispatcher.endpoints["ledger"].settings.queue_length == 99
+        )
+        replies = await asyncio.gather(*requests)
+        assert [(reply.status, reply.kind) for reply in replies] == [(200, None)] * 6
+
+
+async def test_a_change_of_another_part_of_the_branch_keeps_the_endpoint():
+    # Guards against a drain of one VM that resets limits and health on all others.
+    async with running_fleet(vms=1) as fleet:
+        (vm,) = fleet.vms
+        endpoint = vm.daemon.dispatcher.endpoints["ledger"]
+        received = endpoint.announcement.received_at
+        await fleet.put("team", BRANCH + "[vm:vm-9]\nstate = removed\n", 1)
+        await fleet.until(lambda: vm.daemon.views.in_force["settings/team"] == 2)
+        settings = vm.daemon.views.services["ledger"]
+        await fleet.until(
+            lambda: (
+                vm.daemon.dispatcher.endpoints["ledger"].announcement.received_at
+                > received + 1
+            )
+        )
+        assert vm.daemon.dispatcher.endpoints["ledger"] is endpoint
+        assert endpoint.settings == settings
+
+
+async def test_a_pool_closes_every_stream_of_two_nodes_that_dialed_each_other():
+    # Guards against a second stream to the same peer that outlives its daemon's stop,
+    # over which requests reach parts that are closed already.
+    async with PeerPool(new_node_id("a"), b"key of the peers") as first:
+        async with PeerPool(new_node_id("b"), b"key of the peers") as second:
+            addresses = [await pool.listen(ANY_PORT) for pool in (first, second)]
+            streams = await asyncio.gather(
+                first.stream_to(addresses[1], second.node),
+                second.stream_to(addresses[0], first.node),
+            )
+            assert all(stream.is_open for stream in streams)
+        async with asyncio.timeout(5):
+            while any(stream.is_open for stream in streams):  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        assert first.streams == {}
