Close every stream of a pool, not only the last one of each peer

Cause: two nodes that dial each other at once have two streams, and the table by peer holds the later one. The other outlived the stop of its daemon.

Test: test_a_pool_closes_every_stream_of_two_nodes_that_dialed_each_other in tests/e2e/test_in_flight.py; it times out without this change and passes with it.

--- a/src/sesamepost/internal/wire/pool.py
+++ b/src/sesamepost/internal/wire/pool.py
@@ -39,6 +39,8 @@
         self.streams: dict[NodeId, PeerStream] = {}
         self.dialing: dict[tuple[Address, NodeId | None], asyncio.Task] = {}
         self.opening: set[PeerStream] = set()
+        # Two nodes that dial each other at once have two streams; both are used.
+        self.open: set[PeerStream] = set()
         self.counters: Counter[str] = Counter()
         self.server: asyncio.Server | None = None
 
@@ -60,7 +62,7 @@
             self.server.close()
         for task in list(self.dialing.values()):
             task.cancel()
-        for stream in [*self.streams.values(), *self.opening]:
+        for stream in [*self.open, *self.opening]:
             stream.close("this daemon stops")
 
     async def stream_to(
@@ -114,10 +116,12 @@
             return
         if stream.is_open:
             self.streams[stream.peer] = stream
+            self.open.add(stream)
             self.counters["streams_opened"] += 1
 
     def _on_closed(self, stream: PeerStream) -> None:
         self.counters["streams_closed"] += 1
+        self.open.discard(stream)
         if self.streams.get(stream.peer) is stream:
             del self.streams[stream.peer]
 
