Choose the first witnesses only once the fleet is known

Cause: a daemon that read the document of the controller before that of the fleet joined with an empty witness set. Its lease was then without expiry, and it could not be fenced, until it changed its witnesses about two seconds later.

Only the controller of a new fleet may join without knowing the fleet. The others wait for the document, which the controller writes when it joins itself.

Test: without the change the node sends a Join with no witnesses; with it none is sent until the fleet is known.

--- a/src/sesamepost/internal/membership/task.py
+++ b/src/sesamepost/internal/membership/task.py
@@ -108,7 +108,12 @@
             self.counters["lease_lapses"] += not is_valid
 
     def _ask_to_join(self, now: float) -> None:
-        if self.views.controller is None:
+        controller = self.views.controller
+        if controller is None:
+            return
+        if self.views.fleet.version == 0 and controller.node != self.node:
+            # A set without witnesses never expires. It is right only for the first
+            # node, which is the controller; the others wait for the fleet document.
             return
         proposal = self.holder.wanted_set()
         if proposal is None:
--- /dev/null
+++ b/tests/controller/test_join.py
@@ -0,0 +1,57 @@
+"""When a daemon asks the controller to join the fleet."""
+
+from sesamepost.internal.documents.replica import Replica
+from sesamepost.internal.documents.views import ControllerRecord, Views
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.membership.fleet import Fleet, NodeRecord
+from sesamepost.internal.membership.messages import Join
+from sesamepost.internal.membership.task import Membership
+from sesamepost.internal.wire.pool import Address
+
+ADDRESS = Address("127.0.0.1", 1)
+OWN = NodeRecord(NodeId("vm-1", 1), ADDRESS, "fd-1", "r-0")
+OTHER = NodeRecord(NodeId("vm-0", 1), ADDRESS, "fd-0", "r-0")
+
+
+class Link:
+    """Keeps what was sent to the controller."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, item):
+        self.sent.append(item)
+
+
+class Pool:
+    """Has no streams, so that no renewal is sent."""
+
+    def __init__(self):
+        self.streams = {}
+
+    def on(self, kind, handler):
+        return None
+
+
+def joins_of(controller, fleet):
+    replica, link = Replica(), Link()
+    membership = Membership(OWN, Pool(), Views(replica), link, None)
+    replica.offer("controller", 1, ControllerRecord(controller, ADDRESS).encode())
+    if fleet is not None:
+        replica.offer("fleet", 1, fleet.encode())
+    membership.tick(1.0)
+    return [item for item in link.sent if isinstance(item, Join)]
+
+
+def test_a_node_that_does_not_know_the_fleet_yet_does_not_join_without_witnesses():
+    # Guards against a lease that never expires since the document of the controller
+    # came before that of the fleet; such a node cannot be fenced.
+    assert joins_of(OTHER.node, None) == []
+    (join,) = joins_of(OTHER.node, Fleet().join(OTHER))
+    assert join.witnesses == (OTHER.node,)
+
+
+def test_the_controller_of_a_new_fleet_joins_without_witnesses():
+    # Guards against a fleet that nobody can be the first to join.
+    (join,) = joins_of(OWN.node, None)
+    assert join.witnesses == ()
