Add golden files of two whole sessions

A session of planned changes and a session of losses, on the in-process fleet. The transcript holds what callers and operators see; node ids, addresses and tokens become names in order of first appearance.

What depends on timing, and how it is made stable: - Witness changes come up to 2 s after a join. A step ends when every recorded set is the one that the present fleet leads to. - Endpoints are announced under new settings up to 1 s later. A step waits for it. - The partitions that a drain gives to each VM followed the rates of a dozen requests, which decay from report to report. The fleet reports no rates in the sessions. - Balance moves begin 10 s after a node's first report. weight_imbalance is 0. - How many writes a batch of moves or joins takes is not determined. The effects of a step are added up; versions of fleet and assignment are shown as first, same or higher and must never fall. - Which candidate is elected after an outage is not determined; it is shown as any.

--- /dev/null
+++ b/tests/e2e/test_sessions.py
@@ -0,0 +1,260 @@
+"""Golden files of whole sessions, as callers and operators see them."""
+
+import random
+from contextlib import asynccontextmanager
+
+from sesamepost.internal.membership.fleet import NodeState
+from sesamepost.internal.settings.edit import set_vm_state
+from sesamepost.internal.settings.model import VmState
+from tests.e2e.local import running_fleet
+from tests.e2e.test_failures import crash, key_owned_by
+from tests.e2e.transcript import Transcript, on_vm, recorded_logs
+
+SEED = 20
+VMS = 4
+# A node takes part in balance moves 10 s after its first report. How far a session has
+# come by then depends on the machine, so the weight of imbalance is 0; new nodes get
+# their first partitions and drained ones lose theirs regardless.
+BRANCH = """\
+[team]
+weight_imbalance = 0
+
+[service:ledger]
+partitions = 16
+slots = 4
+timeout_ms = 10000
+"""
+CHANGED = BRANCH + "queue_length = 99\n"
+
+
+class Session:
+    """A fleet and the transcript of what is done with it."""
+
+    def __init__(self, fleet, transcript):
+        self.fleet = fleet
+        self.transcript = transcript
+        self.random = random.Random(SEED)
+        self.branch = BRANCH
+        self.version = 1
+
+    @property
+    def vms(self):
+        return [vm for vm in self.fleet.vms if not vm.run.done()]
+
+    async def grow(self):
+        for number in range(VMS):
+            with self.transcript.step(f"vm-{number} starts"):
+                with on_vm(f"vm-{number}"):
+                    vm = await self.fleet.add(f"vm-{number}", f"fd-{number}")
+                # The rates of a dozen requests decay between one report and the next,
+                # so the partitions that a drain gives to each VM would depend on the
+                # moment of the last report. Without rates all partitions count alike.
+                vm.daemon.dispatcher.on_request = lambda item, key_hash: None
+                await self.settle()
+                await self.transcript.status(self.vms)
+
+    async def settle(self, owners=None):
+        """Wait until the daemons agree, all expected VMs own, and nothing is open."""
+        names = owners or {vm.daemon.node.vm for vm in self.vms}
+        await self.fleet.until(lambda: self.is_settled(names))
+
+    def is_settled(self, owners):
+        daemons = [vm.daemon for vm in self.vms]
+        first = daemons[0].views
+        if any(
+            daemon.replica.digest != daemons[0].replica.digest for daemon in daemons
+        ):
+            return False
+        view = first.assignments.get("ledger")
+        if view is None or {node.vm for node in self.fleet.owners(view)} != owners:
+            return False
+        leaders = [d for d in daemons if d.leadership.leads]
+        if len(leaders) != 1 or first.controller.node != leaders[0].node:
+            return False
+        controller = leaders[0].controller
+        if not all(self._has_announced(daemon) for daemon in daemons):
+            return False
+        return not controller.pending.moves and all(map(self._is_member, daemons))
+
+    def _has_announced(self, daemon):
+        """Return whether the endpoint was announced under the settings in force."""
+        endpoint = daemon.dispatcher.endpoints.get("ledger")
+        return (
+            endpoint is not None
+            and endpoint.settings == daemon.views.services["ledger"]
+            and endpoint.has_grant
+        )
+
+    def _is_member(self, daemon):
+        member, fleet = daemon.membership, daemon.views.fleet
+        record = fleet.get(daemon.node)
+        if record is None or record.state is not NodeState.ACTIVE:
+            return False
+        count = 3 if len(list(fleet.live_records())) > 3 else min(1, len(fleet) - 1)
+        return (
+            len(record.witnesses) == count
+            and all(fleet.live(witness) for witness in record.witnesses)
+            and not member.holder.proposals
+            and not member.holder.prepared
+            and member.examined_fleet_version == fleet.version
+            and member.was_valid
+        )
+
+    async def requests(self, count, prefix):
+        for number in range(count):
+            vm = self.random.choice(self.vms)
+            await self.transcript.send(
+                vm, f"key-{number}", X_Request_Id=f"{prefix}-{number}"
+            )
+
+    async def put(self, text):
+        self.version = await self.fleet.put("team", text, self.version)
+        self.transcript.add(f"settings/team is written as version {self.version}")
+        return self.version
+
+    async def set_state(self, vm, state):
+        self.branch = set_vm_state(self.branch, vm, state)
+        await self.put(self.branch)
+        await self.in_force()
+
+    async def in_force(self):
+        await self.fleet.until(
+            lambda: all(
+                vm.daemon.views.in_force["settings/team"] == self.version
+                for vm in self.vms
+            )
+        )
+
+    async def fenced(self, vm):
+        """Wait until the record of every daemon shows a VM that ended as fenced."""
+        node = vm.daemon.node
+        await self.fleet.until(
+            lambda: all(
+                item.daemon.views.fleet.get(node).state is NodeState.FENCED
+                for item in self.vms
+            )
+        )
+
+
+@asynccontextmanager
+async def running_session():
+    with recorded_logs() as entries:
+        async with running_fleet(vms=0, branch=BRANCH) as fleet:
+            session = Session(fleet, Transcript(fleet, entries))
+            await session.grow()
+            yield session
+
+
+async def _refusals(session):
+    send, vm = session.transcript.send, session.fleet.vms[1]
+    await send(vm, "", X_Request_Id="refused")
+    await send(vm, "key-0", Sesamepost_Service="none", X_Request_Id="refused")
+    await send(vm, "key-0", Sesamepost_Timeout_Ms="soon", X_Request_Id="refused")
+    await send(vm, "key-0", Sesamepost_Class="none", X_Request_Id="refused")
+    await send(vm, "key-0", Sesamepost_Repeatable="maybe", X_Request_Id="refused")
+    born = {"Sesamepost_Idempotency_Key": "i", "Sesamepost_Born": "x"}
+    await send(vm, "key-0", **born, X_Request_Id="refused")
+    session.transcript.add(f"executions: {session.fleet.runs('refused')}")
+
+
+async def _submit(session, vms, key, name, **headers):
+    headers = {"Sesamepost_Idempotency_Key": name, "X_Request_Id": name, **headers}
+    for vm in vms:
+        await session.transcript.send(vm, key, **headers)
+    session.transcript.add(f"executions: {session.fleet.runs(name)}")
+
+
+async def test_a_session_of_planned_changes(snapshot):
+    # Guards against any change of what callers and operators see in ordinary work.
+    async with running_session() as session:
+        fleet, transcript = session.fleet, session.transcript
+        step, vms = transcript.step, fleet.vms
+        with step("requests to several keys by several daemons"):
+            await session.requests(8, "first")
+        with step("refused requests"):
+            await _refusals(session)
+        with step("an idempotent submission and its replay"):
+            await _submit(session, [vms[0], vms[2]], "key-1", "visit-1")
+        with step("a settings change"):
+            session.branch = CHANGED
+            await session.put(CHANGED)
+            await session.in_force()
+            lengths = [vm.daemon.views.services["ledger"].queue_length for vm in vms]
+            transcript.add(f"queue_length in force: {lengths}")
+            await session.settle()
+            await transcript.status(session.vms)
+        with step("a rejected branch"):
+            await session.put(CHANGED + "slots = many\n")
+            await fleet.until(lambda: all(vm.daemon.views.rejected for vm in vms))
+            await session.settle()
+            await transcript.status(session.vms)
+        with step("vm-1 is drained"):
+            await session.set_state("vm-1", VmState.DRAINED_FOR_DEPLOY)
+            await session.settle({"vm-0", "vm-2", "vm-3"})
+            await transcript.status(session.vms)
+            await session.requests(8, "drained")
+            await _submit(session, [vms[1]], "key-1", "visit-1")
+        with step("vm-1 is put back"):
+            await session.set_state("vm-1", VmState.IN_SERVICE)
+            await session.settle()
+            await transcript.status(session.vms)
+        with step("vm-2 stops as planned"):
+            vms[2].stop.set()
+            await vms[2].run
+            await vms[2].stack.aclose()
+            await session.fenced(vms[2])
+            await session.settle()
+            await transcript.status(session.vms)
+        with step("requests afterwards"):
+            await session.requests(8, "last")
+            await _submit(session, [vms[3]], "key-1", "visit-1")
+        assert str(transcript) == snapshot
+
+
+async def test_a_session_of_losses(snapshot):
+    # Guards against any change of what callers and operators see of lost VMs and of an
+    # outage of the store.
+    async with running_session() as session:
+        fleet, transcript = session.fleet, session.transcript
+        step, vms = transcript.step, fleet.vms
+        lost = vms[3]
+        key = key_owned_by(fleet, lost)
+        with step("an idempotent submission with a token"):
+            token = (await transcript.send(vms[0], key)).headers["Sesamepost-Born"]
+            await _submit(session, [vms[0]], key, "sale-1", Sesamepost_Born=token)
+        with step("vm-3 is lost"):
+            await crash(lost)
+            timeout = {"Sesamepost_Timeout_Ms": "300", "X_Request_Id": "early"}
+            await transcript.send(vms[0], key, "(before vm-3 is fenced)", **timeout)
+            transcript.add(f"executions: {fleet.runs('early')}")
+            await transcript.send(vms[1], key, "(held until a VM takes over)")
+            await session.fenced(lost)
+            await session.settle()
+            await transcript.status(session.vms)
+        with step("resubmissions after the loss"):
+            await _submit(session, [vms[1]], key, "sale-1", Sesamepost_Born=token)
+            await _submit(session, [vms[2]], key, "sale-1")
+            await _submit(session, [vms[2]], key, "sale-2")
+            fresh = (await transcript.send(vms[0], key)).headers["Sesamepost-Born"]
+            await _submit(session, vms[:2], key, "sale-3", Sesamepost_Born=fresh)
+        with step("the store is down"):
+            fleet.store.set_faults(outage=True)
+            await fleet.until(
+                lambda: (
+                    not any(
+                        vm.daemon.leadership.leads or vm.daemon.reader.is_current
+                        for vm in session.vms
+                    )
+                )
+            )
+            await session.requests(8, "outage")
+            await transcript.status(session.vms)
+        with step("the store is back"):
+            fleet.store.set_faults(outage=False)
+            await session.settle()
+            await session.put(CHANGED)
+            await session.in_force()
+            await session.settle()
+            await transcript.status(session.vms)
+            await session.requests(8, "recovered")
+        assert str(transcript) == snapshot
