Test the controller on documents that others write, too

Controllers with the real Views, Replica and StoreReader, a pool that records messages and a store in memory whose replies can be lost. Covered: a fleet older than the assignment, two controllers at once (lost partitions and released ones), a controller lost after the releases, lost replies to both kinds of write, repeated and outdated releases, moves without records, tombstones of owners.

--- /dev/null
+++ b/tests/controller/test_controller.py
@@ -0,0 +1,319 @@
+"""Decisions of the controller on documents that others write, too."""
+
+import asyncio
+
+import pytest
+
+from sesamepost.internal.balance.reports import ReleasedKind
+from sesamepost.internal.controller import controller as controller_module
+from sesamepost.internal.membership.fleet import Fleet, NodeState
+from sesamepost.internal.membership.messages import Join, Leave
+from sesamepost.internal.ownership.messages import Released
+from sesamepost.internal.store.envelope import write_document
+from tests.controller.kit import (
+    ASSIGNMENT,
+    BRANCH,
+    NODES,
+    SERVICE,
+    Leader,
+    drain_of,
+    draining_leader,
+    owners,
+    record,
+    store_with,
+)
+
+FIRST, SECOND, THIRD, FOURTH = NODES
+REPEAT_S = 0.5
+
+
+class Clock:
+    """The time that the controller sees."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    clock = Clock()
+    monkeypatch.setattr(controller_module, "boottime", clock)
+    return clock
+
+
+async def test_an_owner_that_an_older_fleet_does_not_name_is_not_taken_for_lost():
+    # Guards against two owners: the assignment was read after the fleet, and the owner
+    # joined in between.
+    store = await store_with([record(FIRST), record(SECOND)], [FIRST, SECOND, THIRD])
+    leader = Leader(store)
+    await leader.begin()
+    newer = Fleet(1, [record(node) for node in (FIRST, SECOND, THIRD)])
+    await write_document(store, "fleet", newer.encode(), "test", 1)
+    for node in (FIRST, SECOND):
+        leader.report(node)
+    before = owners(store.assignment())
+    for _ in range(3):
+        await leader.decide()
+    assert owners(store.assignment()) == before
+    assert THIRD in before
+    await leader.read("fleet")
+    leader.report(THIRD)
+    await leader.decide()
+    assert owners(store.assignment()) == before
+
+
+async def test_an_owner_that_is_recorded_as_fenced_loses_its_partitions():
+    # Guards against the test above passing since nothing is ever assigned anew.
+    records = [record(FIRST), record(SECOND), record(THIRD, NodeState.FENCED)]
+    store = await store_with(records, [FIRST, SECOND, THIRD])
+    leader = Leader(store)
+    await leader.begin()
+    for node in (FIRST, SECOND):
+        leader.report(node)
+    await leader.decide()
+    assert set(owners(store.assignment())) == {FIRST, SECOND}
+
+
+async def two_leaders(store, *reported):
+    """Return two leaders that prefer different nodes for what they assign."""
+    leaders = [Leader(store, FIRST), Leader(store, SECOND)]
+    for number, leader in enumerate(leaders):
+        await leader.begin()
+        for index, node in enumerate(reported):
+            leader.report(node, slots=90 if index == number else 1)
+    return leaders
+
+
+def check_history(before, after):
+    """Check that each change of owner has an epoch of its own."""
+    for partition, (old, new) in enumerate(
+        zip(owners(before), owners(after), strict=True)
+    ):
+        if old != new:
+            assert after.epochs[partition] > before.epochs[partition]
+        assert after.epochs[partition] <= after.version
+
+
+async def test_of_two_controllers_that_assign_lost_partitions_one_fails():
+    # Guards against an assignment written over one that its author has not seen.
+    records = [record(FIRST), record(SECOND), record(THIRD, NodeState.FENCED)]
+    store = await store_with(records, [FIRST, SECOND, THIRD])
+    # The tombstone is kept for as long as it is named, so only the assignment changes.
+    leaders = await two_leaders(store, FIRST, SECOND)
+    before = store.assignment()
+    await asyncio.gather(*(leader.decide() for leader in leaders))
+    assert [key for key, _ in store.history] == [ASSIGNMENT]
+    counts = [leader.controller.counters["write_conflicts"] for leader in leaders]
+    assert sorted(counts) == [0, 1]
+    after = store.assignment()
+    check_history(before, after)
+    assert THIRD not in owners(after)
+    for leader in leaders:
+        assert owners(leader.views.assignments[SERVICE]) == owners(after)
+        await leader.decide()
+    assert owners(store.assignment()) == owners(after)
+
+
+async def test_of_two_controllers_that_move_released_partitions_one_fails():
+    # Guards against a release that is used twice, which would give an item a second
+    # owner after the first one has begun to serve.
+    records = [record(node) for node in (FIRST, SECOND, THIRD)]
+    store = await store_with(records, [FIRST, SECOND, THIRD], drain_of(THIRD))
+    leaders = await two_leaders(store, FIRST, SECOND, THIRD)
+    before = store.assignment()
+    targets = []
+    for leader in leaders:
+        await leader.decide()
+        releases = leader.releases()
+        targets.append([item.target for _, item in releases])
+        leader.answer(releases)
+    assert targets[0] != targets[1]
+    await asyncio.gather(*(leader.decide() for leader in leaders))
+    assert store.history == [(ASSIGNMENT, 2)]
+    after = store.assignment()
+    check_history(before, after)
+    moved = [p for p, owner in enumerate(owners(before)) if owner == THIRD]
+    assert [owners(after)[p] for p in moved] in targets
+    counts = [leader.controller.counters["write_conflicts"] for leader in leaders]
+    assert sorted(counts) == [0, 1]
+    for leader in leaders:
+        await leader.decide()
+        # The larger node may want further partitions; those of the drain are done.
+        pending = {item.number for item in leader.controller.pending.moves}
+        assert not pending & set(moved)
+    assert store.history == [(ASSIGNMENT, 2)]
+
+
+async def test_items_released_for_a_lost_controller_are_granted_anew():
+    # Guards against partitions that nobody serves since the controller that wanted
+    # them released is gone.
+    lost = await draining_leader()
+    releases = lost.releases()
+    assert {node for node, _ in releases} == {THIRD}
+    lost.answer(releases)
+    before = lost.store.assignment()
+    # The drain was ended before the next controller looked.
+    store = lost.store
+    await write_document(store, "settings/team", BRANCH.encode(), "test", 1)
+    leader = Leader(store, SECOND)
+    await leader.begin()
+    released = [(ReleasedKind.PARTITION, item.item, 1) for _, item in releases]
+    for node in (FIRST, SECOND):
+        leader.report(node)
+    leader.report(THIRD, released=released)
+    await leader.decide()
+    after = store.assignment()
+    assert owners(after) == owners(before)
+    items = {item.item for _, item in releases}
+    for partition in range(len(after)):
+        raised = after.epochs[partition] > before.epochs[partition]
+        assert raised == (partition in items)
+    assert after.coverage_epochs == before.coverage_epochs, "the records are kept"
+    await leader.decide()
+    assert store.version(ASSIGNMENT) == 2, "an older report grants nothing again"
+
+
+async def test_a_move_that_a_lost_controller_began_is_finished_by_the_next_one():
+    # Guards against a drain that hangs since its items are released already.
+    lost = await draining_leader()
+    first = lost.releases()
+    lost.answer(first)
+    leader = Leader(lost.store, SECOND)
+    await leader.begin()
+    released = [(ReleasedKind.PARTITION, item.item, 1) for _, item in first]
+    for node in (FIRST, SECOND):
+        leader.report(node)
+    leader.report(THIRD, released=released)
+    await leader.decide()
+    again = leader.releases()
+    assert [item.item for _, item in again] == [item.item for _, item in first]
+    leader.answer(again)
+    await leader.decide()
+    assert THIRD not in owners(leader.store.assignment())
+
+
+async def test_a_lost_reply_to_the_write_of_an_assignment_changes_nothing():
+    # Guards against a move that is written twice or forgotten.
+    leader = await draining_leader()
+    leader.answer(leader.releases())
+    leader.store.lose_replies = 1
+    await leader.decide()
+    assert leader.store.lose_replies == 0
+    assert leader.store.history == [(ASSIGNMENT, 2)]
+    assert leader.views.assignments[SERVICE].version == 2
+    assert leader.controller.counters["writes_failed"] == 0
+    assert not leader.controller.pending.moves
+    await leader.decide()
+    assert leader.store.history == [(ASSIGNMENT, 2)]
+
+
+async def test_a_lost_reply_to_the_write_of_the_fleet_changes_nothing():
+    # Guards against a join that is written twice, or reported as failed.
+    store = await store_with([record(FIRST), record(SECOND)], [FIRST, SECOND])
+    leader = Leader(store)
+    await leader.begin()
+    store.lose_replies = 1
+    new = record(THIRD)
+    leader.controller.receive(
+        Join(new.node, *new.address, new.failure_domain, new.region, (FIRST,), 1)
+    )
+    leader.controller.receive(Leave(SECOND))
+    await leader.decide()
+    assert store.lose_replies == 0
+    assert [key for key, _ in store.history] == ["fleet"]
+    assert leader.views.fleet.version == store.version("fleet") == 2
+    assert store.fleet().get(THIRD).witnesses == (FIRST,)
+    assert store.fleet().get(SECOND).state is NodeState.LEAVING
+    await leader.decide()
+    assert [key for key, _ in store.history] == ["fleet"]
+
+
+async def test_a_release_is_repeated_until_it_is_answered(clock):
+    # Guards against a drain that hangs since one message was lost, and against a
+    # message at every tick.
+    leader = await draining_leader()
+    first = leader.releases()
+    assert first
+    clock.now += REPEAT_S / 2
+    await leader.decide()
+    assert leader.releases() == []
+    clock.now += REPEAT_S / 2
+    await leader.decide()
+    assert leader.releases() == first
+    leader.answer(first[:1])
+    clock.now += REPEAT_S
+    await leader.decide()
+    assert leader.releases() == first[1:]
+    leader.answer(first[1:])
+    clock.now += REPEAT_S
+    await leader.decide()
+    clock.now += REPEAT_S
+    await leader.decide()
+    assert leader.releases() == []
+
+
+async def test_a_release_is_dropped_when_the_epoch_has_changed(clock):
+    # Guards against a late answer for an epoch that another controller has ended.
+    leader = await draining_leader()
+    first = leader.releases()
+    store = leader.store
+    other = store.assignment()
+    for _, item in first:
+        other.set_partition_owner(item.item, FOURTH, 2, records_kept=True)
+    await write_document(store, ASSIGNMENT, other.encode(), "other", 1)
+    await leader.read(ASSIGNMENT)
+    clock.now += REPEAT_S
+    await leader.decide()
+    assert all(item.epoch == 2 for _, item in leader.releases())
+    leader.answer(first)
+    await leader.decide()
+    assert owners(store.assignment()) == owners(other)
+
+
+async def test_an_answer_for_another_target_does_not_complete_a_move():
+    # Guards against records that went to one node while another becomes the owner.
+    leader = await draining_leader()
+    ((_, item), *_) = leader.releases()
+    other = next(node for node in (FIRST, SECOND) if node != item.target)
+    leader.controller.receive(
+        Released(item.service, item.is_key, item.item, item.epoch, other, True)
+    )
+    await leader.decide()
+    assert leader.store.version(ASSIGNMENT) == 1
+
+
+@pytest.mark.parametrize("records_kept", [True, False])
+async def test_a_move_without_its_records_starts_a_new_coverage_epoch(records_kept):
+    # Guards against a resubmission that runs again at an owner without its record.
+    leader = await draining_leader()
+    releases = leader.releases()
+    before = leader.store.assignment()
+    leader.answer(releases, records_kept)
+    await leader.decide()
+    after = leader.store.assignment()
+    items = {item.item for _, item in releases}
+    for partition in range(len(after)):
+        is_new = partition in items and not records_kept
+        expected = 2 if is_new else before.coverage_epochs[partition]
+        assert after.coverage_epochs[partition] == expected
+        assert after.epochs[partition] == (2 if partition in items else 1)
+
+
+async def test_the_tombstone_of_an_owner_is_kept_until_it_owns_nothing():
+    # Guards against a fenced owner that counts as unknown, and so as alive, for ever.
+    fenced = [record(node, NodeState.FENCED) for node in (THIRD, FOURTH)]
+    store = await store_with([record(FIRST), *fenced], [THIRD])
+    leader = Leader(store)
+    await leader.begin()
+    await leader.decide()
+    assert store.fleet().get(FOURTH) is None, "it owns nothing and is old"
+    assert store.fleet().get(THIRD) is not None
+    assert owners(store.assignment())[0] == THIRD, "no endpoint has been announced"
+    leader.report(FIRST)
+    await leader.decide()
+    assert THIRD not in owners(store.assignment())
+    await leader.decide()
+    assert store.fleet().get(THIRD) is None
