Keep an endpoint in service when its settings change

Cause: the endpoint that replaces one with other settings began without a grant, so it was out of service until the endpoint had answered. A load report is sent at once when an endpoint's offer changes and is checked every 0.2 s; if it fell into that gap it said 0 slots, and the controller moved all partitions of the VM away. The ramp of a cold endpoint and its health began anew, too.

Before: may_own is False right after the change. After: it stays True, and the ramp goes on.

--- a/src/sesamepost/internal/dispatch/dispatcher.py
+++ b/src/sesamepost/internal/dispatch/dispatcher.py
@@ -107,6 +107,7 @@
         self.endpoints[service] = endpoint
         log.info("endpoint_announced", service=service, url=announcement.url)
         if present is not None:
+            endpoint.continue_from(present)
             self._start(self._retire(present))
         self._start(self._grant(service, endpoint))
 
--- a/src/sesamepost/internal/dispatch/served.py
+++ b/src/sesamepost/internal/dispatch/served.py
@@ -87,6 +87,21 @@
         self._take(announcement)
         return True
 
+    def continue_from(self, previous: "ServedEndpoint") -> None:
+        """Keep what is known of the same process when only its settings changed.
+
+        Without its grant the endpoint would be out of service for a moment, and a load
+        report of that moment makes the controller move its partitions away.
+        """
+        old, new = previous.announcement, self.announcement
+        if (old.url, old.fenced) != (new.url, new.fenced):
+            return
+        self.has_grant = previous.has_grant
+        self.ramp = previous.ramp
+        self.health = previous.health
+        self.verdict = previous.verdict
+        self._take(new)
+
     def judge(self, now: float) -> None:
         """Update the verdict on the endpoint and the slots of a cold one."""
         self.verdict = self.health.judge(now)
--- a/tests/e2e/test_in_flight.py
+++ b/tests/e2e/test_in_flight.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from sesamepost.internal.clock import boottime
 from sesamepost.internal.identity import new_node_id
 from sesamepost.internal.wire.pool import PeerPool
 from tests.e2e.local import ANY_PORT, BRANCH, running_fleet
@@ -28,6 +29,22 @@
         assert [(reply.status, reply.kind) for reply in replies] == [(200, None)] * 6
 
 
+async def test_a_settings_change_leaves_the_endpoint_in_service():
+    # Guards against a load report without slots, sent before the next grant, for which
+    # the controller moves all partitions of the VM away.
+    async with running_fleet(vms=1, cold_s=60) as fleet:
+        (vm,) = fleet.vms
+        dispatcher = vm.daemon.dispatcher
+        before = dispatcher.endpoints["ledger"]
+        await fleet.put("team", BRANCH + "queue_length = 99\n", 1)
+        await fleet.until(lambda: vm.daemon.views.services["ledger"].queue_length == 99)
+        dispatcher.announce(before.announcement)
+        after = dispatcher.endpoints["ledger"]
+        assert after.settings.queue_length == 99
+        assert after.may_own(boottime())
+        assert after.ramp.began == before.ramp.began, "the ramp goes on"
+
+
 async def test_a_change_of_another_part_of_the_branch_keeps_the_endpoint():
     # Guards against a drain of one VM that resets limits and health on all others.
     async with running_fleet(vms=1) as fleet:
