--- a/tests/e2e/test_sessions.py
+++ b/tests/e2e/test_sessions.py
@@ -76,6 +76,13 @@
             return False
         return not controller.pending.moves and all(map(self._is_member, daemons))
 
+    def is_without_store(self):
+        """Return whether the outage is noticed and has ended the controller's lease."""
+        daemons = [vm.daemon for vm in self.vms]
+        return not self.fleet.store.leases and not any(
+            daemon.leadership.leads or daemon.reader.is_current for daemon in daemons
+        )
+
     def _has_announced(self, daemon):
         """Return whether the endpoint was announced under the settings in force."""
         endpoint = daemon.dispatcher.endpoints.get("ledger")
@@ -239,14 +246,7 @@
             await _submit(session, vms[:2], key, "sale-3", Sesamepost_Born=fresh)
         with step("the store is down"):
             fleet.store.set_faults(outage=True)
-            await fleet.until(
-                lambda: (
-                    not any(
-                        vm.daemon.leadership.leads or vm.daemon.reader.is_current
-                        for vm in session.vms
-                    )
-                )
-            )
+            await fleet.until(lambda: session.is_without_store())
             await session.requests(8, "outage")
             await transcript.status(session.vms)
         with step("the store is back"):
--- a/tests/e2e/traffic.py
+++ b/tests/e2e/traffic.py
@@ -80,25 +80,31 @@
             await self._pause()
 
     async def send_idempotent(self, name, has_token):
-        number = 0
+        """Submit until the outcome is known, and earlier ones again at any time later.
+
+        A resubmission after the owner's loss is the one that a lost record endangers.
+        """
+        sent = []
         while not self.stopped:
-            number += 1
-            idempotency_key = f"{name}-{number}"
-            key = self.random.choice(KEYS)
-            headers = {"Sesamepost_Idempotency_Key": idempotency_key}
+            headers = {"Sesamepost_Idempotency_Key": f"{name}-{len(sent)}"}
             token = await self._token() if has_token else None
             if token:
                 headers["Sesamepost_Born"] = token
-            group = self.groups[idempotency_key] = []
-            for attempt in range(MAX_SUBMISSIONS):
-                name_of_attempt = f"{idempotency_key}/{attempt}"
-                submission = await self._submit(name_of_attempt, key, headers)
-                group.append(submission)
-                # One resubmission follows a known outcome, too, and must be replayed.
-                is_known = submission.reply and submission.reply.outcome == "ran"
-                if is_known and attempt > 0:
+            sent.append((self.random.choice(KEYS), headers))
+            for _ in range(MAX_SUBMISSIONS):
+                submission = await self._submit_once(*sent[-1])
+                if submission.reply and submission.reply.outcome == "ran":
                     break
                 await self._pause()
+            await self._submit_once(*self.random.choice(sent))
+            await self._pause()
+
+    async def _submit_once(self, key, headers):
+        name = headers["Sesamepost_Idempotency_Key"]
+        group = self.groups.setdefault(name, [])
+        submission = await self._submit(f"{name}/{len(group)}", key, headers)
+        group.append(submission)
+        return submission
 
     async def _submit(self, request_id, key, headers):
         submission = Submission(request_id, key)
