Take a refused promise without closing the stream of its witness

Cause: the controller passed the time to Fencing.receive_refused, which takes the message only. Every PromiseRefused of a peer raised TypeError in the read callback, which closed the stream, and the suspicion was not withdrawn.

Test: test_a_refused_promise_ends_the_suspicion raises TypeError without the change.

--- a/src/sesamepost/internal/controller/controller.py
+++ b/src/sesamepost/internal/controller/controller.py
@@ -124,7 +124,7 @@
             case Promised():
                 self.fencing.receive_promised(item)
             case PromiseRefused():
-                self.fencing.receive_refused(item, now)
+                self.fencing.receive_refused(item)
             case Released():
                 self.pending.receive(item)
             case LoadReport():
--- a/tests/controller/test_controller.py
+++ b/tests/controller/test_controller.py
@@ -1,11 +1,13 @@
 """Decisions of the controller on documents that others write, too."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
 from sesamepost.internal.balance.reports import ReleasedKind
 from sesamepost.internal.controller import controller as controller_module
+from sesamepost.internal.lease.messages import Promise, PromiseRefused, Suspect
 from sesamepost.internal.membership.fleet import Fleet, NodeState
 from sesamepost.internal.membership.messages import Join, Leave
 from sesamepost.internal.ownership.messages import Released
@@ -317,3 +319,27 @@
     assert THIRD not in owners(store.assignment())
     await leader.decide()
     assert store.fleet().get(THIRD) is None
+
+
+async def test_a_refused_promise_ends_the_suspicion(clock):
+    # Guards against a witness whose refusal closes its stream to the controller, and
+    # against a node that is asked about for ever.
+    witnesses = (FIRST, SECOND, THIRD)
+    suspected = replace(record(FOURTH), witnesses=witnesses)
+    records = [record(node) for node in witnesses]
+    store = await store_with([*records, suspected], [FIRST])
+    leader = Leader(store)
+    await leader.begin()
+    for witness in witnesses[1:]:
+        leader.controller.receive(Suspect(FOURTH, witness))
+    await leader.decide()
+    asked = [item for _, item in leader.pool.sent if isinstance(item, Promise)]
+    assert {item.witness for item in asked} >= {SECOND, THIRD}
+    leader.pool.sent.clear()
+    for witness in witnesses[1:]:
+        refusal = PromiseRefused(FOURTH, witness, asked[0].fleet_version)
+        leader.controller.receive(refusal)
+    clock.now += REPEAT_S
+    await leader.decide()
+    assert not [item for _, item in leader.pool.sent if isinstance(item, Promise)]
+    assert store.fleet().get(FOURTH).state is NodeState.ACTIVE
