--- a/tests/e2e/test_random_failures.py
+++ b/tests/e2e/test_random_failures.py
@@ -1,6 +1,7 @@
 """Random failures of all kinds at the same time as requests."""
 
 import asyncio
+import logging
 import random
 
 import pytest
@@ -18,6 +19,11 @@
 WITNESSES = 3
 
 
+def is_error(entry):
+    """Return whether the event loop reports an exception that nobody handled."""
+    return entry.name == "asyncio" and entry.levelno >= logging.ERROR
+
+
 def has_all_witnesses(vm):
     """Return whether a VM can be fenced without an operator (design, section 4).
 
@@ -48,7 +54,7 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-async def test_no_rule_is_broken_by_random_failures(seed):
+async def test_no_rule_is_broken_by_random_failures(seed, caplog):
     # Guards against a second run, a false "not run", a wrong answer, two owners of a
     # key or keys without service, which only some order of failures brings about.
     print(f"seed {seed}")
@@ -79,6 +85,7 @@
     print(f"{len(traffic.submissions)} requests, {len(runs)} executions, {counts}")
     print(f"served again after {max(times):.2f} s at the latest")
     assert check(traffic, runs) == []
+    assert [item.getMessage() for item in caplog.records if is_error(item)] == []
     assert counts["ran"] > 0
     late = {key: t for key, t in zip(KEYS, times, strict=True) if t >= SERVED_AGAIN_S}
     assert late == {}
