--- a/src/sesamepost/internal/wire/pool.py
+++ b/src/sesamepost/internal/wire/pool.py
@@ -40,6 +40,7 @@
         self.streams: dict[NodeId, PeerStream] = {}
         self.dialing: dict[tuple[Address, NodeId | None], asyncio.Task] = {}
         self.opening: set[PeerStream] = set()
+        # Two nodes that dial each other at once have two streams; both are used.
         self.open: set[PeerStream] = set()
         self.waiting: set[PeerStream] = set()
         self.sweeper: asyncio.Task | None = None
