--- /dev/null
+++ b/src/sesamepost/tools/capacity/__main__.py
@@ -0,0 +1,5 @@
+"""Allows ``python -m sesamepost.tools.capacity``."""
+
+from sesamepost.tools.capacity.command import main
+
+main()
