Measure the steps of a node and of the controller by size

A real daemon is built with its tasks not started and with peers that only encode and count, so each step of a task and each new document can be timed alone.

--- /dev/null
+++ b/src/sesamepost/tools/capacity/node.py
@@ -0,0 +1,132 @@
+"""One real daemon whose tasks are not started and whose peers only count bytes.
+
+Each step of a task can then be called and timed alone. The store is a dictionary.
+"""
+
+import os
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.daemon.daemon import Daemon
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.settings.model import ProcessSettings
+from sesamepost.internal.store.interface import StoreConflictError, StoredValue
+from sesamepost.internal.wire.frames import frames_of
+from sesamepost.internal.wire.messages import encode
+from sesamepost.internal.wire.pool import Address
+from sesamepost.tools.capacity.design_size import (
+    build_documents,
+    build_fleet,
+    node_id,
+    place_of,
+)
+
+ANY_PORT = Address("127.0.0.1", 0)
+UNUSED_STORE = "http://127.0.0.1:9"
+
+
+class CountingStream:
+    """Stands for an open stream: encodes and frames messages, but writes nothing."""
+
+    is_open = True
+
+    def __init__(self, peer: NodeId) -> None:
+        self.peer = peer
+        self.bytes_sent = 0
+        self.messages_sent = 0
+
+    def send(self, item: object) -> None:
+        """Encode a message and count it."""
+        self.messages_sent += 1
+        for part in frames_of(encode(item), self.messages_sent):
+            self.bytes_sent += len(part)
+
+    def close(self, reason: str) -> None:
+        """Do nothing; there is no connection."""
+
+
+class MemoryStore:
+    """A store that takes every write whose expected version is the present one."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, StoredValue] = {}
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Return the value at ``key``, or None."""
+        return self.values.get(key)
+
+    async def put(self, key: str, value: bytes, expected: int, lease: str = "") -> int:
+        """Write by compare-and-swap."""
+        present = self.values.get(key)
+        version = 0 if present is None else present.version
+        if version != expected:
+            raise StoreConflictError(key, expected, version)
+        self.values[key] = StoredValue(value, expected + 1)
+        return expected + 1
+
+    async def end_lease(self, lease: str) -> None:
+        """Do nothing; there are no leases."""
+
+
+class StillDaemon(Daemon):
+    """A daemon of which no task runs."""
+
+    def _start_tasks(self) -> None:
+        self.tasks = []
+
+
+@asynccontextmanager
+async def still_daemon(number: int = 0) -> AsyncIterator[StillDaemon]:
+    """Create the parts of the daemon of one VM of the design size."""
+    domain, region = place_of(number)
+    settings = ProcessSettings(
+        vm=node_id(number).vm,
+        failure_domain=domain,
+        region=region,
+        callers=ANY_PORT,
+        peers=ANY_PORT,
+        operators=ANY_PORT,
+        endpoints=ANY_PORT,
+        peers_key=b"key of the peers",
+        seeds=tuple(build_fleet(30).get(node_id(n)).address for n in (1, 2, 3)),
+        store_url=UNUSED_STORE,
+    )
+    daemon = StillDaemon(settings)
+    daemon.node = node_id(number)
+    async with daemon:
+        yield daemon
+
+
+def load_documents(
+    daemon: StillDaemon, nodes: int, services: int, branch_bytes: int = 4096
+) -> None:
+    """Give the daemon all documents and open streams to all nodes."""
+    for number in range(nodes):
+        node = node_id(number)
+        if node != daemon.node:
+            daemon.pool.streams[node] = CountingStream(node)
+    for name, body in build_documents(nodes, services, branch_bytes).items():
+        daemon.replica.offer(name, 1, body)
+
+
+def lead(daemon: StillDaemon, store: MemoryStore) -> None:
+    """Make the daemon the controller, with a store that answers at once."""
+    daemon.store = daemon.controller.store = daemon.leadership.store = store
+    daemon.leadership.lease = "lease"
+    # The lease is not renewed here, so it must outlast the measurement.
+    daemon.leadership.renewed_at = boottime() + 100_000
+    daemon.controller.leading_since = boottime() - 1000
+    daemon.controller.fencing.observe(daemon.views.fleet, boottime())
+
+
+def quiet_logs() -> None:
+    """Drop log lines, which a measurement of thousands of steps would repeat."""
+    os.environ["UV_USE_IO_URING"] = "0"
+    import structlog
+
+    structlog.configure(
+        processors=[structlog.processors.JSONRenderer()],
+        logger_factory=structlog.ReturnLoggerFactory(),
+        cache_logger_on_first_use=False,
+    )
--- /dev/null
+++ b/src/sesamepost/tools/capacity/steps.py
@@ -0,0 +1,279 @@
+"""CPU time of the steps that every node repeats, and of each new document."""
+
+from contextlib import AsyncExitStack
+
+from sesamepost.internal.balance.sketch import LoadCounters
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.daemon.reporting import Reporter
+from sesamepost.internal.dispatch.endpoints import Announcement, EndpointState
+from sesamepost.internal.documents.delta import apply, delta
+from sesamepost.internal.documents.messages import Push, Versions
+from sesamepost.internal.identity import hash_key
+from sesamepost.internal.lease.messages import Renew
+from sesamepost.internal.membership.fleet import (
+    Fleet,
+    controller_candidates,
+    neighbours,
+)
+from sesamepost.internal.ownership.assignment import Assignment
+from sesamepost.internal.settings.branch import parse_branch
+from sesamepost.tools.capacity.design_size import (
+    PARTITIONS,
+    build_assignment,
+    build_branch,
+    build_fleet,
+    node_id,
+    service_names,
+)
+from sesamepost.tools.capacity.fit import Series, cpu_series
+from sesamepost.tools.capacity.messages import (
+    BRANCH_SIZES,
+    DIGEST,
+    FLEET_SIZES,
+    HOT_KEY_SIZES,
+    PARTITION_SIZES,
+    one_move,
+)
+from sesamepost.tools.capacity.node import (
+    CountingStream,
+    StillDaemon,
+    load_documents,
+    still_daemon,
+)
+
+SERVICES_OF_STEPS = 24
+DUE_S = 1000.0
+
+
+def part_series() -> list[Series]:
+    """Return the CPU time of the parts of which the steps consist."""
+    fleets = {n: build_fleet(n) for n in FLEET_SIZES}
+    fleet_bodies = {n: fleet.encode() for n, fleet in fleets.items()}
+    assignments = {n: build_assignment(n, 20) for n in PARTITION_SIZES}
+    bodies = {n: item.encode() for n, item in assignments.items()}
+    hot = {n: build_assignment(PARTITIONS, 20, n).encode() for n in HOT_KEY_SIZES}
+    branches = {n: build_branch(service_names(3), n) for n in BRANCH_SIZES}
+    moved = {n: one_move(item) for n, item in assignments.items()}
+    pushes = {
+        n: delta("assignment/service-00", 2, moved[n], 1, bodies[n]) for n in bodies
+    }
+
+    def series(name, size_name, items, call):
+        calls = {n: lambda item=item, n=n: call(n, item) for n, item in items.items()}
+        return cpu_series(name, size_name, calls)
+
+    return [
+        series(
+            "Fleet.decode", "nodes", fleet_bodies, lambda n, body: Fleet.decode(1, body)
+        ),
+        series("Fleet.encode", "nodes", fleets, lambda n, fleet: fleet.encode()),
+        series(
+            "Fleet.fence", "nodes", fleets, lambda n, fleet: fleet.fence(node_id(5), 1)
+        ),
+        series(
+            "controller_candidates",
+            "nodes",
+            fleets,
+            lambda n, fleet: controller_candidates(fleet),
+        ),
+        series(
+            "neighbours",
+            "nodes",
+            fleets,
+            lambda n, fleet: neighbours(fleet, node_id(0)),
+        ),
+        series(
+            "Assignment.decode",
+            "partitions",
+            bodies,
+            lambda n, body: Assignment.decode("s", 1, body),
+        ),
+        series(
+            "Assignment.decode, 4,096 partitions",
+            "hot keys",
+            hot,
+            lambda n, body: Assignment.decode("s", 1, body),
+        ),
+        series("Assignment.encode", "partitions", assignments, lambda n, i: i.encode()),
+        series(
+            "delta of a move",
+            "partitions",
+            bodies,
+            lambda n, body: delta("s", 2, moved[n], 1, body),
+        ),
+        series(
+            "apply a delta",
+            "partitions",
+            bodies,
+            lambda n, body: apply(pushes[n], 1, body),
+        ),
+        series(
+            "parse_branch",
+            "bytes of the branch",
+            branches,
+            lambda n, text: parse_branch("team-0", text),
+        ),
+        series(
+            "LoadCounters.advance",
+            "partitions counted",
+            {n: counters_of(n) for n in (8, 64, 205)},
+            lambda n, counters: counters.advance(counters.now + 1.0),
+        ),
+    ]
+
+
+def counters_of(partitions: int) -> LoadCounters:
+    """Return counters of a node that owns this number of partitions."""
+    counters = LoadCounters(PARTITIONS, 0.0, seed=1)
+    for number in range(partitions * 40):
+        counters.record((hash_key(str(number)) & ~0xFFF) | number % partitions)
+    counters.advance(1.0)
+    return counters
+
+
+def announce_endpoint(daemon: StillDaemon) -> None:
+    """Announce one endpoint of the first service."""
+    daemon.dispatcher.announce(
+        Announcement(
+            "service-00",
+            "http://127.0.0.1:9",
+            False,
+            6,
+            110,
+            EndpointState.READY,
+            0.1,
+            boottime() + DUE_S * DUE_S,
+        )
+    )
+
+
+def offer_in_turn(daemon: StillDaemon, name: str, bodies: list[bytes]):
+    """Return a call that offers the next version of a document."""
+
+    def offer():
+        version = daemon.replica.version_of(name) + 1
+        daemon.replica.offer(name, version, bodies[version % 2])
+
+    return offer
+
+
+def push_in_turn(daemon: StillDaemon, name: str, bodies: list[bytes]):
+    """Return a call that receives the next version as a push of a neighbour.
+
+    The delta is made by the sender, whose cost is in ``delta of a move`` and in the
+    push on to the receiver's own neighbours.
+    """
+    stream = CountingStream(node_id(1))
+    deltas = [
+        delta(name, 2, bodies[0], 1, bodies[1]),
+        delta(name, 2, bodies[1], 1, bodies[0]),
+    ]
+
+    def receive():
+        held = daemon.replica.version_of(name)
+        push = deltas[(held + 1) % 2]
+        base = held if push.base_version else 0
+        item = Push(name, held + 1, base, push.size, push.checksum, push.blocks)
+        daemon.spreader._on_push(stream, item)
+
+    return receive
+
+
+async def node_steps() -> list[Series]:
+    """Return the CPU time of a node's steps and new documents by size of the fleet."""
+    async with AsyncExitStack() as stack:
+        daemons: dict[int, StillDaemon] = {}
+        for nodes in FLEET_SIZES:
+            daemon = await stack.enter_async_context(still_daemon())
+            load_documents(daemon, nodes, SERVICES_OF_STEPS)
+            announce_endpoint(daemon)
+            daemons[nodes] = daemon
+        result = [*tick_series(daemons), *document_series(daemons)]
+    return result
+
+
+def tick_series(daemons: dict[int, StillDaemon]) -> list[Series]:
+    """Return the CPU time of the periodic steps."""
+    late = {"now": boottime()}
+
+    def idle_tick(daemon):
+        daemon.membership.tick(boottime())
+
+    def renewing_tick(daemon):
+        late["now"] += 0.45
+        daemon.membership.tick(late["now"])
+
+    def report(daemon: StillDaemon):
+        reporter: Reporter = daemon.reporter
+        daemon.link.send(_report_of(reporter))
+
+    def idle_report_tick(daemon):
+        daemon.reporter.next_report = boottime() + DUE_S
+        daemon.reporter.tick(boottime())
+
+    def renew(daemon):
+        daemon.membership._on_renew(
+            CountingStream(node_id(1)), Renew(node_id(1), node_id(0), 7, DIGEST)
+        )
+
+    def versions(daemon):
+        item = Versions(tuple(daemon.replica.versions()), True)
+        daemon.spreader._on_versions(CountingStream(node_id(1)), item)
+
+    def series(name, call):
+        calls = {n: lambda item=item: call(item) for n, item in daemons.items()}
+        return cpu_series(name, "nodes", calls)
+
+    return [
+        series("membership tick, nothing due", idle_tick),
+        series("membership tick, renewals due", renewing_tick),
+        series("witness: suspects_due", lambda d: d.membership.witness.suspects_due(0)),
+        series("renewal answered (digest equal or exchanged)", renew),
+        series("choose_witnesses", lambda d: d.membership._choose()),
+        series("reporter tick, nothing due", idle_report_tick),
+        series("load report built and sent", report),
+        series("endpoint judged", lambda d: _judge(d)),
+        series("store reader: is_candidate", lambda d: d._is_candidate()),
+        series("push targets", lambda d: d._push_targets()),
+        series("version lists compared", versions),
+    ]
+
+
+def document_series(daemons: dict[int, StillDaemon]) -> list[Series]:
+    """Return the CPU time of a new version: views, handover and the push on."""
+
+    def series(name, prepare):
+        return cpu_series(name, "nodes", {n: prepare(n, d) for n, d in daemons.items()})
+
+    def fleet(nodes, daemon):
+        present = build_fleet(nodes)
+        changed = present.mark_leaving(node_id(nodes // 2))
+        bodies = [present.encode(), changed.encode()]
+        return push_in_turn(daemon, "fleet", bodies)
+
+    def assignment(nodes, daemon):
+        name = "assignment/service-00"
+        present = build_assignment(PARTITIONS, max(1, nodes // 24), 11)
+        return push_in_turn(daemon, name, [present.encode(), one_move(present)])
+
+    def settings(nodes, daemon):
+        present = daemon.replica.documents["settings/team-0"].body
+        changed = present.replace(b"slots = 6", b"slots = 8", 1)
+        return push_in_turn(daemon, "settings/team-0", [present, changed])
+
+    return [
+        series("new version of fleet, pushed on", fleet),
+        series("new version of assignment/S (4,096), pushed on", assignment),
+        series("new version of settings/T (4 KB), pushed on", settings),
+    ]
+
+
+def _report_of(reporter: Reporter):
+    from sesamepost.internal.balance.reports import build_report
+
+    return build_report(reporter._load(boottime()))
+
+
+def _judge(daemon: StillDaemon) -> None:
+    for endpoint in daemon.dispatcher.endpoints.values():
+        endpoint.judge(boottime())
