--- a/src/sesamepost/tools/capacity/command.py
+++ b/src/sesamepost/tools/capacity/command.py
@@ -6,14 +6,22 @@
 
 from sesamepost.tools.capacity.controller_steps import controller_steps
 from sesamepost.tools.capacity.fit import TABLE_HEADER, Series
+from sesamepost.tools.capacity.memory import (
+    document_memory,
+    record_memory,
+    stream_costs,
+)
 from sesamepost.tools.capacity.messages import (
     document_bytes,
     message_bytes,
     message_cpu,
 )
 from sesamepost.tools.capacity.node import quiet_logs
+from sesamepost.tools.capacity.running import measure_fleet, memory_of_imports
 from sesamepost.tools.capacity.steps import node_steps, part_series
 
+PORTS_OF_A_FLEET = 1000
+
 
 def print_table(title: str, series: list[Series]) -> None:
     """Print one table of costs."""
@@ -22,8 +30,15 @@
         print(item.row(), flush=True)
 
 
-def measure() -> None:
-    """Print the cost of control by size: cost = base + slope x size."""
+def measure(
+    *, fleet_sizes: tuple[int, ...] = (6, 12, 24), base_port: int = 21000
+) -> None:
+    """Print the cost of control by size: cost = base + slope x size.
+
+    :param fleet_sizes: numbers of VMs of the fleets of separate processes; each VM
+        takes two processes
+    :param base_port: first of the ports used, a thousand for each fleet
+    """
     quiet_logs()
     print_table("Documents", document_bytes())
     print_table("Messages: bytes", message_bytes())
@@ -31,6 +46,13 @@
     print_table("Parts of steps: CPU", part_series())
     print_table("Steps of a node: CPU", asyncio.run(node_steps()))
     print_table("Steps of the controller: CPU", asyncio.run(controller_steps()))
+    print_table("Memory: bytes", [*document_memory(), *record_memory()])
+    print_table("Streams", asyncio.run(stream_costs()))
+    print("\nFleets of separate processes without requests\n")
+    print(f"- imports only: {memory_of_imports() / (1 << 20):.1f} MiB resident")
+    for index, nodes in enumerate(fleet_sizes):
+        cost = measure_fleet(nodes, base_port + PORTS_OF_A_FLEET * index)
+        print("\n".join(asyncio.run(cost).rows()), flush=True)
 
 
 def main() -> None:
--- a/src/sesamepost/tools/capacity/steps.py
+++ b/src/sesamepost/tools/capacity/steps.py
@@ -226,7 +226,7 @@
 
     return [
         series("membership tick, nothing due", idle_tick),
-        series("membership tick, renewals due", renewing_tick),
+        series("membership tick, renewals due, none answered", renewing_tick),
         series("witness: suspects_due", lambda d: d.membership.witness.suspects_due(0)),
         series("renewal answered (digest equal or exchanged)", renew),
         series("choose_witnesses", lambda d: d.membership._choose()),
