Check streams for silence only while calls are outstanding

Every open stream had a timer that fired each 0.25 s.

The first call after an idle time starts the timer, and it ends when it finds no call. Idle streams have none. Silence during a call is noticed as before.

--- a/src/sesamepost/internal/wire/stream.py
+++ b/src/sesamepost/internal/wire/stream.py
@@ -141,6 +141,8 @@
         if not self.calls:
             # The silence of an idle stream says nothing about its peer.
             self.last_received = self.loop.time()
+        if self.silence_timer is None:
+            self._start_silence_timer()
         self.calls[self.next_id] = future
         return self.next_id, future
 
@@ -188,9 +190,9 @@
             return
         self.reader.limit = MAX_FRAME_BYTES
         self.silence_timer.cancel()
-        self.silence_timer = self.loop.call_later(
-            SILENCE_CHECK_INTERVAL_S, self._check_silence
-        )
+        self.silence_timer = None
+        if self.calls:
+            self._start_silence_timer()
         self.opened.set_result(self.handshake.peer.node)
 
     def _flush(self) -> None:
@@ -206,17 +208,24 @@
         if not self.handshake.proven:
             self.close(f"no handshake within {HANDSHAKE_TIMEOUT_S} s")
 
+    def _start_silence_timer(self) -> None:
+        self.silence_timer = self.loop.call_later(
+            SILENCE_CHECK_INTERVAL_S, self._check_silence
+        )
+
     def _check_silence(self) -> None:
+        if not self.calls:
+            # Timers of 479 idle streams would take half a percent of a core.
+            self.silence_timer = None
+            return
         now = self.loop.time()
         silence = now - self.last_received
-        if self.calls and silence > CLOSE_AFTER_SILENCE_S:
+        if silence > CLOSE_AFTER_SILENCE_S:
             self.close(f"nothing received for {silence:.1f} s")
             return
-        if self.calls and silence > PING_AFTER_SILENCE_S:
+        if silence > PING_AFTER_SILENCE_S:
             self.send(Ping(self.next_id))
-        self.silence_timer = self.loop.call_later(
-            SILENCE_CHECK_INTERVAL_S, self._check_silence
-        )
+        self._start_silence_timer()
 
     def _settle(self, reason: str) -> None:
         if self.closed_reason is not None:
--- a/tests/wire/test_stream.py
+++ b/tests/wire/test_stream.py
@@ -118,3 +118,20 @@
         await asyncio.wait_for(reader.read(), 5)
         assert reader.at_eof()
         writer.close()
+
+
+async def test_silence_is_noticed_again_after_the_stream_was_idle():
+    # Guards against a check that ended with the first call and was not started again.
+    async with two_pools() as (server, client, address):
+        stream = await client.stream_to(address, server.node)
+        assert stream.silence_timer is None, "an idle stream needs no timer"
+        await call(stream, b"first")
+        async with asyncio.timeout(2):
+            while stream.silence_timer is not None:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+
+        server.streams[client.node].transport.pause_reading()
+        call_id, future = stream.new_call()
+        stream.send(request(call_id))
+        with pytest.raises(StreamClosedError, match="nothing received"):
+            await asyncio.wait_for(future, 4)
