--- a/src/sesamepost/tools/capacity/memory.py
+++ b/src/sesamepost/tools/capacity/memory.py
@@ -147,12 +147,15 @@
     def check(streams: list[PeerStream]):
         for stream in streams:
             stream._check_silence()
-            stream.silence_timer.cancel()
+            if stream.silence_timer is not None:
+                stream.silence_timer.cancel()
 
     memory = {n: added_bytes(lambda n=n: build(n)) for n in STREAM_SIZES}
     series = [byte_series("streams, without buffers", "streams", memory)]
     checked = {n: build(n) for n in STREAM_SIZES}
     calls = {n: lambda item=item: check(item) for n, item in checked.items()}
-    series.append(cpu_series("silence check of all streams", "streams", calls))
+    series.append(
+        cpu_series("silence check of all streams, if one is due", "streams", calls)
+    )
     await asyncio.sleep(0)
     return series
