--- a/src/sesamepost/internal/daemon/daemon.py
+++ b/src/sesamepost/internal/daemon/daemon.py
@@ -253,9 +253,16 @@
             self.queries.ask,
             self._services,
             self.metrics.render,
-            _process_usage,
+            self._process_usage,
         )
 
+    def _process_usage(self) -> dict:
+        return {
+            **_process_usage(),
+            "peer_bytes_sent": self.pool.bytes_sent,
+            "peer_bytes_received": self.pool.bytes_received,
+        }
+
     def _not_ready_because(self) -> str:
         if self.stopping:
             return "the daemon is stopping"
--- a/src/sesamepost/internal/wire/pool.py
+++ b/src/sesamepost/internal/wire/pool.py
@@ -41,6 +41,20 @@
         self.opening: set[PeerStream] = set()
         self.counters: Counter[str] = Counter()
         self.server: asyncio.Server | None = None
+        self.closed_bytes_sent = 0
+        self.closed_bytes_received = 0
+
+    @property
+    def bytes_sent(self) -> int:
+        """The bytes written to all streams, also to those that are closed."""
+        open_streams = {*self.streams.values(), *self.opening}
+        return self.closed_bytes_sent + sum(s.bytes_sent for s in open_streams)
+
+    @property
+    def bytes_received(self) -> int:
+        """The bytes read from all streams, also from those that are closed."""
+        open_streams = {*self.streams.values(), *self.opening}
+        return self.closed_bytes_received + sum(s.bytes_received for s in open_streams)
 
     def on(self, message_type: type, handler: Callable[[PeerStream, Any], None]):
         """Call ``handler(stream, message)`` for each message of this type."""
@@ -118,6 +132,9 @@
 
     def _on_closed(self, stream: PeerStream) -> None:
         self.counters["streams_closed"] += 1
+        self.closed_bytes_sent += stream.bytes_sent
+        self.closed_bytes_received += stream.bytes_received
+        self.opening.discard(stream)
         if self.streams.get(stream.peer) is stream:
             del self.streams[stream.peer]
 
--- a/src/sesamepost/internal/wire/stream.py
+++ b/src/sesamepost/internal/wire/stream.py
@@ -89,7 +89,7 @@
         """Send the hello and limit the time that the handshake may take."""
         self.transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        transport.write(frame(encode(self.handshake.hello)))
+        self._write(frame(encode(self.handshake.hello)))
         self.silence_timer = self.loop.call_later(
             HANDSHAKE_TIMEOUT_S, self._check_handshake
         )
@@ -185,7 +185,7 @@
     def _receive_handshake(self, item: Any) -> None:
         reply = self.handshake.receive(item)
         if reply is not None:
-            self.transport.write(frame(encode(reply)))
+            self._write(frame(encode(reply)))
         if not self.handshake.proven:
             return
         self.reader.limit = MAX_FRAME_BYTES
@@ -201,6 +201,9 @@
             return
         data = b"".join(self.out)
         self.out.clear()
+        self._write(data)
+
+    def _write(self, data: bytes) -> None:
         self.bytes_sent += len(data)
         self.transport.write(data)
 
--- a/tests/wire/test_stream.py
+++ b/tests/wire/test_stream.py
@@ -135,3 +135,17 @@
         stream.send(request(call_id))
         with pytest.raises(StreamClosedError, match="nothing received"):
             await asyncio.wait_for(future, 4)
+
+
+async def test_the_bytes_of_a_closed_stream_stay_counted():
+    # Guards against a count of traffic that falls, or counts a stream twice.
+    async with two_pools() as (server, client, address):
+        stream = await client.stream_to(address, server.node)
+        await call(stream, bytes(1000))
+        sent, received = client.bytes_sent, client.bytes_received
+        assert sent == stream.bytes_sent > 1000
+        assert (sent, received) == (server.bytes_received, server.bytes_sent)
+
+        stream.close("the test ends it")
+
+        assert (client.bytes_sent, client.bytes_received) == (sent, received)
