--- a/src/sesamepost/tools/capacity/running.py
+++ b/src/sesamepost/tools/capacity/running.py
@@ -40,6 +40,8 @@
     core_shares: tuple[float, ...]
     controller_core_share: float
     resident_bytes: tuple[int, ...]
+    stream_bytes_per_s: tuple[float, ...]
+    controller_bytes_per_s: float
     store_calls_per_s: dict[str, float]
     change_s: tuple[float, ...]
 
@@ -54,6 +56,10 @@
             f" controller {100 * self.controller_core_share:.2f}%,"
             f" resident {statistics.median(mib):.1f} MiB"
             f" ({min(mib):.1f} to {max(mib):.1f}),"
+            f" streams {statistics.median(self.stream_bytes_per_s):.0f} bytes/s"
+            f" sent and received ({min(self.stream_bytes_per_s):.0f} to"
+            f" {max(self.stream_bytes_per_s):.0f}), controller"
+            f" {self.controller_bytes_per_s:.0f},"
             f" settings change {statistics.median(self.change_s):.2f} s"
             f" ({min(self.change_s):.2f} to {max(self.change_s):.2f}),"
             f" store calls/s {sum(self.store_calls_per_s.values()):.2f} ({calls})"
@@ -81,11 +87,12 @@
             await asyncio.sleep(MEASURE_S)
             after, calls_after = await _statuses(fleet), await _calls(fleet)
             changes = [await _change_settings(fleet, n) for n in range(CHANGES)]
-    shares = {}
+    shares, traffic = {}, {}
     for old, new in zip(before, after, strict=True):
         spent = new["process"]["cpu_s"] - old["process"]["cpu_s"]
         wall = new["process"]["unix_s"] - old["process"]["unix_s"]
         shares[new["node"]] = spent / wall
+        traffic[new["node"]] = (_stream_bytes(new) - _stream_bytes(old)) / wall
     controller = after[0]["controller"]
     wall = after[0]["process"]["unix_s"] - before[0]["process"]["unix_s"]
     return RunningCost(
@@ -93,6 +100,8 @@
         tuple(share for node, share in shares.items() if node != controller),
         shares.get(controller, float("nan")),
         tuple(status["process"]["rss_bytes"] for status in after),
+        tuple(rate for node, rate in traffic.items() if node != controller),
+        traffic.get(controller, float("nan")),
         {
             name: (count - calls_before.get(name, 0)) / wall
             for name, count in calls_after.items()
@@ -106,6 +115,11 @@
     return list(await asyncio.gather(*(fleet.status(vm) for vm in fleet.vms)))
 
 
+def _stream_bytes(status: dict) -> int:
+    usage = status["process"]
+    return usage["peer_bytes_sent"] + usage["peer_bytes_received"]
+
+
 async def _calls(fleet: LocalFleet) -> dict[str, int]:
     async with fleet.session.get(f"{fleet.store_url}/control") as answer:
         return (await answer.json())["calls"]
