--- /dev/null
+++ b/src/sesamepost/tools/capacity/crossing.py
@@ -0,0 +1,60 @@
+"""Bytes of forwarded requests and their share that crosses between the regions."""
+
+from sesamepost.internal.wire.messages import Answer, Request
+from sesamepost.tools.capacity.design_size import NODES, REQUESTS_PER_S, place_of
+from sesamepost.tools.capacity.messages import encoded_bytes
+
+BODY_BYTES = 256
+REQUEST_HEADERS = (
+    ("Accept", "*/*"),
+    ("Content-Type", "application/json"),
+    ("User-Agent", "shop-terminal/4.2"),
+    ("X-Request-Id", "0123456789abcdef0123456789abcdef"),
+)
+ANSWER_HEADERS = (
+    ("Content-Type", "application/json; charset=utf-8"),
+    ("Date", "Fri, 04 Dec 2026 10:00:00 GMT"),
+)
+
+
+def forwarded_request(body_bytes: int = BODY_BYTES) -> Request:
+    """Return a request with the headers of a plain HTTP client."""
+    return Request(
+        1_000_000_000,
+        "service-00",
+        "customer-00012345",
+        "POST",
+        "/lookup",
+        REQUEST_HEADERS,
+        bytes(body_bytes),
+        2000,
+        False,
+        "",
+        "",
+        "",
+    )
+
+
+def forwarded_answer(body_bytes: int = BODY_BYTES) -> Answer:
+    """Return the answer to ``forwarded_request``."""
+    return Answer(1_000_000_000, 200, ANSWER_HEADERS, bytes(body_bytes), False)
+
+
+def crossing_share() -> float:
+    """Return the share of requests whose caller and owner are in different regions.
+
+    Callers and owners are spread evenly over the nodes, without regard to each other.
+    """
+    in_first = sum(place_of(number)[1] == "region-a" for number in range(NODES))
+    first = in_first / NODES
+    return 2 * first * (1 - first)
+
+
+def crossing_bits_per_s() -> float:
+    """Return the bits a second in each direction between the regions.
+
+    Half of the requests that cross go each way, and the answers to the other half.
+    """
+    requests = REQUESTS_PER_S * crossing_share() / 2
+    each = encoded_bytes(forwarded_request()) + encoded_bytes(forwarded_answer())
+    return 8 * requests * each
