--- a/tests/wire/test_stream.py
+++ b/tests/wire/test_stream.py
@@ -132,3 +132,34 @@
         assert future.done()
         assert not other.done()
         assert stream.is_open
+
+
+async def test_silence_is_noticed_again_after_the_stream_was_idle():
+    # Guards against a check that ended with the first call and was not started again.
+    async with two_pools() as (server, client, address):
+        stream = await client.stream_to(address, server.node)
+        assert client.waiting == set(), "an idle stream is not looked after"
+        await call(stream, b"first")
+        async with asyncio.timeout(2):
+            while client.waiting:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+
+        server.streams[client.node].transport.pause_reading()
+        call_id, future = stream.new_call()
+        stream.send(request(call_id))
+        with pytest.raises(StreamClosedError, match="nothing received"):
+            await asyncio.wait_for(future, 4)
+
+
+async def test_the_bytes_of_a_closed_stream_stay_counted():
+    # Guards against a count of traffic that falls, or counts a stream twice.
+    async with two_pools() as (server, client, address):
+        stream = await client.stream_to(address, server.node)
+        await call(stream, bytes(1000))
+        sent, received = client.bytes_sent, client.bytes_received
+        assert sent == stream.bytes_sent > 1000
+        assert (sent, received) == (server.bytes_received, server.bytes_sent)
+
+        stream.close("the test ends it")
+
+        assert (client.bytes_sent, client.bytes_received) == (sent, received)
