Send large messages a few fragments at a time, behind small ones

Cause: the fragments of a message were queued in a row, so a body of megabytes delayed every small message behind it on the stream. Ruled out: a second stream for large messages, which doubles the connections. Before and after: on the code before, test_a_large_message_does_not_delay_a_small_one_behind_it receives 8,388,608 bytes first; after, the small message. The queue of fragments has its own high-water mark of 27 MiB, since the transport's buffer now stays small.

--- a/src/sesamepost/internal/wire/stream.py
+++ b/src/sesamepost/internal/wire/stream.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import math
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 from sesamepost.internal.identity import NodeId
 from sesamepost.internal.wire.frames import (
+    FRAGMENT_BYTES,
     MAX_FRAME_BYTES,
     FragmentAssembler,
     FrameReader,
@@ -30,6 +32,11 @@
 PING_AFTER_SILENCE_S = 1.0
 CLOSE_AFTER_SILENCE_S = 2.5
 WRITE_HIGH_WATER_BYTES = 4 << 20
+# How much of large messages may wait in the socket's buffer in front of small ones.
+BULK_BUFFER_BYTES = 256 << 10
+BULK_INTERVAL_S = 0.002
+# Room for three messages of the largest size before senders are refused.
+BULK_HIGH_WATER_BYTES = 27 << 20
 # One timer for all calls of a stream; one for each call costs several us of each.
 DEADLINE_CHECK_INTERVAL_S = 0.02
 
@@ -68,6 +75,8 @@
         self.next_id = 0
         self.next_fragmented = 0
         self.out: list[bytes] = []
+        self.bulk: deque[bytes] = deque()
+        self.bulk_timer: asyncio.TimerHandle | None = None
         self.flush_scheduled = False
         self.writable = asyncio.Event()
         self.writable.set()
@@ -138,7 +147,13 @@
 
     def _queue(self, payload: bytes) -> None:
         self.next_fragmented += 1
-        self.out.extend(frames_of(payload, self.next_fragmented))
+        frames = frames_of(payload, self.next_fragmented)
+        if len(frames) > 1:
+            self.bulk.extend(frames)
+            if len(self.bulk) * FRAGMENT_BYTES > BULK_HIGH_WATER_BYTES:
+                self.writable.clear()
+        else:
+            self.out.extend(frames)
         if not self.flush_scheduled:
             self.flush_scheduled = True
             self.loop.call_soon(self._flush)
@@ -208,12 +223,30 @@
         self.opened.set_result(self.handshake.peer.node)
 
     def _flush(self) -> None:
+        """Write what is queued, fragments of large messages last and a few at a time.
+
+        A message of megabytes would otherwise delay all small ones behind it.
+        """
         self.flush_scheduled = False
         if self.closed_reason is not None:
             return
-        data = b"".join(self.out)
-        self.out.clear()
-        self._write(data)
+        if self.out:
+            data = b"".join(self.out)
+            self.out.clear()
+            self._write(data)
+        if self.bulk and self.bulk_timer is None:
+            self._flush_bulk()
+
+    def _flush_bulk(self) -> None:
+        self.bulk_timer = None
+        if self.closed_reason is not None:
+            return
+        while self.bulk and self.transport.get_write_buffer_size() < BULK_BUFFER_BYTES:
+            self._write(self.bulk.popleft())
+        if self.bulk:
+            self.bulk_timer = self.loop.call_later(BULK_INTERVAL_S, self._flush_bulk)
+        if len(self.bulk) * FRAGMENT_BYTES <= BULK_HIGH_WATER_BYTES // 2:
+            self.writable.set()
 
     def _write(self, data: bytes) -> None:
         self.bytes_sent += len(data)
@@ -264,6 +297,8 @@
             self.handshake_timer.cancel()
         if self.deadline_timer is not None:
             self.deadline_timer.cancel()
+        if self.bulk_timer is not None:
+            self.bulk_timer.cancel()
         self.deadlines.clear()
         self.writable.set()
         if not self.opened.done():
--- a/tests/wire/test_stream.py
+++ b/tests/wire/test_stream.py
@@ -48,6 +48,35 @@
     assert [answer.body for answer in answers] == [body, b"small"]
 
 
+async def test_a_large_message_does_not_delay_a_small_one_behind_it():
+    # Guards against lookups that wait for a body of megabytes on the same stream.
+    arrived = asyncio.Queue()
+    async with two_pools(lambda stream, item: arrived.put_nowait(len(item.body))) as (
+        server,
+        client,
+        address,
+    ):
+        stream = await client.stream_to(address, server.node)
+        stream.send(request(1, bytes(8 << 20)))
+        await asyncio.sleep(0)
+        stream.send(request(2, b"small"))
+        sizes = [await asyncio.wait_for(arrived.get(), 10) for _ in range(2)]
+        assert sizes == [5, 8 << 20]
+
+
+async def test_a_peer_that_reads_no_large_messages_stops_the_sender():
+    # Guards against memory that grows with every body sent to a slow peer.
+    async with two_pools() as (server, client, address):
+        stream = await client.stream_to(address, server.node)
+        server.streams[client.node].transport.pause_reading()
+        for number in range(4):
+            assert stream.writable.is_set()
+            stream.send(request(number, bytes(8 << 20)))
+        assert not stream.writable.is_set()
+        server.streams[client.node].transport.resume_reading()
+        await asyncio.wait_for(stream.writable.wait(), 5)
+
+
 async def test_a_peer_without_the_key_is_refused():
     # Guards against serving a stream whose peer never proved the key.
     async with two_pools(dialer_key=b"another key") as (server, client, address):
