--- a/src/sesamepost/tools/capacity/design_size.py
+++ b/src/sesamepost/tools/capacity/design_size.py
@@ -40,6 +40,7 @@
 SEED = 1
 
 
+@cache
 def node_id(number: int) -> NodeId:
     """Return the id of one VM; the incarnation takes 9 bytes like most random ones."""
     chance = random.Random(number)
--- a/src/sesamepost/tools/capacity/messages.py
+++ b/src/sesamepost/tools/capacity/messages.py
@@ -2,6 +2,7 @@
 
 import random
 from dataclasses import replace
+from functools import cache
 
 from sesamepost.internal.balance.reports import (
     BUSIEST_ITEMS,
@@ -74,6 +75,7 @@
     )
 
 
+@cache
 def versions(documents: int) -> dict[str, int]:
     """Return versions by name; three documents exist once, the others by service."""
     names = list(build_documents(6, SERVICES, 0))
