Log the end of a resigned lease at once

Cause: lease_invalid was logged by the next tick, up to 0.1 s after the resignation.

Test: test_a_resigned_lease_is_logged_before_the_daemon_can_stop fails without the change, as only lease_valid is logged.

--- a/src/sesamepost/internal/membership/task.py
+++ b/src/sesamepost/internal/membership/task.py
@@ -122,6 +122,7 @@
     def resign(self) -> None:
         """Give the lease up and ask to be fenced, once nothing is served any more."""
         self.holder.resign()
+        self._note_validity(boottime())
         self._send_to_controller(Resign(self.node), boottime())
 
     def _note_validity(self, now: float) -> None:
--- a/tests/controller/test_join.py
+++ b/tests/controller/test_join.py
@@ -1,5 +1,7 @@
 """When a daemon asks the controller to join the fleet."""
 
+from structlog.testing import capture_logs
+
 from sesamepost.internal.documents.replica import Replica
 from sesamepost.internal.documents.views import ControllerRecord, Views
 from sesamepost.internal.identity import NodeId
@@ -55,3 +57,15 @@
     # Guards against a fleet that nobody can be the first to join.
     (join,) = joins_of(OWN.node, None)
     assert join.witnesses == ()
+
+
+def test_a_resigned_lease_is_logged_before_the_daemon_can_stop():
+    # Guards against a log that shows the end of a lease only if a tick falls between
+    # the resignation and the stop.
+    replica = Replica()
+    membership = Membership(OWN, Pool(), Views(replica), Link(), None)
+    replica.offer("fleet", 1, Fleet().join(OWN).encode())
+    with capture_logs() as entries:
+        membership.tick(1.0)
+        membership.resign()
+    assert [entry["event"] for entry in entries] == ["lease_valid", "lease_invalid"]
