Close callers' connections during a planned stop

Cause: a caller that ignores readiness kept a stopping daemon busy until its stop timeout. Ruled out: ignoring such requests, which would cut them off. Before and after: test_a_planned_stop_ends_although_callers_go_on_sending times out after 12 s on the code before and passes after; all answers have status 200. Conclusion: no new connections, and each open one is closed after its next answer.

--- a/src/sesamepost/internal/daemon/daemon.py
+++ b/src/sesamepost/internal/daemon/daemon.py
@@ -140,6 +140,7 @@
         deadline = boottime() + self.settings.stop_timeout_s
         is_done = await self._wait_while(self._must_hand_over, deadline)
         self.dispatcher.close()
+        await self.callers.stop_accepting()
         is_done &= await self._wait_while(self._is_busy, deadline, LINGER_S)
         if not is_done:
             log.warning("stop_timed_out", node=str(self.node))
--- a/src/sesamepost/internal/routing/server.py
+++ b/src/sesamepost/internal/routing/server.py
@@ -49,7 +49,9 @@
         self.in_flight = 0
         self.idle = asyncio.Event()
         self.idle.set()
+        self.is_stopping = False
         self.runner: web.ServerRunner | None = None
+        self.site: web.TCPSite | None = None
 
     async def listen(self, address: Address) -> Address:
         """Accept callers at ``address`` and return the bound address."""
@@ -63,10 +65,18 @@
         )
         self.runner = web.ServerRunner(server, handle_signals=False)
         await self.runner.setup()
-        site = web.TCPSite(self.runner, *address)
-        await site.start()
+        self.site = web.TCPSite(self.runner, *address)
+        await self.site.start()
         return Address(*self.runner.addresses[0][:2])
 
+    async def stop_accepting(self) -> None:
+        """Accept no new connection and close each open one after its next answer.
+
+        A caller that ignores readiness would otherwise keep a stopping daemon busy.
+        """
+        self.is_stopping = True
+        await self.site.stop()
+
     async def __aenter__(self) -> "CallerServer":
         return self
 
@@ -101,6 +111,8 @@
             self.in_flight -= 1
             if self.in_flight == 0:
                 self.idle.set()
+        if self.is_stopping:
+            response.force_close()
         outcome = response.headers[OUTCOME_HEADER]
         # Names that callers invent must not become new metric series.
         settings = self.router.views.services.get(service)
--- a/tests/e2e/test_failures.py
+++ b/tests/e2e/test_failures.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+import aiohttp
+
 from sesamepost.internal.clock import boottime
 from tests.e2e.local import BRANCH, running_fleet
 
@@ -131,6 +133,28 @@
         assert fleet.runs("sale-1") == 1
 
 
+async def test_a_planned_stop_ends_although_callers_go_on_sending():
+    # Guards against a stop that takes its whole time-out since a caller that ignores
+    # readiness keeps the daemon busy.
+    async with running_fleet(vms=3) as fleet:
+        leaving = fleet.vms[-1]
+        replies = []
+
+        async def keep_sending():
+            while not leaving.run.done():
+                replies.append(await fleet.send(leaving, f"key-{len(replies) % 20}"))
+
+        callers = [asyncio.create_task(keep_sending()) for _ in range(4)]
+        began = boottime()
+        leaving.stop.set()
+        await asyncio.wait_for(leaving.run, 12)
+        assert boottime() - began < 5
+        results = await asyncio.gather(*callers, return_exceptions=True)
+        assert {reply.status for reply in replies} == {200}
+        refused = (aiohttp.ClientConnectorError, type(None))
+        assert all(isinstance(result, refused) for result in results), results
+
+
 async def test_under_the_policy_wait_a_restarted_vm_keeps_its_keys():
     # Guards against moves of ledgers for a restart that takes a moment, and against a
     # stop that waits for moves that never come.
