Count requests in flight in changed limits of a service

Cause: a change of settings replaced the endpoint's queue, so as many requests could run again beside those of the old queue. Ruled out: subtracting the old queue's requests from the new limit, which refuses requests as overloaded while a busy endpoint is at its limit. Conclusion: the queue goes on; only changed classes need a new one.

--- a/src/sesamepost/internal/admission/gate.py
+++ b/src/sesamepost/internal/admission/gate.py
@@ -46,6 +46,10 @@
         if min(slots, connections) != self.admission.limit:
             self._apply(self.admission.set_limits(slots, connections, boottime()))
 
+    def set_queue_length(self, length: int) -> None:
+        """Change how many requests of each class may wait."""
+        self.admission.queue_length = length
+
     async def admit(self, class_name: str, deadline: float) -> int:
         """Wait for a slot and return the ticket to release.
 
--- a/src/sesamepost/internal/dispatch/dispatcher.py
+++ b/src/sesamepost/internal/dispatch/dispatcher.py
@@ -104,7 +104,7 @@
         if settings is None:
             self.counters["announcements_of_unknown_services"] += 1
             return
-        is_same = present is not None and present.settings == settings
+        is_same = present is not None and present.change_settings(settings)
         if is_same and present.renew(announcement):
             return
         endpoint = ServedEndpoint(announcement, settings)
--- a/src/sesamepost/internal/dispatch/served.py
+++ b/src/sesamepost/internal/dispatch/served.py
@@ -87,6 +87,20 @@
         self._take(announcement)
         return True
 
+    def change_settings(self, settings: ServiceSettings) -> bool:
+        """Take changed settings; False if the endpoint needs a new queue for them.
+
+        The queue goes on where only limits change, so that requests in flight count
+        in the new limits.
+        """
+        if settings.classes != self.settings.classes:
+            return False
+        if settings != self.settings:
+            self.settings = settings
+            self.gate.set_queue_length(settings.queue_length)
+            self._set_limits(boottime())
+        return True
+
     def continue_from(self, previous: "ServedEndpoint") -> None:
         """Keep what is known of the same process when only its settings changed.
 
--- a/tests/e2e/test_in_flight.py
+++ b/tests/e2e/test_in_flight.py
@@ -2,13 +2,18 @@
 
 import asyncio
 
+import pytest
+
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.identity import new_node_id
 from sesamepost.internal.wire.pool import PeerPool
 from tests.e2e.local import ANY_PORT, BRANCH, running_fleet
 
 
-async def test_a_settings_change_cuts_off_no_request():
+@pytest.mark.parametrize(
+    "change", ["queue_length = 99\n", "[class:ledger/closings]\nweight = 2\n"]
+)
+async def test_a_settings_change_cuts_off_no_request(change):
     # Guards against a change of limits that closes the connections to the endpoint
     # while it works on requests or while others wait for a slot.
     async with running_fleet(vms=1, work_ms=2000) as fleet:
@@ -21,14 +26,38 @@
             for n in range(6)
         ]
         await fleet.until(lambda: dispatcher.endpoints["ledger"].gate.queued == 2)
-        await fleet.put("team", BRANCH + "queue_length = 99\n", 1)
+        await fleet.put("team", BRANCH + change, 1)
         await fleet.until(
-            lambda: dispatcher.endpoints["ledger"].settings.queue_length == 99
+            lambda: (
+                dispatcher.endpoints["ledger"].settings
+                is vm.daemon.views.services["ledger"]
+                and vm.daemon.views.in_force["settings/team"] == 2
+            )
         )
         replies = await asyncio.gather(*requests)
         assert [(reply.status, reply.kind) for reply in replies] == [(200, None)] * 6
 
 
+async def test_requests_in_flight_count_in_changed_limits():
+    # Guards against an endpoint that gets as many requests again after each change.
+    async with running_fleet(vms=1, work_ms=1500, slots=8) as fleet:
+        (vm,) = fleet.vms
+        endpoints = vm.daemon.dispatcher.endpoints
+
+        def send(number):
+            return asyncio.create_task(
+                fleet.send(vm, f"key-{number}", Sesamepost_Timeout_Ms="9000")
+            )
+
+        requests = [send(n) for n in range(6)]
+        await fleet.until(lambda: endpoints["ledger"].gate.queued == 2)
+        await fleet.put("team", BRANCH + "queue_length = 99\n", 1)
+        await fleet.until(lambda: endpoints["ledger"].settings.queue_length == 99)
+        requests += [send(n) for n in range(6, 12)]
+        assert {reply.status for reply in await asyncio.gather(*requests)} == {200}
+        assert vm.endpoint.counters["most_requests"] == 4
+
+
 async def test_a_settings_change_leaves_the_endpoint_in_service():
     # Guards against a load report without slots, sent before the next grant, for which
     # the controller moves all partitions of the VM away.
