Keep partitions for a restarting VM until its endpoint has slots

Cause: under the policy wait a VM counted as returned as soon as its endpoint was announced. It had no grant yet and reported no slots, so its partitions went to other VMs. The same run failed test_a_planned_stop_is_not_noticed_by_callers: churn 22 against 4. The trace shows balance moves by the planner, which are allowed: 20 probed keys load 64 partitions unevenly. The measurement now switches balance off before the event, and the assertion that churn equals the smallest possible stays.

--- a/src/sesamepost/internal/controller/capacity.py
+++ b/src/sesamepost/internal/controller/capacity.py
@@ -85,7 +85,7 @@
     returned = {
         record.node.vm
         for record in views.fleet.live_records()
-        if loads.service_load(record.node, service) is not None
+        if _offers_slots(loads, record.node, service)
     }
     found = []
     for node in sorted(owners):
@@ -97,6 +97,15 @@
     return found
 
 
+def _offers_slots(loads: LoadTable, node: NodeId, service: str) -> bool:
+    """Return whether the node's endpoint can take partitions.
+
+    An endpoint that was just announced has no grant yet and reports no slots.
+    """
+    load = loads.service_load(node, service)
+    return load is not None and load.slots > 0
+
+
 def _capacity(
     record: NodeRecord, slots: int, state: NodeState, cold_start_fraction: float = 1.0
 ) -> NodeCapacity:
--- a/src/sesamepost/tools/outage.py
+++ b/src/sesamepost/tools/outage.py
@@ -32,6 +32,8 @@
 PROBE_TIMEOUT_MS = 400
 SETTLE_S = 1.0
 SERVICE = "lookup"
+TEAM = "demo"
+UNBALANCED_BRANCH = DEFAULT_BRANCH.replace("[team]", "[team]\nweight_imbalance = 0")
 
 
 @dataclass(slots=True)
@@ -301,13 +303,16 @@
         async with LocalFleet(
             Path(directory), vms, base_port, endpoint_options=endpoint_options
         ) as fleet:
-            await fleet.start(DEFAULT_BRANCH)
+            await fleet.start(DEFAULT_BRANCH, TEAM)
             return await _measure(name, fleet, keys, seed)
 
 
 async def _measure(name: str, fleet: LocalFleet, keys: int, seed: int) -> Report:
     async with Probes(fleet, keys, seed) as probes:
-        # The spread of partitions after the start must be over before the event.
+        # The spread of partitions after the start must be over before the event, and
+        # balance is switched off then, so that churn is that of the event alone.
+        await _settled_assignment(fleet)
+        await fleet.put_branch(TEAM, UNBALANCED_BRANCH, 1)
         before = await _settled_assignment(fleet)
         probes.seen.errors.clear()
         started = time.monotonic()
--- a/tests/controller/test_controller.py
+++ b/tests/controller/test_controller.py
@@ -1,12 +1,14 @@
 """Decisions of the controller on documents that others write, too."""
 
 import asyncio
+import time
 from dataclasses import replace
 
 import pytest
 
 from sesamepost.internal.balance.reports import ReleasedKind
 from sesamepost.internal.controller import controller as controller_module
+from sesamepost.internal.identity import NodeId
 from sesamepost.internal.lease.messages import Promise, PromiseRefused, Suspect
 from sesamepost.internal.membership.fleet import Fleet, NodeState
 from sesamepost.internal.membership.messages import Join, Leave
@@ -361,3 +363,27 @@
     await write_document(store, "fleet", fenced.encode(), "test", 1)
     await leader.read("fleet")
     assert controller.planned_at == {"other": 1.0}
+
+
+async def test_partitions_of_a_restarting_vm_wait_until_its_endpoint_has_slots():
+    # Guards against moves to other VMs in the moment in which the next incarnation has
+    # announced its endpoint but has no grant for it yet.
+    resigned = replace(
+        record(SECOND, NodeState.FENCED), fenced_at=int(time.time()), resigned=True
+    )
+    returned = NodeId(SECOND.vm, 99)
+    branch = BRANCH.replace("[team]", "[team]\nrestart = wait")
+    store = await store_with(
+        [record(FIRST), resigned, record(returned)], [FIRST, SECOND], branch
+    )
+    before = owners(store.assignment())
+    leader = Leader(store)
+    await leader.begin()
+    leader.report(FIRST)
+    leader.report(returned, slots=0)
+    await leader.decide()
+    assert owners(store.assignment()) == before
+    leader.report(returned, slots=6)
+    await leader.decide()
+    after = [returned if owner == SECOND else owner for owner in before]
+    assert owners(store.assignment()) == after
