Do not give the lease up when a planned stop times out

Cause: a stop that timed out resigned although endpoints still worked on requests, so the controller fenced the node at once and another owner could begin. Found by reading the code. Ruled out: waiting longer, since the stop timeout is the operators' limit. Before and after: test_a_stop_that_times_out_does_not_give_the_lease_up fails on the code before and passes after. Conclusion: only a node with nothing in flight resigns; otherwise its lease ends by time, which also bounds the work at its endpoint.

--- a/src/sesamepost/internal/daemon/daemon.py
+++ b/src/sesamepost/internal/daemon/daemon.py
@@ -131,8 +131,8 @@
         """Hand the partitions over, finish the requests in flight and resign.
 
         Partitions of teams with the restart policy ``wait`` stay for the VM's next
-        incarnation. The node resigns, so that it is fenced without waiting for its
-        lease to expire.
+        incarnation. A node that has nothing in flight resigns, so that it is fenced
+        without waiting for its lease to expire.
         """
         self.stopping = True
         log.info("daemon_stopping", node=str(self.node))
@@ -143,7 +143,10 @@
         await self.callers.stop_accepting()
         is_done &= await self._wait_while(self._is_busy, deadline, LINGER_S)
         if not is_done:
+            # Endpoints may still work on requests. Only the end of the lease bounds
+            # that work, so the node must not be fenced before.
             log.warning("stop_timed_out", node=str(self.node))
+            return
         self.membership.resign()
         is_alone = len(self.views.fleet.active_records()) == 0
         if not is_alone:
--- a/tests/e2e/test_failures.py
+++ b/tests/e2e/test_failures.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
 import aiohttp
 
@@ -155,6 +156,20 @@
         assert all(isinstance(result, refused) for result in results), results
 
 
+async def test_a_stop_that_times_out_does_not_give_the_lease_up():
+    # Guards against a new owner while an endpoint works on a request of the old one.
+    async with running_fleet(vms=3, work_ms=4000, fenced=False) as fleet:
+        leaving = fleet.vms[-1]
+        key = key_owned_by(fleet, leaving)
+        leaving.daemon.settings = replace(leaving.daemon.settings, stop_timeout_s=0.5)
+        request = asyncio.create_task(fleet.send(leaving, key))
+        await fleet.until(lambda: leaving.endpoint.in_progress > 0)
+        leaving.stop.set()
+        await asyncio.wait_for(leaving.run, 5)
+        assert not leaving.daemon.membership.holder.resigned
+        request.cancel()
+
+
 async def test_under_the_policy_wait_a_restarted_vm_keeps_its_keys():
     # Guards against moves of ledgers for a restart that takes a moment, and against a
     # stop that waits for moves that never come.
