Run 400 examples of the random lease machine again

Cause: lowered the examples from 400 to 250 to save time, which is a weaker check. Conclusion: the check is as strict as it was first written.

--- a/tests/lease/test_lease_machine.py
+++ b/tests/lease/test_lease_machine.py
@@ -128,7 +128,7 @@
 TestLeases = LeaseMachine.TestCase
 TestLeases.settings = settings(
     derandomize=True,
-    max_examples=250,
+    max_examples=400,
     stateful_step_count=40,
     deadline=None,
     database=None,
