Remove an unused kind of metric

Cause: nothing called Metrics.add_gauges. Ruled out: removing CallerServer.idle too; a test waits for it. Conclusion: no behaviour changes.

--- a/src/sesamepost/internal/telemetry/metrics.py
+++ b/src/sesamepost/internal/telemetry/metrics.py
@@ -2,7 +2,7 @@
 
 from bisect import bisect_left
 from collections import Counter
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator
 from itertools import accumulate
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -104,17 +104,6 @@
             f"sesamepost.{part}.events", callbacks=[read]
         )
 
-    def add_gauges(self, name: str, read_values: Callable[[], Mapping[str, float]]):
-        """Export present values by their label."""
-
-        def read(options: CallbackOptions) -> list[Observation]:
-            return [
-                Observation(value, {"of": label})
-                for label, value in read_values().items()
-            ]
-
-        self.meter.create_observable_gauge(f"sesamepost.{name}", callbacks=[read])
-
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         return generate_latest(self.registry)
