--- a/src/sesamepost/errors.py
+++ b/src/sesamepost/errors.py
@@ -40,6 +40,9 @@
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
     DEADLINE_NOT_RUN = "deadline_not_run"
     SHUTTING_DOWN = "shutting_down"
+    UNKNOWN_ROUTE = "unknown_route"
+    NO_SETTINGS = "no_settings"
+    NO_ENDPOINT = "no_endpoint"
     OUTCOME_UNKNOWN = "outcome_unknown"
     ANSWER_CUT_OFF = "answer_cut_off"
     ANSWER_TOO_LARGE = "answer_too_large"
@@ -112,6 +115,15 @@
     ErrorKind.SHUTTING_DOWN: Answer(
         503, Outcome.NOT_RUN, "this daemon is stopping; use another VM"
     ),
+    ErrorKind.UNKNOWN_ROUTE: Answer(
+        404, Outcome.NOT_RUN, "no route of this host begins the path"
+    ),
+    ErrorKind.NO_SETTINGS: Answer(
+        503, Outcome.NOT_RUN, "the daemon has not read the routing settings yet"
+    ),
+    ErrorKind.NO_ENDPOINT: Answer(
+        503, Outcome.NOT_RUN, "no endpoint of the service takes requests"
+    ),
     ErrorKind.OUTCOME_UNKNOWN: Answer(
         504,
         Outcome.UNKNOWN,
--- /dev/null
+++ b/src/sesamepost/internal/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""What nodes agree on and keep through a shared store."""
--- /dev/null
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -0,0 +1,263 @@
+"""Entries of nodes in the store, and the lease that keeps an entry there."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import asdict, dataclass, replace
+
+import msgpack
+import structlog
+
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.mirror import Mirror
+from sesamepost.internal.coordination.store import (
+    ConditionFailedError,
+    CoordinationStore,
+    Item,
+    LeaseEndedError,
+    StoreError,
+    Transaction,
+    Write,
+)
+from sesamepost.internal.identity import NodeId
+from sesamepost.internal.wire.pool import Address
+
+NODE_PREFIX = "sesamepost/nodes/"
+# Changes with each new lease of a node, and stays when the lease ends. A transaction
+# that takes ranges over requires it to be unchanged, because an entry may have come
+# back and vanished again unseen.
+LEASE_COUNT_PREFIX = "sesamepost/leases/"
+RETRY_S = 0.2
+# A lease is counted from its renewal; a shorter one is lost with one late renewal.
+OWNER_LEASE_S = 3.0
+OWNER_RENEWAL_S = 0.9
+LEASE_S = 6.0
+RENEWAL_S = 2.0
+
+log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointInfo:
+    """The endpoint beside a node: its service, its life and whether it takes work.
+
+    ``born`` is the Unix time of its start in milliseconds. Two lives may share an
+    ``id``, so both name a life.
+    """
+
+    service: str
+    id: str
+    born: int
+    slots: int
+    version: str
+    is_ready: bool
+
+    @property
+    def life(self) -> tuple[str, int]:
+        """The identity of this run of the endpoint."""
+        return self.id, self.born
+
+
+@dataclass(frozen=True, slots=True)
+class NodeEntry:
+    """What all nodes know of one node. ``vm`` is its IP address."""
+
+    vm: str
+    name: str
+    incarnation: int
+    peer_port: int
+    failure_domain: str
+    region: str
+    endpoint: EndpointInfo | None
+    is_stopping: bool = False
+
+    @property
+    def node_id(self) -> NodeId:
+        """The identity that the process proves when a stream opens."""
+        return NodeId(self.vm, self.incarnation)
+
+    @property
+    def address(self) -> Address:
+        """Where peers connect."""
+        return Address(self.vm, self.peer_port)
+
+    def encode(self) -> bytes:
+        """Return the entry as it is kept in the store."""
+        return msgpack.packb(asdict(self))
+
+
+def decode_node(item: Item) -> NodeEntry | None:
+    """Return the entry in ``item``, or None if it is not one that can be read."""
+    try:
+        fields = msgpack.unpackb(item.value)
+        endpoint = fields.pop("endpoint")
+        if endpoint is not None:
+            endpoint = EndpointInfo(**endpoint)
+        return NodeEntry(endpoint=endpoint, **fields)
+    except Exception as error:
+        # Malformed input raises any of several unrelated exception types.
+        log.warning("node_entry_unreadable", key=item.key, error=repr(error))
+        return None
+
+
+class NodeTable:
+    """The nodes that the mirror shows, decoded once for each change."""
+
+    def __init__(self, mirror: Mirror) -> None:
+        self.mirror = mirror
+        self.nodes: dict[str, NodeEntry] = {}
+        self.listeners: list[Callable[[str, NodeEntry | None], None]] = []
+        mirror.changes.subscribe(self._on_change)
+
+    def node_key(self, vm: str) -> str:
+        """Return the store's key of a node's entry."""
+        return NODE_PREFIX + vm
+
+    def endpoints_of(self, service: str) -> list[NodeEntry]:
+        """Return the nodes with a ready endpoint of ``service``, by VM."""
+        found = [
+            node
+            for node in self.nodes.values()
+            if node.endpoint is not None
+            and node.endpoint.service == service
+            and node.endpoint.is_ready
+        ]
+        return sorted(found, key=lambda node: node.vm)
+
+    def _on_change(self, event) -> None:
+        if not event.key.startswith(NODE_PREFIX):
+            return
+        vm = event.key[len(NODE_PREFIX) :]
+        node = decode_node(event) if isinstance(event, Item) else None
+        if node is None:
+            self.nodes.pop(vm, None)
+        else:
+            self.nodes[vm] = node
+        log.info(
+            "node_changed",
+            node=vm,
+            revision=event.revision,
+            present=node is not None,
+            endpoint=node.endpoint.id if node and node.endpoint else "",
+            ready=bool(node and node.endpoint and node.endpoint.is_ready),
+        )
+        for listener in self.listeners:
+            listener(vm, node)
+
+
+class Registration:
+    """Keeps this node's entry in the store and counts its right to grant holds.
+
+    ``renewed_at`` is the time at which the newest successful renewal was sent. Whoever
+    finds the entry missing knows that this was before it vanished.
+    """
+
+    def __init__(
+        self, store: CoordinationStore, mirror: Mirror, entry: NodeEntry
+    ) -> None:
+        self.store = store
+        self.mirror = mirror
+        self.entry = entry
+        self.key = NODE_PREFIX + entry.vm
+        self.count_key = LEASE_COUNT_PREFIX + entry.vm
+        self.lease = 0
+        self.counted_lease = 0
+        self.written: NodeEntry | None = None
+        self.renewed_at = float("-inf")
+        self.is_owner = False
+        self.wake = asyncio.Event()
+        self.counters: Counter[str] = Counter()
+        self.on_renewed: Callable[[], None] = lambda: None
+        self.task: asyncio.Task | None = None
+        mirror.changes.subscribe(self._on_change)
+
+    async def __aenter__(self) -> "Registration":
+        self.task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        self.task.cancel()
+        with suppress(asyncio.CancelledError):
+            await self.task
+
+    def update(self, **changes) -> None:
+        """Change fields of the entry and write it soon."""
+        self.entry = replace(self.entry, **changes)
+        self.wake.set()
+
+    async def withdraw(self) -> None:
+        """Remove the entry, as the process stops and holds nothing any more."""
+        self.task.cancel()
+        if self.lease:
+            with suppress(StoreError):
+                await self.store.end_lease(self.lease)
+
+    def _on_change(self, event) -> None:
+        if event.key != self.key or isinstance(event, Item):
+            return
+        if self.written is not None:
+            log.warning("own_entry_removed", revision=event.revision, lease=self.lease)
+            self.lease = 0
+            self.written = None
+            self.wake.set()
+
+    async def _run(self) -> None:
+        while True:
+            self.wake.clear()
+            try:
+                await self._keep()
+            except StoreError as error:
+                self.counters["failures"] += 1
+                log.info("renewal_failed", lease=self.lease, error=str(error))
+                await asyncio.sleep(RETRY_S)
+                continue
+            interval_s = OWNER_RENEWAL_S if self.is_owner else RENEWAL_S
+            with suppress(TimeoutError):
+                async with asyncio.timeout(interval_s):
+                    await self.wake.wait()
+
+    async def _keep(self) -> None:
+        sent_at = boottime()
+        if self.lease and self.written == self.entry:
+            try:
+                await self.store.renew_lease(self.lease)
+            except LeaseEndedError:
+                log.warning("lease_ended", lease=self.lease)
+                self.lease = 0
+                self.written = None
+                await self._keep()
+                return
+        else:
+            await self._write()
+        self.renewed_at = max(self.renewed_at, sent_at)
+        self.on_renewed()
+
+    async def _write(self) -> None:
+        if not self.lease:
+            ttl_s = OWNER_LEASE_S if self.is_owner else LEASE_S
+            self.lease = await self.store.open_lease(ttl_s)
+        entry = self.entry
+        value = entry.encode()
+        expected = self.mirror.revision_of(self.key)
+        writes = [Write(self.key, value, self.lease)]
+        if self.counted_lease != self.lease:
+            writes.append(Write(self.count_key, str(self.lease).encode()))
+        transaction = Transaction({self.key: expected}, tuple(writes))
+        try:
+            revision = await self.store.commit(transaction)
+        except LeaseEndedError:
+            self.lease = 0
+            raise
+        except ConditionFailedError:
+            # A lost answer, or the entry of the process before this one.
+            item, _ = await self.store.get(self.key)
+            if item is None:
+                self.mirror.items.pop(self.key, None)
+            else:
+                self.mirror.offer(item)
+            raise
+        self.written = entry
+        self.counted_lease = self.lease
+        self.mirror.offer(Item(self.key, value, revision, self.lease))
+        log.info("entry_written", revision=revision, lease=self.lease)
--- /dev/null
+++ b/src/sesamepost/internal/coordination/relay.py
@@ -0,0 +1,270 @@
+"""Uses the store through a peer while the store turns this node away."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+
+import msgpack
+import structlog
+
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination import store as store_module
+from sesamepost.internal.coordination.messages import StoreCall, StoreReply
+from sesamepost.internal.coordination.nodes import NodeEntry
+from sesamepost.internal.coordination.store import (
+    Batch,
+    ConditionFailedError,
+    CoordinationStore,
+    Deletion,
+    HistoryGoneError,
+    Item,
+    LeaseEndedError,
+    StoreError,
+    StoreRejectedError,
+    StoreSilentError,
+    Transaction,
+    Write,
+)
+from sesamepost.internal.wire.pool import PeerPool
+from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
+
+# After a failure, calls go through a peer for this long before the store is tried.
+RETRY_DIRECT_S = 1.0
+RELAY_TIMEOUT_S = 0.8
+RELAYED_WATCH_WAIT_S = 5.0
+MAX_PEERS_TRIED = 3
+
+# These say that the store was reached and what it found.
+VERDICTS = (ConditionFailedError, HistoryGoneError, LeaseEndedError)
+
+log = structlog.get_logger()
+
+
+def encode_event(event: Item | Deletion) -> list:
+    """Return an event as a msgpack array."""
+    match event:
+        case Item():
+            return [event.key, event.revision, event.value, event.lease]
+        case Deletion():
+            return [event.key, event.revision]
+
+
+def decode_event(array: list) -> Item | Deletion:
+    """Return the event in a msgpack array."""
+    if len(array) == 2:
+        return Deletion(*array)
+    key, revision, value, lease = array
+    return Item(key, value, revision, lease)
+
+
+class RelayedStore:
+    """Calls the store directly, or through a peer while that fails.
+
+    A transaction whose answer was lost may be sent again: its conditions keep it from
+    taking effect twice. ``peers`` returns the nodes that may help.
+    """
+
+    def __init__(
+        self,
+        direct: CoordinationStore,
+        pool: PeerPool,
+        peers: Callable[[], list[NodeEntry]],
+    ) -> None:
+        self.direct = direct
+        self.pool = pool
+        self.peers = peers
+        self.direct_again_at = 0.0
+        self.direct_lost = asyncio.Event()
+        self.replies: dict[int, asyncio.Future] = {}
+        self.next_id = 0
+        self.tasks: set[asyncio.Task] = set()
+        self.counters: Counter[str] = Counter()
+        pool.on(StoreCall, self._serve)
+        pool.on(StoreReply, self._on_reply)
+
+    @property
+    def is_direct(self) -> bool:
+        """Whether the store answered this node itself the last time."""
+        return boottime() >= self.direct_again_at and not self.direct_lost.is_set()
+
+    async def get(self, key: str) -> tuple[Item | None, int]:
+        """Return the newest item at ``key``, or None, and the store's revision."""
+        result = await self._call("get", [key])
+        event, revision = result
+        return (None if event is None else decode_event(event)), revision
+
+    async def list(self, prefix: str) -> Batch:
+        """Return all items whose key begins with ``prefix``."""
+        return _decode_batch(await self._call("list", [prefix]))
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Batch:
+        """Return the changes after a revision, waiting for the first one."""
+        return _decode_batch(await self._call("watch", [prefix, after, wait_s]))
+
+    async def commit(self, transaction: Transaction) -> int:
+        """Apply a transaction and return the revision of the change."""
+        writes = [[w.key, w.value, w.lease] for w in transaction.writes]
+        arguments = [transaction.conditions, writes, list(transaction.deletes)]
+        return await self._call("commit", arguments)
+
+    async def open_lease(self, ttl_s: float) -> int:
+        """Open a lease and return its id."""
+        return await self._call("open_lease", [ttl_s])
+
+    async def renew_lease(self, lease: int) -> None:
+        """Renew a lease; raise ``LeaseEndedError`` if it has ended."""
+        await self._call("renew_lease", [lease])
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease and remove the keys bound to it."""
+        await self._call("end_lease", [lease])
+
+    async def _call(self, operation: str, arguments: list):
+        if boottime() >= self.direct_again_at:
+            try:
+                result = await self._direct_or_lost(operation, arguments)
+                self._note_direct(True, "")
+                return result
+            except VERDICTS:
+                self._note_direct(True, "")
+                raise
+            except StoreError as error:
+                self._note_direct(False, str(error))
+                failure = error
+        else:
+            failure = StoreRejectedError("the store failed a moment ago")
+        return await self._through_peers(operation, arguments, failure)
+
+    async def _direct_or_lost(self, operation: str, arguments: list):
+        """Call the store; give a watch up when another call finds the store lost."""
+        call = perform(self.direct, operation, arguments)
+        if operation != "watch":
+            return await call
+        watch = asyncio.ensure_future(call)
+        lost = asyncio.ensure_future(self.direct_lost.wait())
+        try:
+            await asyncio.wait((watch, lost), return_when=asyncio.FIRST_COMPLETED)
+            if watch.done():
+                return watch.result()
+            raise StoreSilentError("another call found the store out of reach")
+        finally:
+            for task in (watch, lost):
+                task.cancel()
+            with suppress(asyncio.CancelledError, StoreError):
+                await watch
+
+    def _note_direct(self, works: bool, reason: str) -> None:
+        if works:
+            if self.direct_lost.is_set():
+                log.info("store_direct_regained")
+            self.direct_lost.clear()
+            return
+        self.direct_again_at = boottime() + RETRY_DIRECT_S
+        if not self.direct_lost.is_set():
+            log.info("store_direct_lost", reason=reason)
+            self.direct_lost.set()
+
+    async def _through_peers(
+        self, operation: str, arguments: list, failure: StoreError
+    ):
+        peers = self.peers()
+        random.shuffle(peers)
+        for peer in peers[:MAX_PEERS_TRIED]:
+            try:
+                return await self._through(peer, operation, arguments)
+            except VERDICTS:
+                raise
+            except StoreError as error:
+                failure = error
+        raise failure
+
+    async def _through(self, peer: NodeEntry, operation: str, arguments: list):
+        timeout_s = RELAY_TIMEOUT_S
+        if operation == "watch":
+            prefix, after, wait_s = arguments
+            wait_s = min(wait_s, RELAYED_WATCH_WAIT_S)
+            arguments = [prefix, after, wait_s]
+            timeout_s += wait_s
+        self.next_id += 1
+        call_id = self.next_id
+        future = asyncio.get_running_loop().create_future()
+        self.replies[call_id] = future
+        try:
+            async with asyncio.timeout(timeout_s):
+                stream = await self.pool.stream_to(peer.address, peer.node_id)
+                stream.send(StoreCall(call_id, operation, msgpack.packb(arguments)))
+                reply = await future
+        except (TimeoutError, StreamClosedError) as error:
+            raise StoreSilentError(f"{peer.vm} did not relay: {error!r}") from None
+        finally:
+            self.replies.pop(call_id, None)
+        self.counters["relayed"] += 1
+        if reply.error:
+            raise _error(reply)
+        return msgpack.unpackb(reply.result, strict_map_key=False)
+
+    def _on_reply(self, stream: PeerStream, reply: StoreReply) -> None:
+        future = self.replies.get(reply.id)
+        if future is not None and not future.done():
+            future.set_result(reply)
+
+    def _serve(self, stream: PeerStream, call: StoreCall) -> None:
+        task = asyncio.ensure_future(self._answer(stream, call))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _answer(self, stream: PeerStream, call: StoreCall) -> None:
+        error = detail = ""
+        result = b""
+        try:
+            if not self.is_direct:
+                raise StoreRejectedError("this node has no contact either")
+            arguments = msgpack.unpackb(call.arguments, strict_map_key=False)
+            value = await self._direct_or_lost(call.operation, arguments)
+            result = msgpack.packb(value)
+            self.counters["served"] += 1
+        except StoreError as failure:
+            error, detail = type(failure).__name__, str(failure)
+        with suppress(StreamClosedError):
+            stream.send(StoreReply(call.id, error, detail, result))
+
+
+async def perform(store: CoordinationStore, operation: str, arguments: list):
+    """Make one call of the store; arguments and result can be written as msgpack."""
+    match operation, arguments:
+        case "get", [key]:
+            item, revision = await store.get(key)
+            return [None if item is None else encode_event(item), revision]
+        case "list", [prefix]:
+            return _encode_batch(await store.list(prefix))
+        case "watch", [prefix, after, wait_s]:
+            return _encode_batch(await store.watch(prefix, after, wait_s))
+        case "commit", [conditions, writes, deletes]:
+            values = tuple(Write(*write) for write in writes)
+            return await store.commit(Transaction(conditions, values, tuple(deletes)))
+        case "open_lease", [ttl_s]:
+            return await store.open_lease(ttl_s)
+        case "renew_lease", [lease]:
+            return await store.renew_lease(lease)
+        case "end_lease", [lease]:
+            return await store.end_lease(lease)
+        case _:
+            raise StoreRejectedError(f"unknown operation {operation!r}")
+
+
+def _encode_batch(batch: Batch) -> list:
+    return [batch.revision, [encode_event(event) for event in batch.events]]
+
+
+def _decode_batch(array: list) -> Batch:
+    revision, events = array
+    return Batch(revision, tuple(decode_event(event) for event in events))
+
+
+def _error(reply: StoreReply) -> StoreError:
+    cls = getattr(store_module, reply.error, None)
+    if not (isinstance(cls, type) and issubclass(cls, StoreError)):
+        cls = StoreSilentError
+    return cls(reply.detail)
--- /dev/null
+++ b/src/sesamepost/internal/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a request between callers and endpoints, for routes by host and path."""
--- /dev/null
+++ b/src/sesamepost/internal/forwarding/endpoint.py
@@ -0,0 +1,245 @@
+"""The endpoint beside this node: what it may be sent, and what became of it."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+
+import structlog
+
+from sesamepost.errors import ErrorKind, RouterError
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.nodes import EndpointInfo
+from sesamepost.internal.forwarding.endpoint_connection import EndpointAnswer
+from sesamepost.internal.forwarding.endpoint_pool import EndpointPool
+from sesamepost.internal.forwarding.gate import EndpointGate, Released
+from sesamepost.internal.forwarding.messages import NO_KEY, Forward, LoadHint
+from sesamepost.internal.forwarding.protocol_names import HeaderNames
+from sesamepost.internal.ranges.balance import KeyCounts
+from sesamepost.internal.ranges.keeper import RangeKeeper
+from sesamepost.internal.routing.retry_budget import RetryBudget
+
+# How long a request waits for the hold of a range that this node owns already.
+GRANT_PATIENCE_S = 0.6
+# Statuses by which an endpoint may say that it did not run a request.
+REFUSAL_STATUSES = frozenset({400, 421, 429, 503})
+NOT_HOLDING_STATUS = 421
+FAILURE_WEIGHT = 0.05
+POLL_INTERVAL_S = 0.05
+# Shares of requests that may reach an endpoint again, below the operators' bound.
+REPEAT_PERCENT = 16
+MIN_REPEATS_PER_S = 1.0
+# Part of the mean time by which a request must start before its deadline.
+START_RESERVE = 0.8
+MIN_PATIENCE_S = 0.05
+
+log = structlog.get_logger()
+
+
+class LocalEndpoint:
+    """Admits requests to the endpoint beside this node and sends them.
+
+    ``keepers`` maps a partitioned service to the keeper of its holds.
+    """
+
+    def __init__(self, pool: EndpointPool, names: HeaderNames) -> None:
+        self.pool = pool
+        self.names = names
+        self.info: EndpointInfo | None = None
+        self.gate = EndpointGate(0)
+        self.keeper: RangeKeeper | None = None
+        self.key_counts = KeyCounts()
+        self.starts: dict[int, asyncio.Future] = {}
+        self.next_ticket = 0
+        self.failures = 0.0
+        self.budget = RetryBudget(REPEAT_PERCENT, MIN_REPEATS_PER_S)
+        self.counters: Counter[str] = Counter()
+        self.on_suspicion: Callable[[], None] = lambda: None
+        self.poller: asyncio.Task | None = None
+
+    async def __aenter__(self) -> "LocalEndpoint":
+        self.poller = asyncio.create_task(self._poll())
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        self.poller.cancel()
+
+    def set_info(self, info: EndpointInfo | None) -> None:
+        """Take a description of the endpoint; one that is not ready gets nothing."""
+        if info is None or self.info is None or info.life != self.info.life:
+            self.pool.drop()
+            self.failures = 0.0
+        self.info = info
+        slots = info.slots if info is not None and info.is_ready else 0
+        self._apply(self.gate.set_slots(slots, boottime()))
+        if slots == 0:
+            self._refuse_queue()
+
+    def hint(self) -> LoadHint:
+        """Return the present load for other nodes."""
+        gate = self.gate
+        return LoadHint(
+            self.info.service if self.info else "",
+            len(gate.running),
+            len(gate.queued),
+            gate.slots,
+            int(gate.overall_mean_s * 1000),
+            min(10_000, int(gate.busy_share(boottime()) * 100)),
+            int(self.failures * 100),
+        )
+
+    def busy(self) -> float:
+        """Return the recent use of the slots, above 1 while requests wait."""
+        return self.gate.busy_share(boottime())
+
+    def retry_after_s(self) -> float:
+        """Return when the queue will probably have room again."""
+        gate = self.gate
+        return gate.overall_mean_s * (1 + len(gate.queued)) / max(1, gate.slots)
+
+    async def run(self, request: Forward) -> EndpointAnswer:
+        """Return the endpoint's answer; raise ``RouterError``.
+
+        The error's outcome says whether the request may have reached the endpoint.
+        """
+        received = boottime()
+        deadline = received + request.timeout_ms / 1000
+        self._check_service(request)
+        if request.repeats:
+            if not self.budget.take(received):
+                raise RouterError(ErrorKind.OVERLOADED, "no retry budget is left")
+        else:
+            self.budget.note_request(received)
+        if request.key != NO_KEY:
+            self.key_counts.add(request.key, received)
+            await self._await_hold(request.key, deadline)
+        ticket = await self._admit(request, deadline)
+        measured = False
+        try:
+            self._check_service(request)
+            if request.key != NO_KEY and not self.keeper.may_run(request.key):
+                raise RouterError(ErrorKind.NOT_OWNER, "the hold ended in the queue")
+            answer = await self._send(request, deadline)
+            measured = True
+            return answer
+        finally:
+            self._apply(self.gate.finish(ticket, boottime(), measured))
+
+    def _check_service(self, request: Forward) -> None:
+        info = self.info
+        if info is None or not info.is_ready or info.service != request.service:
+            raise RouterError(ErrorKind.NO_ENDPOINT, request.service)
+        if request.key != NO_KEY and self.keeper is None:
+            raise RouterError(ErrorKind.NOT_OWNER, request.service)
+
+    async def _await_hold(self, key: int, deadline: float) -> None:
+        if self.keeper.may_run(key):
+            return
+        patience_s = min(GRANT_PATIENCE_S, (deadline - boottime()) / 2)
+        if not await self.keeper.wait_until_granted(key, patience_s):
+            raise RouterError(ErrorKind.NOT_OWNER, "the endpoint does not hold the key")
+
+    async def _admit(self, request: Forward, deadline: float) -> int:
+        now = boottime()
+        self.next_ticket += 1
+        ticket = self.next_ticket
+        reserve_s = self.gate.overall_mean_s * START_RESERVE
+        latest_start = min(
+            deadline - reserve_s,
+            now + max(MIN_PATIENCE_S, request.aim_ms / 1000 - reserve_s),
+        )
+        kind = self.gate.submit(ticket, request.rank, max(now, latest_start), now)
+        if kind is not None:
+            self.counters["refused"] += 1
+            raise RouterError(kind, f"{len(self.gate.queued)} requests wait")
+        if ticket in self.gate.running:
+            return ticket
+        future = asyncio.get_running_loop().create_future()
+        self.starts[ticket] = future
+        try:
+            await future
+        except asyncio.CancelledError:
+            if ticket in self.gate.running:
+                self._apply(self.gate.finish(ticket, boottime(), False))
+            else:
+                self.gate.cancel(ticket)
+            raise
+        finally:
+            del self.starts[ticket]
+        return ticket
+
+    async def _send(self, request: Forward, deadline: float) -> EndpointAnswer:
+        left_s = deadline - boottime()
+        if left_s <= 0.002:
+            raise RouterError(ErrorKind.DEADLINE_NOT_RUN)
+        info = self.info
+        names = self.names
+        headers = [
+            *request.headers,
+            (names.request_id, request.request_id),
+            (names.timeout_ms, str(max(1, int(left_s * 1000)))),
+            (names.expected_endpoint, info.id),
+        ]
+        if request.body or request.method in ("POST", "PUT", "PATCH"):
+            headers.append(("Content-Length", str(len(request.body))))
+        self.counters["sent"] += 1
+        try:
+            async with asyncio.timeout(left_s):
+                answer = await self.pool.send(
+                    request.method,
+                    request.target,
+                    headers,
+                    request.body,
+                    request.request_id,
+                )
+        except TimeoutError:
+            self._note_failure(True)
+            raise RouterError(
+                ErrorKind.OUTCOME_UNKNOWN, "the endpoint did not answer in time"
+            ) from None
+        except RouterError:
+            self._note_failure(True)
+            self.on_suspicion()
+            raise
+        return self._judge(request, answer)
+
+    def _judge(self, request: Forward, answer: EndpointAnswer) -> EndpointAnswer:
+        is_refusal = answer.status == NOT_HOLDING_STATUS or (
+            answer.status in REFUSAL_STATUSES and answer.header(self.names.not_run)
+        )
+        if not is_refusal:
+            self._note_failure(answer.status >= 500)
+            return answer
+        self.counters["refused_by_endpoint"] += 1
+        if answer.status == NOT_HOLDING_STATUS:
+            if request.key != NO_KEY:
+                self.keeper.note_key_refused(request.key)
+            raise RouterError(ErrorKind.NOT_OWNER, "the endpoint answered 421")
+        self._note_failure(True)
+        raise RouterError(ErrorKind.ENDPOINT_REFUSED, f"status {answer.status}")
+
+    def _note_failure(self, failed: bool) -> None:
+        self.failures += FAILURE_WEIGHT * (float(failed) - self.failures)
+
+    def _apply(self, released: Released) -> None:
+        for ticket in released.started:
+            future = self.starts.get(ticket)
+            if future is None or future.done():
+                continue
+            future.set_result(None)
+        for ticket in released.expired:
+            future = self.starts.get(ticket)
+            if future is not None and not future.done():
+                future.set_exception(RouterError(ErrorKind.OVERLOADED, "queued"))
+
+    def _refuse_queue(self) -> None:
+        for ticket in list(self.gate.queued):
+            self.gate.cancel(ticket)
+            future = self.starts.get(ticket)
+            if future is not None and not future.done():
+                future.set_exception(RouterError(ErrorKind.NO_ENDPOINT, "it leaves"))
+
+    async def _poll(self) -> None:
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            if self.gate.queued:
+                self._apply(self.gate.poll(boottime()))
--- /dev/null
+++ b/src/sesamepost/internal/forwarding/endpoint_connection.py
@@ -0,0 +1,194 @@
+"""One HTTP/1.1 connection to the endpoint beside this node.
+
+``aiohttp`` hands the next bytes of a connection to the next request. Endpoints may send
+a second answer late, so answers are matched to requests by their id here, on ``h11``.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+import h11
+
+from sesamepost.errors import ErrorKind, RouterError
+from sesamepost.internal.dispatch.headers import forwarded_headers
+from sesamepost.internal.forwarding.protocol_names import HeaderNames
+
+MAX_ANSWER_BYTES = 8 << 20
+MAX_HEADER_BYTES = 64 << 10
+
+
+@dataclass(slots=True)
+class EndpointAnswer:
+    """A complete answer; ``headers`` are pairs of bytes with names in lower case."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+    def forwarded(self) -> list[tuple[str, str]]:
+        """Return the fields that are passed on to the caller."""
+        return [(name, value) for name, _, value in forwarded_headers(self.headers)]
+
+    def header(self, name: str) -> str:
+        """Return the value of a field, empty if it is absent."""
+        wanted = name.lower().encode()
+        for field, value in self.headers:
+            if field == wanted:
+                return value.decode("latin-1")
+        return ""
+
+
+class EndpointConnection(asyncio.Protocol):
+    """Sends one request at a time and collects the answer that belongs to it."""
+
+    def __init__(self, names: HeaderNames) -> None:
+        self.names = names
+        self.transport: asyncio.Transport | None = None
+        self.parser: h11.Connection | None = None
+        self.request: h11.Request | None = None
+        self.request_id = ""
+        self.waiter: asyncio.Future | None = None
+        self.head: h11.Response | None = None
+        self.chunks: list[bytes] = []
+        self.size = 0
+        self.is_open = False
+        self.idle_since = 0.0
+        self.idle_limit_s: float | None = None
+        self.answers = 0
+        self.skipped_answers = 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keep the transport."""
+        self.transport = transport
+        self.is_open = True
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the answer; bytes that no request waits for end the connection."""
+        if self.waiter is None:
+            self.close()
+            return
+        try:
+            self.parser.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._fail(ErrorKind.ANSWER_CUT_OFF, f"not a valid answer: {error}")
+
+    def eof_received(self) -> bool:
+        """Take an orderly end, which completes an answer without a length."""
+        if self.waiter is not None:
+            try:
+                self.parser.receive_data(b"")
+                self._read_events()
+            except h11.RemoteProtocolError as error:
+                self._fail(ErrorKind.ANSWER_CUT_OFF, f"ended early: {error}")
+        self.close()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail the request in flight: it may have run."""
+        self.is_open = False
+        kind = ErrorKind.ANSWER_CUT_OFF if self.head else ErrorKind.OUTCOME_UNKNOWN
+        self._fail(kind, f"the endpoint closed the connection: {error!r}")
+
+    def close(self) -> None:
+        """Close at once; the endpoint drops the request in flight."""
+        self.is_open = False
+        if self.transport is not None:
+            self.transport.abort()
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        request_id: str,
+    ) -> EndpointAnswer:
+        """Return the answer; raise ``RouterError`` if its outcome is not known."""
+        self.request_id = request_id
+        self.request = h11.Request(method=method, target=target, headers=headers)
+        self.waiter = asyncio.get_running_loop().create_future()
+        data = self._start_parser()
+        if body:
+            data += self.parser.send(h11.Data(data=body))
+        data += self.parser.send(h11.EndOfMessage())
+        self.transport.write(data)
+        try:
+            return await self.waiter
+        except BaseException:
+            # Also when the caller has left: closing makes the endpoint stop its work.
+            self.close()
+            raise
+        finally:
+            self.waiter = None
+            if self.parser.our_state is not h11.DONE:
+                self.close()
+
+    def _start_parser(self) -> bytes:
+        self.parser = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+        self.head = None
+        self.chunks = []
+        self.size = 0
+        return self.parser.send(self.request)
+
+    def _read_events(self) -> None:
+        while self.waiter is not None and not self.waiter.done():
+            event = self.parser.next_event()
+            match event:
+                case h11.Response():
+                    self.head = event
+                case h11.Data():
+                    self._take(bytes(event.data))
+                case h11.EndOfMessage():
+                    self._complete()
+                case h11.ConnectionClosed() | h11.NEED_DATA | h11.PAUSED:
+                    return
+
+    def _take(self, data: bytes) -> None:
+        self.size += len(data)
+        if self.size > MAX_ANSWER_BYTES:
+            self._fail(ErrorKind.ANSWER_TOO_LARGE, f"more than {self.size} bytes")
+            self.close()
+            return
+        self.chunks.append(data)
+
+    def _complete(self) -> None:
+        answer = EndpointAnswer(
+            self.head.status_code, list(self.head.headers), b"".join(self.chunks)
+        )
+        rest, closed = self.parser.trailing_data
+        keeps_open = self.parser.their_state is h11.DONE and not closed
+        answered_id = answer.header(self.names.request_id)
+        if answered_id and answered_id != self.request_id:
+            self._skip_answer(rest, keeps_open)
+            return
+        self.head = None
+        self.answers += 1
+        if not keeps_open or rest:
+            self.close()
+        self._note_keep_alive(answer.header("keep-alive"))
+        self.waiter.set_result(answer)
+
+    def _skip_answer(self, rest: bytes, keeps_open: bool) -> None:
+        """Drop an answer to an earlier request and go on reading behind it."""
+        self.skipped_answers += 1
+        if not keeps_open:
+            self._fail(ErrorKind.OUTCOME_UNKNOWN, "the endpoint answered another id")
+            self.close()
+            return
+        # The request is not sent again: the parser only has to expect its answer.
+        self._start_parser()
+        if rest:
+            self.parser.receive_data(rest)
+
+    def _note_keep_alive(self, value: str) -> None:
+        for part in value.split(","):
+            name, _, number = part.strip().partition("=")
+            if name == "timeout" and number.isdigit():
+                self.idle_limit_s = float(number)
+
+    def _fail(self, kind: ErrorKind, detail: str) -> None:
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_exception(RouterError(kind, detail))
--- /dev/null
+++ b/src/sesamepost/internal/forwarding/endpoint_pool.py
@@ -0,0 +1,112 @@
+"""The connections to the endpoint beside this node."""
+
+import asyncio
+from collections import Counter
+
+from sesamepost.errors import ErrorKind, RouterError
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.forwarding.endpoint_connection import (
+    EndpointAnswer,
+    EndpointConnection,
+)
+from sesamepost.internal.forwarding.protocol_names import HeaderNames
+from sesamepost.internal.wire.pool import Address
+
+CONNECT_TIMEOUT_S = 1.0
+# Idle connections are left alone after this part of the time that the endpoint gives.
+IDLE_SHARE = 0.5
+DEFAULT_IDLE_LIMIT_S = 4.0
+# More idle connections than this are not worth their descriptors.
+MAX_IDLE = 16
+
+
+class EndpointPool:
+    """Opens connections as needed and uses the one that was idle for the shortest."""
+
+    def __init__(self, address: Address, names: HeaderNames) -> None:
+        self.address = address
+        self.names = names
+        self.idle: list[EndpointConnection] = []
+        self.busy: set[EndpointConnection] = set()
+        self.counters: Counter[str] = Counter()
+
+    async def __aenter__(self) -> "EndpointPool":
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        self.drop()
+        for connection in list(self.busy):
+            connection.close()
+
+    def drop(self) -> None:
+        """Close the idle connections, as the endpoint behind the address changed."""
+        for connection in self.idle:
+            connection.close()
+        self.idle.clear()
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        request_id: str,
+    ) -> EndpointAnswer:
+        """Return the answer of the endpoint.
+
+        Raises ``RouterError``; ``ENDPOINT_UNREACHABLE`` says that nothing was sent.
+        """
+        connection = self._take_idle() or await self._connect()
+        self.busy.add(connection)
+        try:
+            return await connection.send(method, target, headers, body, request_id)
+        finally:
+            self.busy.discard(connection)
+            self._give_back(connection)
+
+    async def is_listening(self) -> bool:
+        """Return whether the endpoint's port accepts a connection."""
+        try:
+            connection = await self._connect()
+        except RouterError:
+            return False
+        self._give_back(connection)
+        return True
+
+    def _take_idle(self) -> EndpointConnection | None:
+        now = boottime()
+        while self.idle:
+            connection = self.idle.pop()
+            limit_s = connection.idle_limit_s
+            if limit_s is None:
+                limit_s = DEFAULT_IDLE_LIMIT_S
+            is_fresh = now - connection.idle_since < limit_s * IDLE_SHARE
+            if connection.is_open and is_fresh:
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self) -> EndpointConnection:
+        loop = asyncio.get_running_loop()
+        self.counters["connections_opened"] += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: EndpointConnection(self.names), *self.address
+                )
+        except (OSError, TimeoutError) as error:
+            self.counters["connection_failures"] += 1
+            raise RouterError(
+                ErrorKind.ENDPOINT_UNREACHABLE, f"{self.address}: {error!r}"
+            ) from None
+        return connection
+
+    def _give_back(self, connection: EndpointConnection) -> None:
+        self.counters["skipped_answers"] += connection.skipped_answers
+        connection.skipped_answers = 0
+        if not connection.is_open:
+            return
+        connection.idle_since = boottime()
+        self.idle.append(connection)
+        while len(self.idle) > MAX_IDLE:
+            self.idle.pop(0).close()
--- /dev/null
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -0,0 +1,315 @@
+"""Brings a request to an endpoint that may run it, and decides about repeating it."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+import structlog
+
+from sesamepost.errors import ANSWERS, ErrorKind, Outcome, RouterError
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.nodes import NodeEntry, NodeTable
+from sesamepost.internal.forwarding.endpoint import LocalEndpoint
+from sesamepost.internal.forwarding.loads import LoadBook
+from sesamepost.internal.forwarding.messages import Forward
+from sesamepost.internal.forwarding.routes import Route
+from sesamepost.internal.ranges.keeper import TableStore
+from sesamepost.internal.wire.messages import Answer, Cancel, Refusal
+from sesamepost.internal.wire.pool import PeerPool
+from sesamepost.internal.wire.stream import StreamClosedError
+
+# How long a request waits in all while its key has no owner that can be reached.
+HOLD_PATIENCE_S = 0.8
+HOLD_SHARE = 0.3
+HOLD_STEP_S = 0.05
+# A refused caller comes back when the keys have probably found an owner.
+NO_OWNER_RETRY_S = 0.5
+MIN_RETRY_AFTER_S = 0.1
+MAX_ATTEMPTS = 8
+MIN_REPEAT_TIME_S = 0.02
+
+log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class Call:
+    """A caller's request. Times are in seconds on the clock of ``internal/clock``."""
+
+    request_id: str
+    route: Route
+    service: str
+    key: int
+    method: str
+    target: str
+    headers: list
+    body: bytes
+    deadline: float
+    aim_at: float
+    rank: int
+    settings_version: int
+
+
+@dataclass(slots=True)
+class Progress:
+    """What became of the attempts to run one call."""
+
+    tried: set[str] = field(default_factory=set)
+    reached: set[str] = field(default_factory=set)
+    steps: list[str] = field(default_factory=list)
+    repeats: int = 0
+    held_s: float = 0.0
+    may_have_run: bool = False
+    is_in_flight: bool = False
+    retry_after_s: float = MIN_RETRY_AFTER_S
+    failed_answer: Answer | None = None
+
+    def error(self, kind: ErrorKind, detail: str = "") -> RouterError:
+        """Return the final error, true for all attempts together."""
+        if self.may_have_run and ANSWERS[kind].outcome is Outcome.NOT_RUN:
+            return RouterError(ErrorKind.OUTCOME_UNKNOWN, f"then {kind}: {detail}")
+        return RouterError(kind, detail)
+
+
+class Forwarder:
+    """Chooses endpoints by owner or by load and speaks to the nodes beside them.
+
+    ``tables`` returns the range table's store of a partitioned service, or None for
+    other services.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        pool: PeerPool,
+        nodes: NodeTable,
+        local: LocalEndpoint,
+        loads: LoadBook,
+        tables: Callable[[str], TableStore | None],
+    ) -> None:
+        self.vm = vm
+        self.pool = pool
+        self.nodes = nodes
+        self.local = local
+        self.loads = loads
+        self.tables = tables
+        self.counters: Counter[str] = Counter()
+
+    async def run(self, call: Call, progress: Progress) -> Answer:
+        """Return an endpoint's answer; raise ``RouterError``.
+
+        The answer is due at the deadline; work at an endpoint is cancelled then.
+        """
+        left_s = call.deadline - boottime()
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                return await self._run(call, progress)
+        except TimeoutError:
+            if progress.is_in_flight:
+                progress.may_have_run = True
+            if progress.failed_answer is not None:
+                return progress.failed_answer
+            raise progress.error(ErrorKind.DEADLINE_NOT_RUN) from None
+
+    async def _run(self, call: Call, progress: Progress) -> Answer:
+        for _ in range(MAX_ATTEMPTS):
+            node = await self._choose(call, progress)
+            try:
+                answer = await self._attempt(node, call, progress)
+            except RouterError as error:
+                progress.steps.append(f"{node.name}:{error.kind}")
+                await self._after_failure(node, call, progress, error)
+                continue
+            progress.steps.append(f"{node.name}:{answer.status}")
+            if answer.status < 500 or not self._may_repeat(call, progress):
+                return answer
+            # The endpoint's own failure is the answer if no other endpoint has one.
+            progress.failed_answer = answer
+            progress.repeats += 1
+            progress.tried.add(node.vm)
+            if not self._has_other(call, progress):
+                return answer
+        raise progress.error(ErrorKind.OVERLOADED, "too many attempts")
+
+    async def _choose(self, call: Call, progress: Progress) -> NodeEntry:
+        tables = self.tables(call.service)
+        while True:
+            if tables is not None:
+                node, reason = self._owner(call, tables)
+                if node is not None:
+                    return node
+            else:
+                candidates = self._candidates(call, progress)
+                node = self._pick(candidates, call)
+                if node is not None:
+                    return node
+                if candidates or progress.tried:
+                    self._refuse_overload(candidates, progress)
+                reason = ErrorKind.NO_ENDPOINT
+            await self._hold(call, progress, reason)
+
+    def _owner(
+        self, call: Call, tables: TableStore
+    ) -> tuple[NodeEntry | None, ErrorKind]:
+        table = tables.table
+        owner = None if table is None else table.find(call.key).owner
+        if owner is None:
+            return None, ErrorKind.NO_OWNER
+        node = self.nodes.nodes.get(owner.vm)
+        if node is None or not self.loads.is_reachable(owner.vm, boottime()):
+            return None, ErrorKind.OWNER_UNREACHABLE
+        return node, ErrorKind.NO_OWNER
+
+    def _candidates(self, call: Call, progress: Progress) -> list[NodeEntry]:
+        return [
+            node
+            for node in self.nodes.endpoints_of(call.service)
+            if node.vm not in progress.tried and not node.is_stopping
+        ]
+
+    def _pick(self, candidates: list[NodeEntry], call: Call) -> NodeEntry | None:
+        now = boottime()
+        max_wait_s = max(0.05, call.aim_at - now, (call.deadline - now) * HOLD_SHARE)
+        return self.loads.pick(candidates, now, max_wait_s)
+
+    def _has_other(self, call: Call, progress: Progress) -> bool:
+        if self.tables(call.service) is not None:
+            return True
+        return self._pick(self._candidates(call, progress), call) is not None
+
+    def _refuse_overload(self, candidates: list[NodeEntry], progress: Progress) -> None:
+        if progress.failed_answer is None:
+            wait_s = self.loads.shortest_wait_s(candidates, boottime())
+            if wait_s != float("inf"):
+                progress.retry_after_s = max(progress.retry_after_s, wait_s)
+        raise progress.error(ErrorKind.OVERLOADED, "no endpoint has room")
+
+    async def _hold(self, call: Call, progress: Progress, reason: ErrorKind) -> None:
+        """Wait for a change of the owners; refuse what waited for long enough."""
+        left_s = call.deadline - boottime()
+        patience_s = min(HOLD_PATIENCE_S, left_s * HOLD_SHARE) - progress.held_s
+        if patience_s <= 0:
+            progress.retry_after_s = NO_OWNER_RETRY_S
+            raise progress.error(reason, f"waited {progress.held_s:.2f} s")
+        started = boottime()
+        await self.nodes.mirror.wait_for_change(min(HOLD_STEP_S, patience_s))
+        progress.held_s += boottime() - started
+
+    async def _after_failure(
+        self, node: NodeEntry, call: Call, progress: Progress, error: RouterError
+    ) -> None:
+        """Return if the call may be tried again; raise the final error otherwise."""
+        if ANSWERS[error.kind].outcome is not Outcome.NOT_RUN:
+            progress.may_have_run = True
+            progress.tried.add(node.vm)
+            progress.repeats += 1
+            if not self._may_repeat(call, progress):
+                raise progress.error(error.kind, error.detail)
+            return
+        match error.kind:
+            case ErrorKind.ENDPOINT_REFUSED:
+                progress.repeats += 1
+                progress.tried.add(node.vm)
+                if self.tables(call.service) is not None:
+                    await self._hold(call, progress, error.kind)
+            case ErrorKind.NOT_OWNER:
+                await self._hold(call, progress, error.kind)
+            case _ if self.tables(call.service) is None:
+                progress.tried.add(node.vm)
+            case ErrorKind.OVERLOADED | ErrorKind.DEADLINE_NOT_RUN:
+                load = self.loads.of(node.vm)
+                wait_s = load.expected_wait_s(node.endpoint.slots, boottime())
+                if wait_s != float("inf"):
+                    progress.retry_after_s = max(progress.retry_after_s, wait_s)
+                raise progress.error(error.kind, error.detail)
+            case _:
+                await self._hold(call, progress, error.kind)
+
+    def _may_repeat(self, call: Call, progress: Progress) -> bool:
+        return (
+            call.route.is_repeatable
+            and len(progress.reached) < call.route.max_endpoints
+            and call.deadline - boottime() > MIN_REPEAT_TIME_S
+        )
+
+    async def _attempt(self, node: NodeEntry, call: Call, progress: Progress) -> Answer:
+        now = boottime()
+        request = Forward(
+            0,
+            call.request_id,
+            call.service,
+            call.key,
+            call.method,
+            call.target,
+            call.headers,
+            call.body,
+            max(1, int((call.deadline - now) * 1000)),
+            max(0, int((call.aim_at - now) * 1000)),
+            call.rank,
+            progress.repeats,
+        )
+        self.loads.note_sent(node.vm)
+        failed = False
+        progress.is_in_flight = True
+        try:
+            if node.vm == self.vm:
+                answer = await self._run_here(request)
+            else:
+                answer = await self._run_at(node, request)
+            progress.reached.add(node.vm)
+            failed = answer.status >= 500
+            return answer
+        except RouterError as error:
+            failed = error.kind is not ErrorKind.NOT_OWNER
+            if ANSWERS[error.kind].outcome is not Outcome.NOT_RUN:
+                progress.reached.add(node.vm)
+            raise
+        finally:
+            self.loads.note_done(node.vm, failed, boottime())
+            # A cancelled attempt leaves the mark for whoever reports the timeout.
+            if not _is_cancelled():
+                progress.is_in_flight = False
+
+    async def _run_here(self, request: Forward) -> Answer:
+        try:
+            return to_message(0, await self.local.run(request))
+        finally:
+            self.loads.note_hint(self.vm, self.local.hint(), boottime())
+
+    async def _run_at(self, node: NodeEntry, request: Forward) -> Answer:
+        try:
+            stream = await self.pool.stream_to(node.address, node.node_id)
+        except StreamClosedError as error:
+            self.loads.note_unreachable(node.vm, boottime())
+            raise RouterError(ErrorKind.OWNER_UNREACHABLE, str(error)) from None
+        if not stream.writable.is_set():
+            raise RouterError(ErrorKind.OWNER_UNREACHABLE, "the stream is full")
+        self.counters["forwarded"] += 1
+        call_id, future = stream.new_call()
+        try:
+            stream.send(replace(request, id=call_id))
+            reply = await future
+        except StreamClosedError as error:
+            self.counters["streams_lost_with_calls"] += 1
+            raise RouterError(ErrorKind.OUTCOME_UNKNOWN, str(error)) from None
+        except asyncio.CancelledError:
+            if stream.is_open:
+                stream.send(Cancel(call_id))
+            raise
+        finally:
+            stream.forget_call(call_id)
+        match reply:
+            case Answer():
+                return reply
+            case Refusal():
+                raise RouterError(ErrorKind(reply.kind), reply.detail)
+
+
+def to_message(call_id: int, answer) -> Answer:
+    """Return an endpoint's answer as a message to another node."""
+    return Answer(call_id, answer.status, answer.forwarded(), answer.body, False)
+
+
+def _is_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
--- /dev/null
+++ b/src/sesamepost/internal/forwarding/ingress.py
@@ -0,0 +1,267 @@
+"""The callers' port for routes by host and path."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+from functools import partial
+
+import structlog
+from aiohttp import web
+from aiohttp.web_request import BaseRequest
+from multidict import CIMultiDict
+
+from sesamepost.errors import (
+    ANSWERS,
+    ERROR_HEADER,
+    OUTCOME_HEADER,
+    ErrorKind,
+    Outcome,
+    RouterError,
+)
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.dispatch.headers import forwarded_headers
+from sesamepost.internal.forwarding.forwarder import Call, Forwarder, Progress
+from sesamepost.internal.forwarding.messages import NO_KEY
+from sesamepost.internal.forwarding.protocol_names import HeaderNames
+from sesamepost.internal.forwarding.routes import RouteIndex, SplitDraw
+from sesamepost.internal.ranges.table import LAST_KEY
+from sesamepost.internal.wire.messages import Answer
+from sesamepost.internal.wire.pool import Address
+
+MAX_BODY_BYTES = 8 << 20
+MAX_HEADER_FIELD_BYTES = 64 << 10
+DEFAULT_TIMEOUT_S = 10.0
+KEEP_ALIVE_S = 75.0
+# Clients that were refused together should not come back together.
+RETRY_SPREAD = 0.3
+# Calls of endpoints come before new work of callers: a failed call wastes its run.
+NESTED_RANK = -1
+
+log = structlog.get_logger()
+
+
+class Ingress:
+    """Takes requests by HTTP, forwards them and writes the answers.
+
+    ``index`` returns the routing settings in force, None before the first are known.
+    ``service`` returns the name of the service beside this node. ``is_nested`` tells
+    from the address of a caller whether it is the endpoint itself.
+    """
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        names: HeaderNames,
+        index: Callable[[], RouteIndex | None],
+        service: Callable[[], str],
+        observe: Callable[[str, str, str, float], None],
+    ) -> None:
+        self.forwarder = forwarder
+        self.names = names
+        self.index = index
+        self.service = service
+        self.observe = observe
+        self.splits = SplitDraw()
+        self.counters: Counter[str] = Counter()
+        self.own_headers = {
+            name.lower()
+            for name in (
+                names.request_id,
+                names.timeout_ms,
+                names.caller_service,
+                names.expected_endpoint,
+            )
+        }
+        self.in_flight = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.is_stopping = False
+        self.runner: web.ServerRunner | None = None
+        self.site: web.TCPSite | None = None
+
+    async def __aenter__(self) -> "Ingress":
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def listen(self, address: Address) -> None:
+        """Accept callers at ``address``."""
+        loop = asyncio.get_running_loop()
+        server = web.Server(
+            self.handle,
+            request_factory=partial(_make_request, loop),
+            access_log=None,
+            auto_decompress=False,
+            handler_cancellation=True,
+            keepalive_timeout=KEEP_ALIVE_S,
+            max_line_size=MAX_HEADER_FIELD_BYTES,
+            max_field_size=MAX_HEADER_FIELD_BYTES,
+        )
+        self.runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=1)
+        await self.runner.setup()
+        self.site = web.TCPSite(self.runner, *address, backlog=512)
+        await self.site.start()
+
+    async def stop_accepting(self) -> None:
+        """Accept no new connection and close each open one after its next answer."""
+        self.is_stopping = True
+        await self.site.stop()
+
+    async def handle(self, request: BaseRequest) -> web.Response:
+        """Answer one request."""
+        arrived = boottime()
+        self.in_flight += 1
+        self.idle.clear()
+        progress = Progress()
+        call = None
+        kind = ""
+        try:
+            call = await self._parse(request, arrived)
+            answer = await self.forwarder.run(call, progress)
+            outcome = Outcome.RAN
+            response = _response(answer)
+        except RouterError as error:
+            kind = error.kind
+            outcome = ANSWERS[error.kind].outcome
+            response = self._error(error, progress)
+        except web.HTTPRequestEntityTooLarge:
+            kind = ErrorKind.BODY_TOO_LARGE
+            outcome = Outcome.NOT_RUN
+            response = self._error(RouterError(kind), progress)
+        except asyncio.CancelledError:
+            self.counters["callers_gone"] += 1
+            self._log_end(request, call, progress, 0, "caller_gone", arrived)
+            raise
+        except Exception:
+            log.exception("request_failed")
+            kind = ErrorKind.INTERNAL
+            outcome = Outcome.UNKNOWN
+            response = self._error(RouterError(kind), progress)
+        finally:
+            self.in_flight -= 1
+            if self.in_flight == 0:
+                self.idle.set()
+        if self.is_stopping:
+            response.force_close()
+        self._log_end(request, call, progress, response.status, kind, arrived)
+        if call is not None:
+            seconds = boottime() - arrived
+            self.observe(call.service, call.route.name, outcome, seconds)
+        return response
+
+    async def _parse(self, request: BaseRequest, arrived: float) -> Call:
+        names = self.names
+        index = self.index()
+        if index is None:
+            raise RouterError(ErrorKind.NO_SETTINGS)
+        target = request.raw_path
+        path = target.partition("?")[0]
+        host = request.headers.get("Host", "")
+        route = index.find(host.partition(":")[0], path)
+        if route is None:
+            raise RouterError(ErrorKind.UNKNOWN_ROUTE, f"{host}{path}")
+        body = await request.read() if request.body_exists else b""
+        service = self.splits.draw(route)
+        settings = index.settings
+        key = NO_KEY
+        if service in settings.services and settings.services[service].is_partitioned:
+            key = _key(request.headers.get(names.key, ""))
+        timeout_s = _timeout_s(request.headers.get(names.timeout_ms))
+        if route.timeout_s:
+            timeout_s = min(timeout_s, route.timeout_s)
+        headers = [
+            (name, value)
+            for name, lower, value in forwarded_headers(request.raw_headers)
+            if lower not in self.own_headers
+        ]
+        headers.append(("Host", host))
+        headers.append((names.caller_service, self.service()))
+        is_nested = request.remote == self.forwarder.vm
+        return Call(
+            request.headers.get(names.request_id, ""),
+            route,
+            service,
+            key,
+            request.method,
+            target,
+            headers,
+            body,
+            arrived + timeout_s,
+            arrived + (route.aim_s or timeout_s),
+            NESTED_RANK if is_nested else route.priority,
+            settings.version,
+        )
+
+    def _error(self, error: RouterError, progress: Progress) -> web.Response:
+        self.counters[error.kind] += 1
+        answer = ANSWERS[error.kind]
+        headers = {ERROR_HEADER: error.kind, OUTCOME_HEADER: answer.outcome}
+        if answer.status == 503:
+            wait_s = progress.retry_after_s * (1 + RETRY_SPREAD * random.random())
+            headers["Retry-After"] = f"{wait_s:.3f}"
+        text = f"{error.kind}: {answer.text}"
+        if error.detail:
+            text = f"{text} ({error.detail})"
+        return web.Response(status=answer.status, text=text + "\n", headers=headers)
+
+    def _log_end(
+        self,
+        request: BaseRequest,
+        call: Call | None,
+        progress: Progress,
+        status: int,
+        kind: str,
+        arrived: float,
+    ) -> None:
+        log.info(
+            "request",
+            request=request.headers.get(self.names.request_id, ""),
+            remote=request.remote,
+            path=request.raw_path,
+            route=call.route.name if call else "",
+            service=call.service if call else "",
+            key=call.key if call else NO_KEY,
+            rank=call.rank if call else 0,
+            settings=call.settings_version if call else 0,
+            steps=progress.steps,
+            held_ms=int(progress.held_s * 1000),
+            status=status,
+            kind=kind,
+            ms=int((boottime() - arrived) * 1000),
+        )
+
+
+def _make_request(loop, message, payload, protocol, writer, task) -> BaseRequest:
+    return BaseRequest(
+        message, payload, protocol, writer, task, loop, client_max_size=MAX_BODY_BYTES
+    )
+
+
+def _response(answer: Answer) -> web.Response:
+    headers = CIMultiDict(answer.headers)
+    return web.Response(status=answer.status, body=answer.body, headers=headers)
+
+
+def _key(text: str) -> int:
+    if not text:
+        raise RouterError(ErrorKind.MISSING_KEY)
+    if not text.isascii() or not text.isdigit() or int(text) > LAST_KEY:
+        raise RouterError(
+            ErrorKind.BAD_REQUEST, f"a key must be from 0 to {LAST_KEY}, not {text!r}"
+        )
+    return int(text)
+
+
+def _timeout_s(text: str | None) -> float:
+    if text is None:
+        return DEFAULT_TIMEOUT_S
+    try:
+        timeout_s = float(text) / 1000
+    except ValueError:
+        raise RouterError(ErrorKind.BAD_TIMEOUT, f"got {text[:32]!r}") from None
+    if not 0 < timeout_s <= 600:
+        raise RouterError(ErrorKind.BAD_TIMEOUT, f"got {text[:32]!r}")
+    return timeout_s
--- /dev/null
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -0,0 +1,338 @@
+"""One node: creates its tasks, reacts to what the adapter reports, and stops."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from contextlib import AsyncExitStack, suppress
+
+import structlog
+
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.mirror import Mirror
+from sesamepost.internal.coordination.nodes import (
+    EndpointInfo,
+    NodeEntry,
+    NodeTable,
+    Registration,
+)
+from sesamepost.internal.coordination.relay import RelayedStore
+from sesamepost.internal.coordination.store import (
+    ConditionFailedError,
+    CoordinationStore,
+    Item,
+    StoreError,
+    Transaction,
+    Write,
+)
+from sesamepost.internal.forwarding.endpoint import LocalEndpoint
+from sesamepost.internal.forwarding.endpoint_pool import EndpointPool
+from sesamepost.internal.forwarding.forwarder import Forwarder
+from sesamepost.internal.forwarding.ingress import Ingress
+from sesamepost.internal.forwarding.loads import LoadBook
+from sesamepost.internal.forwarding.node_settings import NodeSettings
+from sesamepost.internal.forwarding.protocol_names import HeaderNames
+from sesamepost.internal.forwarding.routes import RouteIndex, RoutingSettings
+from sesamepost.internal.forwarding.serving import PeerService
+from sesamepost.internal.identity import new_node_id
+from sesamepost.internal.ranges.balancing import Balancing
+from sesamepost.internal.ranges.keeper import EndpointOrders, RangeKeeper, TableStore
+from sesamepost.internal.ranges.takeover import Takeover
+from sesamepost.internal.telemetry.metrics import Metrics
+from sesamepost.internal.wire.pool import Address, PeerPool
+
+PEER_KEY = "sesamepost/peer-key"
+PEER_KEY_BYTES = 32
+STORE_RETRY_S = 0.15
+# The endpoint counts as suspect after this many of its heartbeats are missing.
+MISSING_HEARTBEATS = 2.5
+SUSPICION_INTERVAL_S = 0.5
+# Two readiness checks, a second apart, must fail before callers go elsewhere.
+UNREADY_S = 2.3
+STOP_RESERVE_S = 0.7
+
+log = structlog.get_logger()
+
+
+class Node:
+    """The parts of one process.
+
+    ``decode_settings`` turns the operator's item in the store into routing settings, or
+    returns None if it cannot be read; ``settings_key`` is its key.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        store: CoordinationStore,
+        orders: EndpointOrders,
+        names: HeaderNames,
+        settings_key: str,
+        decode_settings: Callable[[bytes], RoutingSettings | None],
+    ) -> None:
+        self.settings = settings
+        self.direct_store = store
+        self.orders = orders
+        self.names = names
+        self.settings_key = settings_key
+        self.decode_settings = decode_settings
+        self.id = new_node_id(settings.vm)
+        self.index: RouteIndex | None = None
+        self.is_stopping = False
+        self.endpoint: EndpointInfo | None = None
+        self.last_sequence = -1
+        self.last_heartbeat = 0.0
+        self.is_suspect = False
+        self._has_left = False
+        self.tables: dict[str, TableStore] = {}
+        self.keepers: dict[str, RangeKeeper] = {}
+        self.stack = AsyncExitStack()
+        self.metrics = Metrics(lambda service: service)
+        self.started_at = boottime()
+
+    async def __aenter__(self) -> "Node":
+        settings = self.settings
+        enter = self.stack.enter_async_context
+        key = await self._peer_key()
+        self.pool = await enter(PeerPool(self.id, key))
+        await self.pool.listen(Address(settings.vm, settings.peer_port))
+        self.store = RelayedStore(self.direct_store, self.pool, self._helpers)
+        self.mirror = Mirror(self.store)
+        self.nodes = NodeTable(self.mirror)
+        entry = NodeEntry(
+            settings.vm,
+            settings.name,
+            self.id.incarnation,
+            settings.peer_port,
+            settings.failure_domain,
+            settings.region,
+            None,
+        )
+        self.registration = Registration(self.store, self.mirror, entry)
+        self.endpoint_pool = await enter(
+            EndpointPool(settings.endpoint_address, self.names)
+        )
+        self.local = await enter(LocalEndpoint(self.endpoint_pool, self.names))
+        self.loads = LoadBook(settings.failure_domain, settings.region)
+        self.nodes.listeners.append(self._on_node)
+        self.forwarder = Forwarder(
+            settings.vm, self.pool, self.nodes, self.local, self.loads, self.table_of
+        )
+        self.peers = await enter(PeerService(self.pool, self.local, self.loads))
+        self.ingress = await enter(
+            Ingress(
+                self.forwarder,
+                self.names,
+                lambda: self.index,
+                self._own_service,
+                self.metrics.observe_request,
+            )
+        )
+        self._export_counters()
+        self.mirror.changes.subscribe(self._on_change)
+        await enter(self.mirror)
+        await enter(self.registration)
+        self.watcher = asyncio.create_task(self._watch_endpoint())
+        self.stack.callback(self.watcher.cancel)
+        await self.ingress.listen(settings.callers_address)
+        log.info("started", node=str(self.id), name=settings.name)
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        await self.stack.aclose()
+        log.info("stopped", node=str(self.id))
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should use this node."""
+        return self.index is not None and not self.is_stopping
+
+    def table_of(self, service: str) -> TableStore | None:
+        """Return the range table of a partitioned service, None for another one."""
+        if service not in self.tables and self.index is not None:
+            known = self.index.settings.services.get(service)
+            if known is not None and known.is_partitioned:
+                self.tables[service] = TableStore(self.store, self.mirror, service)
+        return self.tables.get(service)
+
+    def on_heartbeat(self, info: EndpointInfo, sequence: int) -> None:
+        """Take a heartbeat of the endpoint beside this node.
+
+        Late heartbeats of an earlier life, or earlier ones of this life, are ignored.
+        """
+        present = self.endpoint
+        if present is not None:
+            if info.born < present.born:
+                return
+            if info.life == present.life and sequence <= self.last_sequence:
+                return
+            if info.life == present.life and not present.is_ready and info.is_ready:
+                # A life that has announced its end does not come back from it.
+                info = present if self._has_left else info
+        if present is None or info.life != present.life:
+            self._has_left = False
+        if not info.is_ready:
+            self._has_left = True
+        self.last_sequence = sequence
+        self.last_heartbeat = boottime()
+        self.is_suspect = False
+        self._set_endpoint(info, is_gone=False)
+
+    def on_leave(self, endpoint_id: str) -> None:
+        """Take the endpoint's word that it ends."""
+        present = self.endpoint
+        if present is None or present.id != endpoint_id:
+            return
+        self._has_left = True
+        self._set_endpoint(_unready(present), is_gone=False)
+
+    async def stop(self) -> None:
+        """Hand the keys over, let callers go elsewhere and finish what is in flight."""
+        self.is_stopping = True
+        began = boottime()
+        end = began + self.settings.stop_timeout_s - STOP_RESERVE_S
+        log.info("stopping", in_flight=self.ingress.in_flight)
+        self.registration.update(is_stopping=True)
+        moves = [keeper.give_all_away() for keeper in self.keepers.values()]
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(_loop_time(began + UNREADY_S + 0.5)):
+                await asyncio.gather(*moves)
+        await asyncio.sleep(max(0.0, began + UNREADY_S - boottime()))
+        await self.ingress.stop_accepting()
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(_loop_time(end)):
+                await self.ingress.idle.wait()
+                await self.peers.wait_until_idle()
+        await self.registration.withdraw()
+        log.info("drained", in_flight=self.ingress.in_flight)
+
+    def _own_service(self) -> str:
+        return self.endpoint.service if self.endpoint else self.settings.service
+
+    def _helpers(self) -> list[NodeEntry]:
+        return [n for n in self.nodes.nodes.values() if n.vm != self.settings.vm]
+
+    async def _peer_key(self) -> bytes:
+        """Return the key of the peers' handshake, creating it in the store once."""
+        while True:
+            try:
+                item, _ = await self.direct_store.get(PEER_KEY)
+                if item is not None:
+                    return item.value
+                value = secrets.token_bytes(PEER_KEY_BYTES)
+                transaction = Transaction({PEER_KEY: 0}, (Write(PEER_KEY, value),))
+                await self.direct_store.commit(transaction)
+                return value
+            except ConditionFailedError:
+                continue
+            except StoreError as error:
+                log.info("peer_key_unknown", error=str(error))
+                await asyncio.sleep(STORE_RETRY_S)
+
+    def _on_change(self, event) -> None:
+        if event.key != self.settings_key or not isinstance(event, Item):
+            return
+        routing = self.decode_settings(event.value)
+        if routing is None:
+            log.error("routing_settings_unreadable", revision=event.revision)
+            return
+        held = self.index.settings.version if self.index else -1
+        if routing.version <= held:
+            return
+        self.index = routing.index()
+        log.info(
+            "routing_settings_in_force",
+            version=routing.version,
+            previous=held,
+            routes=len(routing.routes),
+            revision=event.revision,
+        )
+        for service in routing.services.values():
+            if service.is_partitioned and service.name not in self.keepers:
+                self._start_keeper(service.name)
+
+    def _start_keeper(self, service: str) -> None:
+        tables = self.table_of(service)
+        keeper = RangeKeeper(
+            self.settings.vm,
+            tables,
+            self.nodes,
+            self.registration,
+            self.orders,
+            self.settings.max_hold_s,
+        )
+        self.keepers[service] = keeper
+        takeover = Takeover(self.settings.vm, tables, self.nodes, self.mirror)
+        balancing = Balancing(keeper, self.local, self.loads)
+        for part in (keeper, takeover, balancing):
+            self.stack.push_async_exit(part)
+            part.start()
+        self._tell_keepers(is_gone=False)
+
+    def _on_node(self, vm: str, node: NodeEntry | None) -> None:
+        if node is None or node.endpoint is None:
+            self.loads.forget(vm)
+
+    def _set_endpoint(self, info: EndpointInfo, is_gone: bool) -> None:
+        if info != self.endpoint:
+            log.info(
+                "endpoint_changed",
+                endpoint=info.id,
+                service=info.service,
+                born=info.born,
+                ready=info.is_ready,
+                slots=info.slots,
+                is_gone=is_gone,
+            )
+            self.endpoint = info
+            self.local.set_info(info)
+            self.registration.update(endpoint=info)
+        self._tell_keepers(is_gone)
+
+    def _tell_keepers(self, is_gone: bool) -> None:
+        info = self.endpoint
+        self.local.keeper = self.keepers.get(info.service) if info else None
+        self.registration.is_owner = self.local.keeper is not None
+        for service, keeper in self.keepers.items():
+            is_mine = info is not None and info.service == service
+            keeper.set_endpoint(info if is_mine else None, is_gone)
+
+    async def _watch_endpoint(self) -> None:
+        """Find out whether an endpoint without heartbeats still listens."""
+        while True:
+            await asyncio.sleep(SUSPICION_INTERVAL_S)
+            info = self.endpoint
+            if info is None or not info.is_ready:
+                continue
+            silent_s = boottime() - self.last_heartbeat
+            if silent_s < MISSING_HEARTBEATS and not self.is_suspect:
+                continue
+            if await self.endpoint_pool.is_listening():
+                self.is_suspect = False
+                self.last_heartbeat = boottime()
+                continue
+            log.warning("endpoint_not_listening", endpoint=info.id, silent_s=silent_s)
+            self._set_endpoint(_unready(info), is_gone=False)
+
+    def _export_counters(self) -> None:
+        parts = {
+            "peers": self.pool.counters,
+            "callers": self.ingress.counters,
+            "forwarding": self.forwarder.counters,
+            "endpoint": self.local.counters,
+            "endpoint_connections": self.endpoint_pool.counters,
+            "mirror": self.mirror.counters,
+            "registration": self.registration.counters,
+            "relay": self.store.counters,
+        }
+        for name, counters in parts.items():
+            self.metrics.add_counters(name, counters)
+
+
+def _unready(info: EndpointInfo) -> EndpointInfo:
+    return EndpointInfo(
+        info.service, info.id, info.born, info.slots, info.version, False
+    )
+
+
+def _loop_time(at: float) -> float:
+    return asyncio.get_running_loop().time() + at - boottime()
--- /dev/null
+++ b/src/sesamepost/internal/forwarding/routes.py
@@ -0,0 +1,125 @@
+"""Routing settings in force: routes by host and path, services and limits."""
+
+import random
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """A service and its weight in the split of a route."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """What the operator allows for the paths that begin with ``prefix``.
+
+    ``timeout_s`` is 0 if there is none. ``aim_s`` is the time within which an answer
+    has its full value. ``priority`` 0 is the most urgent.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    is_repeatable: bool
+    timeout_s: float
+    aim_s: float
+    max_endpoints: int
+    priority: int
+    shares: tuple[Share, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service of the operator; ``is_partitioned`` if its keys have owners."""
+
+    name: str
+    is_partitioned: bool
+    max_connections: int
+    health_path: str
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What callers may send, in bytes and seconds."""
+
+    header_bytes: int = 16 << 10
+    body_bytes: int = 8 << 20
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingSettings:
+    """One version of the routing settings."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: Limits = field(default_factory=Limits)
+
+    def index(self) -> "RouteIndex":
+        """Return an index for look-ups."""
+        return RouteIndex(self)
+
+
+class RouteIndex:
+    """Finds the route with the longest prefix that begins a path."""
+
+    __slots__ = ("by_host", "settings")
+
+    def __init__(self, settings: RoutingSettings) -> None:
+        self.settings = settings
+        self.by_host: dict[str, dict[str, Route]] = {}
+        for route in settings.routes:
+            self.by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of ``path`` at ``host``, or None.
+
+        Prefixes end with a slash, so each slash of the path ends a candidate.
+        """
+        prefixes = self.by_host.get(host.lower())
+        if prefixes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
+class SplitDraw:
+    """Draws services for routes with several shares.
+
+    Smooth weighted turns keep the shares exact over short times; a random draw strays
+    by several percent in a hundred requests.
+    """
+
+    def __init__(self) -> None:
+        self.credit: dict[tuple[str, str], float] = {}
+
+    def draw(self, route: Route) -> str:
+        """Return the service of the next request on ``route``."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        total = sum(share.weight for share in route.shares)
+        best = None
+        best_credit = float("-inf")
+        for share in route.shares:
+            key = (route.name, share.service)
+            credit = self.credit.get(key)
+            if credit is None:
+                # A random start keeps many nodes from drawing in step.
+                credit = random.random() * total
+            credit += share.weight
+            self.credit[key] = credit
+            if share.weight > 0 and credit > best_credit:
+                best, best_credit = share.service, credit
+        if best is None:
+            return route.shares[0].service
+        self.credit[route.name, best] -= total
+        return best
--- /dev/null
+++ b/src/sesamepost/internal/forwarding/serving.py
@@ -0,0 +1,102 @@
+"""Runs requests of other nodes at the endpoint beside this one."""
+
+import asyncio
+from collections import Counter
+
+import structlog
+
+from sesamepost.errors import ErrorKind, RouterError
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.forwarding.endpoint import LocalEndpoint
+from sesamepost.internal.forwarding.forwarder import to_message
+from sesamepost.internal.forwarding.loads import LoadBook
+from sesamepost.internal.forwarding.messages import Forward, LoadHint
+from sesamepost.internal.wire.messages import Cancel, Refusal
+from sesamepost.internal.wire.pool import PeerPool
+from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
+
+# Hints ride on answers, at most this often on one stream.
+HINT_INTERVAL_S = 0.1
+
+log = structlog.get_logger()
+
+
+class PeerService:
+    """Takes ``Forward`` messages and answers them; ends work that nobody waits for."""
+
+    def __init__(self, pool: PeerPool, local: LocalEndpoint, loads: LoadBook) -> None:
+        self.local = local
+        self.loads = loads
+        self.tasks: dict[tuple[PeerStream, int], asyncio.Task] = {}
+        self.hinted_at: dict[PeerStream, float] = {}
+        self.counters: Counter[str] = Counter()
+        pool.on(Forward, self._on_forward)
+        pool.on(Cancel, self._on_cancel)
+        pool.on(LoadHint, self._on_hint)
+        pool.closed_listeners.append(self._on_closed)
+
+    async def __aenter__(self) -> "PeerService":
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        for task in list(self.tasks.values()):
+            task.cancel()
+
+    async def wait_until_idle(self) -> None:
+        """Return when no request of another node is in progress."""
+        while self.tasks:
+            await asyncio.wait(list(self.tasks.values()))
+
+    def _on_forward(self, stream: PeerStream, request: Forward) -> None:
+        key = (stream, request.id)
+        task = asyncio.ensure_future(self._run(stream, request))
+        self.tasks[key] = task
+        task.add_done_callback(lambda _: self.tasks.pop(key, None))
+
+    def _on_cancel(self, stream: PeerStream, cancel: Cancel) -> None:
+        task = self.tasks.get((stream, cancel.id))
+        if task is not None:
+            self.counters["cancelled"] += 1
+            task.cancel()
+
+    def _on_hint(self, stream: PeerStream, hint: LoadHint) -> None:
+        self.loads.note_hint(stream.peer.vm, hint, boottime())
+
+    def _on_closed(self, stream: PeerStream) -> None:
+        self.hinted_at.pop(stream, None)
+        for (owner, _), task in list(self.tasks.items()):
+            if owner is stream:
+                self.counters["ended_with_stream"] += 1
+                task.cancel()
+
+    async def _run(self, stream: PeerStream, request: Forward) -> None:
+        try:
+            answer = await self.local.run(request)
+            reply = to_message(request.id, answer)
+        except RouterError as error:
+            reply = Refusal(request.id, error.kind, error.detail, 0)
+            log.info(
+                "request_refused",
+                request=request.request_id,
+                peer=stream.peer.vm,
+                key=request.key,
+                kind=error.kind,
+                detail=error.detail,
+                running=len(self.local.gate.running),
+                queued=len(self.local.gate.queued),
+            )
+        except Exception:
+            log.exception("request_failed", request=request.request_id)
+            reply = Refusal(request.id, ErrorKind.INTERNAL, "", 0)
+        try:
+            self._send_hint(stream, isinstance(reply, Refusal))
+            stream.send(reply)
+        except StreamClosedError as error:
+            log.info("answer_lost", request=request.request_id, reason=str(error))
+
+    def _send_hint(self, stream: PeerStream, is_urgent: bool) -> None:
+        now = boottime()
+        if not is_urgent and now - self.hinted_at.get(stream, 0.0) < HINT_INTERVAL_S:
+            return
+        self.hinted_at[stream] = now
+        stream.send(self.local.hint())
--- /dev/null
+++ b/src/sesamepost/internal/ranges/balance.py
@@ -0,0 +1,142 @@
+"""Decides which keys a busy endpoint gives to another one.
+
+Each owner decides for its own ranges, from what it has counted itself and from the
+load that the other owners reported. Everything here is pure, with ``now`` passed in.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from sesamepost.internal.ranges.table import KeyRange, Owner
+
+# Counts of keys are halved this often, so that old hot keys are forgotten.
+HALF_LIFE_S = 2.0
+MAX_COUNTED_KEYS = 4096
+# Moves below this gain cost more in slow first requests than they bring.
+MIN_GAP = 0.25
+MIN_BUSY = 0.6
+MIN_MOVE_INTERVAL_S = 0.8
+MAX_MOVED_SHARE = 0.5
+
+
+class KeyCounts:
+    """Recent requests by key, with bounded memory."""
+
+    def __init__(self) -> None:
+        self.counts: dict[int, float] = {}
+        self.halved_at = 0.0
+
+    def add(self, key: int, now: float) -> None:
+        """Count one request."""
+        if now - self.halved_at >= HALF_LIFE_S:
+            self.halved_at = now
+            self.counts = {k: c / 2 for k, c in self.counts.items() if c >= 0.25}
+        if key in self.counts or len(self.counts) < MAX_COUNTED_KEYS:
+            self.counts[key] = self.counts.get(key, 0.0) + 1.0
+
+    def within(self, key_range: KeyRange) -> list[tuple[int, float]]:
+        """Return the counted keys of a range in ascending order with their counts."""
+        found = [
+            (key, count)
+            for key, count in self.counts.items()
+            if key_range.first <= key <= key_range.last
+        ]
+        return sorted(found)
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerLoad:
+    """The use of an owner's slots (1: all of them) and the number of its keys."""
+
+    owner: Owner
+    busy: float
+    keys: int
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """Give the keys from ``first`` to ``last`` to ``target``."""
+
+    first: int
+    last: int
+    target: Owner
+
+
+def choose_target(mine: OwnerLoad, others: Sequence[OwnerLoad]) -> OwnerLoad | None:
+    """Return the owner that should get some of my keys, or None.
+
+    An endpoint without keys gets some from the owner with the most of them, however
+    little it has to do. Several new endpoints are served by several owners at once.
+    """
+    empty = sorted((o for o in others if o.keys == 0), key=lambda o: o.owner.vm)
+    if empty and mine.keys > 1:
+        donors = sorted(
+            [mine, *(o for o in others if o.keys > 0)],
+            key=lambda o: (-o.keys, o.owner.vm),
+        )
+        rank = donors.index(mine)
+        return empty[rank] if rank < len(empty) else None
+    if not others or mine.busy < MIN_BUSY:
+        return None
+    target = min(others, key=lambda o: (o.busy, o.owner.vm))
+    if mine.busy - target.busy < MIN_GAP:
+        return None
+    return target
+
+
+def choose_move(
+    mine: OwnerLoad,
+    target: OwnerLoad,
+    ranges: Sequence[KeyRange],
+    counts: KeyCounts,
+) -> Move | None:
+    """Return the keys whose move brings both owners closest to the same load.
+
+    Only the beginning or the end of a range is moved, or all of it, so that a move
+    adds at most one range to the table.
+    """
+    if target.keys == 0 and mine.busy < MIN_BUSY:
+        return _half_of_the_largest(target.owner, ranges)
+    listed = [(r, counts.within(r)) for r in ranges]
+    total = sum(count for _, keys in listed for _, count in keys)
+    if total <= 0:
+        if target.keys == 0:
+            return _half_of_the_largest(target.owner, ranges)
+        return None
+    share = min(MAX_MOVED_SHARE, (mine.busy - target.busy) / 2 / max(mine.busy, 0.01))
+    wanted = share * total
+    best: tuple[float, Move] | None = None
+    for r, keys in listed:
+        for moved, move in _cuts(r, keys, target.owner):
+            if moved > total * MAX_MOVED_SHARE * 1.2 or moved <= 0:
+                continue
+            distance = abs(moved - wanted)
+            if best is None or distance < best[0]:
+                best = (distance, move)
+    if best is None or best[0] > wanted:
+        return None
+    return best[1]
+
+
+def _cuts(r: KeyRange, keys: list[tuple[int, float]], target: Owner):
+    """Yield the load and the move for each beginning and each end of a range."""
+    moved = 0.0
+    for index, (key, count) in enumerate(keys):
+        moved += count
+        is_last = index == len(keys) - 1
+        last = r.last if is_last else (key + keys[index + 1][0]) // 2
+        yield moved, Move(r.first, last, target)
+    moved = 0.0
+    for index in range(len(keys) - 1, 0, -1):
+        key, count = keys[index]
+        moved += count
+        yield moved, Move((keys[index - 1][0] + key) // 2 + 1, r.last, target)
+
+
+def _half_of_the_largest(target: Owner, ranges: Sequence[KeyRange]) -> Move | None:
+    if not ranges:
+        return None
+    largest = max(ranges, key=lambda r: r.size)
+    if largest.size < 2:
+        return None
+    return Move(largest.first + largest.size // 2, largest.last, target)
--- /dev/null
+++ b/src/sesamepost/internal/ranges/holds.py
@@ -0,0 +1,181 @@
+"""What the endpoint beside this node holds, and which grants to send now.
+
+Two times are kept for each grant. Until ``certain_until`` the endpoint surely holds the
+range, so requests may be sent. Until ``possible_until`` it may hold the range, so no
+other endpoint may get it.
+"""
+
+from dataclasses import dataclass
+
+from sesamepost.internal.ranges.table import KeyRange
+
+# A right to grant ends this long after the renewal of the node's lease was sent.
+HOLD_S = 5.0
+# Another node waits this much longer, for timers that fire late.
+TAKEOVER_SLACK_S = 0.4
+# The clock of an endpoint may run slow by two percent; one more is left as a reserve.
+CLOCK_FACTOR = 1.03
+MARGIN_S = 0.1
+MIN_HOLD_S = 0.3
+# A grant is renewed when less than this part of the longest hold is left.
+RENEW_SHARE = 0.6
+RETRY_GRANT_S = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class GrantOrder:
+    """One order to the endpoint: hold ``key_range`` for ``hold_s`` from its arrival."""
+
+    key_range: KeyRange
+    hold_s: float
+
+
+@dataclass(slots=True)
+class Hold:
+    """The state of one range at the endpoint."""
+
+    key_range: KeyRange
+    certain_until: float = 0.0
+    possible_until: float = 0.0
+    unanswered_until: float = 0.0
+    retry_at: float = 0.0
+    is_refused: bool = False
+    is_releasing: bool = False
+
+
+class HoldBook:
+    """The holds of one life of an endpoint.
+
+    ``now`` is in seconds on the clock of ``internal/clock``. The longest hold is
+    ``max_hold_s`` seconds.
+    """
+
+    def __init__(self, max_hold_s: float = HOLD_S) -> None:
+        self.max_hold_s = min(HOLD_S, max_hold_s)
+        self.holds: dict[tuple[int, int, int], Hold] = {}
+        # Grants of ranges that this node owns no more, until they have surely ended.
+        self.past: list[Hold] = []
+
+    def set_ranges(self, ranges: list[KeyRange], now: float) -> None:
+        """Take the ranges that the endpoint should hold from now on.
+
+        A range that was cut keeps the state of the hold that covers it.
+        """
+        before = list(self.holds.values())
+        self.holds = {}
+        for key_range in ranges:
+            key = _key(key_range)
+            self.holds[key] = self._carried_over(key_range, before)
+        wanted = set(self.holds)
+        self.past += [h for h in before if _key(h.key_range) not in wanted]
+        self.past = [h for h in self.past if h.possible_until > now]
+
+    def orders(self, right_until: float, now: float) -> list[GrantOrder]:
+        """Return the grants to send now."""
+        hold_s = (right_until - now - MARGIN_S) / CLOCK_FACTOR
+        hold_s = min(hold_s, self.max_hold_s)
+        if hold_s < MIN_HOLD_S:
+            return []
+        orders = []
+        for hold in self.holds.values():
+            if hold.is_refused or hold.is_releasing or now < hold.retry_at:
+                continue
+            left_s = hold.certain_until - now
+            if left_s > self.max_hold_s * RENEW_SHARE or hold_s < left_s + MIN_HOLD_S:
+                continue
+            orders.append(GrantOrder(hold.key_range, hold_s))
+        return orders
+
+    def note_sent(self, order: GrantOrder, now: float) -> None:
+        """Note that a grant is on its way: the endpoint may hold the range."""
+        hold = self.holds.get(_key(order.key_range))
+        if hold is None:
+            return
+        until = now + order.hold_s * CLOCK_FACTOR + MARGIN_S
+        hold.possible_until = max(hold.possible_until, until)
+        hold.unanswered_until = max(hold.unanswered_until, until)
+        hold.retry_at = now + RETRY_GRANT_S
+
+    def note_granted(self, order: GrantOrder, sent_at: float) -> None:
+        """Note that the endpoint took a grant that was sent at ``sent_at``."""
+        hold = self.holds.get(_key(order.key_range))
+        if hold is None:
+            return
+        hold.certain_until = max(hold.certain_until, sent_at + order.hold_s - MARGIN_S)
+        hold.retry_at = 0.0
+        if hold.possible_until >= hold.unanswered_until:
+            hold.unanswered_until = 0.0
+
+    def note_refused(self, order: GrantOrder) -> None:
+        """Note that the endpoint has seen a higher fence: this one is never used."""
+        hold = self.holds.get(_key(order.key_range))
+        if hold is not None:
+            hold.is_refused = True
+            hold.certain_until = 0.0
+
+    def refused(self) -> list[KeyRange]:
+        """Return the ranges that need a higher fence."""
+        return [h.key_range for h in self.holds.values() if h.is_refused]
+
+    def may_run(self, key: int, now: float) -> bool:
+        """Return whether the endpoint surely holds ``key``."""
+        hold = self.find(key)
+        return hold is not None and not hold.is_releasing and hold.certain_until > now
+
+    def find(self, key: int) -> Hold | None:
+        """Return the hold of the range with ``key``."""
+        for hold in self.holds.values():
+            if hold.key_range.first <= key <= hold.key_range.last:
+                return hold
+        return None
+
+    def start_release(self, first: int, last: int) -> None:
+        """Send nothing more for the ranges that touch these keys."""
+        for hold in self._touching(first, last):
+            hold.is_releasing = True
+
+    def stop_release(self, first: int, last: int) -> None:
+        """Grant the ranges again, as they could not be moved."""
+        for hold in self._touching(first, last):
+            hold.is_releasing = False
+            hold.certain_until = 0.0
+
+    def possible_until(self, first: int, last: int) -> float:
+        """Return until when the endpoint may hold one of these keys."""
+        holds = [*self._touching(first, last), *self._past_touching(first, last)]
+        return max((h.possible_until for h in holds), default=0.0)
+
+    def unanswered_until(self, first: int, last: int) -> float:
+        """Return until when a grant without an answer may still give these keys."""
+        holds = [*self._touching(first, last), *self._past_touching(first, last)]
+        return max((h.unanswered_until for h in holds), default=0.0)
+
+    def _touching(self, first: int, last: int) -> list[Hold]:
+        return [h for h in self.holds.values() if _overlaps(h, first, last)]
+
+    def _past_touching(self, first: int, last: int) -> list[Hold]:
+        return [h for h in self.past if _overlaps(h, first, last)]
+
+    def _carried_over(self, key_range: KeyRange, before: list[Hold]) -> Hold:
+        for hold in before:
+            held = hold.key_range
+            if held.fence != key_range.fence:
+                continue
+            if held.first <= key_range.first and key_range.last <= held.last:
+                return Hold(
+                    key_range,
+                    hold.certain_until,
+                    hold.possible_until,
+                    hold.unanswered_until,
+                    hold.retry_at,
+                    hold.is_refused,
+                )
+        return Hold(key_range)
+
+
+def _key(key_range: KeyRange) -> tuple[int, int, int]:
+    return key_range.first, key_range.last, key_range.fence
+
+
+def _overlaps(hold: Hold, first: int, last: int) -> bool:
+    return hold.key_range.first <= last and first <= hold.key_range.last
--- /dev/null
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -0,0 +1,486 @@
+"""Keeps the holds of the endpoint beside this node and hands its ranges over."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Protocol
+
+import structlog
+
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.mirror import Mirror
+from sesamepost.internal.coordination.nodes import EndpointInfo, NodeTable, Registration
+from sesamepost.internal.coordination.store import (
+    ConditionFailedError,
+    CoordinationStore,
+    Item,
+    StoreError,
+    Transaction,
+    Write,
+)
+from sesamepost.internal.ranges.holds import HOLD_S, GrantOrder, HoldBook
+from sesamepost.internal.ranges.table import (
+    TABLE_PREFIX,
+    KeyRange,
+    Owner,
+    RangeTable,
+    deal,
+    decode_table,
+    reassign,
+)
+
+CHECK_INTERVAL_S = 0.25
+RELEASE_RETRY_S = 0.3
+# Work that is longer than this is cut off by the end of its hold.
+RELEASE_PATIENCE_S = HOLD_S + 1.0
+WRITE_TRIES = 4
+WRITE_RETRY_S = 0.1
+
+log = structlog.get_logger()
+
+
+class EndpointSilentError(Exception):
+    """The endpoint gave no answer to an order, so it may carry it out later."""
+
+
+class EndpointGoneError(Exception):
+    """Nothing listens at the endpoint's address: its process has ended."""
+
+
+class EndpointOrders(Protocol):
+    """Orders to the endpoint beside this node.
+
+    Both raise ``EndpointSilentError`` or ``EndpointGoneError``.
+    """
+
+    async def grant(
+        self, first: int, last: int, fence: int, hold_s: float, handover: str
+    ) -> bool:
+        """Grant or renew a hold; False if a higher fence was seen."""
+
+    async def release(self, first: int, last: int, fence: int) -> str:
+        """End a hold once its work has ended; return the handover token."""
+
+
+class TableStore:
+    """Reads and changes the range table of one service."""
+
+    def __init__(self, store: CoordinationStore, mirror: Mirror, service: str) -> None:
+        self.store = store
+        self.mirror = mirror
+        self.service = service
+        self.key = TABLE_PREFIX + service
+        self.revision = -1
+        self.decoded: RangeTable | None = None
+
+    @property
+    def table(self) -> RangeTable | None:
+        """The newest known table."""
+        item = self.mirror.get(self.key)
+        if item is None:
+            return None
+        if item.revision != self.revision:
+            self.revision = item.revision
+            try:
+                self.decoded = decode_table(item.value)
+            except ValueError as error:
+                log.error("range_table_unreadable", key=self.key, error=str(error))
+                self.decoded = None
+        return self.decoded
+
+    async def change(
+        self,
+        reason: str,
+        decide: Callable[[RangeTable | None], RangeTable | None],
+        conditions: dict[str, int] | None = None,
+    ) -> bool:
+        """Write what ``decide`` makes of the newest table, trying again on a race.
+
+        ``decide`` returns None if nothing is to be changed any more.
+        """
+        for _ in range(WRITE_TRIES):
+            revision = self.mirror.revision_of(self.key)
+            table = decide(self.table)
+            if table is None:
+                return False
+            data = table.encode()
+            transaction = Transaction(
+                {self.key: revision, **(conditions or {})}, (Write(self.key, data),)
+            )
+            try:
+                written = await self.store.commit(transaction)
+            except ConditionFailedError:
+                await self._refresh()
+                if conditions and self._conditions_changed(conditions):
+                    return False
+                continue
+            except StoreError as error:
+                log.info("range_table_write_failed", reason=reason, error=str(error))
+                await asyncio.sleep(WRITE_RETRY_S)
+                with suppress(StoreError):
+                    await self._refresh()
+                continue
+            self.mirror.offer(Item(self.key, data, written))
+            log.info(
+                "range_table_written",
+                service=self.service,
+                reason=reason,
+                based_on=revision,
+                revision=written,
+                fence=table.fence,
+                ranges=len(table.ranges),
+            )
+            return True
+        return False
+
+    def _conditions_changed(self, conditions: dict[str, int]) -> bool:
+        return any(
+            self.mirror.revision_of(key) != revision
+            for key, revision in conditions.items()
+        )
+
+    async def _refresh(self) -> None:
+        item, _ = await self.store.get(self.key)
+        if item is not None:
+            self.mirror.offer(item)
+
+
+class RangeKeeper:
+    """Owns the holds of the local endpoint of a partitioned service.
+
+    It sends grants, takes its ranges for a new life of the endpoint with a higher
+    fence, and gives them away when the endpoint leaves or has ended.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        tables: TableStore,
+        nodes: NodeTable,
+        registration: Registration,
+        orders: EndpointOrders,
+        max_hold_s: float,
+    ) -> None:
+        self.vm = vm
+        self.tables = tables
+        self.nodes = nodes
+        self.registration = registration
+        self.orders = orders
+        self.book = HoldBook(max_hold_s)
+        self.endpoint: EndpointInfo | None = None
+        self.is_endpoint_gone = False
+        self.is_leaving = False
+        self.wake = asyncio.Event()
+        self.granted = asyncio.Event()
+        self.moves: dict[tuple[int, int], asyncio.Task] = {}
+        self.writes: dict[str, asyncio.Task] = {}
+        self.grants: dict[tuple[int, int, int], asyncio.Task] = {}
+        self.counters: Counter[str] = Counter()
+        self.task: asyncio.Task | None = None
+        tables.mirror.changes.subscribe(self._on_change)
+        registration.on_renewed = self.wake.set
+
+    def start(self) -> None:
+        """Begin the checks."""
+        self.task = asyncio.create_task(self._run())
+
+    async def __aenter__(self) -> "RangeKeeper":
+        self.start()
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        tasks = [*self.moves.values(), *self.writes.values(), *self.grants.values()]
+        for task in [self.task, *tasks]:
+            task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
+
+    @property
+    def owner(self) -> Owner | None:
+        """The local endpoint as it is named in the table."""
+        if self.endpoint is None:
+            return None
+        return Owner(self.vm, self.endpoint.id, self.endpoint.born)
+
+    def set_endpoint(self, endpoint: EndpointInfo | None, is_gone: bool) -> None:
+        """Take what is known of the local endpoint.
+
+        ``is_gone`` says that its process has ended, so that its holds are void.
+        """
+        if endpoint is None or self.endpoint is None:
+            has_new_life = endpoint is not None
+        else:
+            has_new_life = endpoint.life != self.endpoint.life
+        if has_new_life:
+            self.book = HoldBook(self.book.max_hold_s)
+        self.endpoint = endpoint
+        self.is_endpoint_gone = is_gone
+        self.wake.set()
+
+    def may_run(self, key: int) -> bool:
+        """Return whether the endpoint surely holds ``key`` now."""
+        return self.book.may_run(key, boottime())
+
+    def is_expected(self, key: int) -> bool:
+        """Return whether the endpoint owns ``key`` and should hold it soon."""
+        table = self.tables.table
+        if table is None or self.endpoint is None:
+            return False
+        key_range = table.find(key)
+        if key_range.owner != self.owner:
+            return False
+        return not any(first <= key <= last for first, last in self.moves)
+
+    async def wait_until_granted(self, key: int, timeout_s: float) -> bool:
+        """Wait until the endpoint holds ``key``; False if it does not in time."""
+        end = boottime() + timeout_s
+        while not self.may_run(key):
+            left_s = end - boottime()
+            if left_s <= 0 or not self.is_expected(key):
+                return False
+            event = self.granted
+            with suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await event.wait()
+        return True
+
+    def note_key_refused(self, key: int) -> None:
+        """Take the endpoint's word that it does not hold ``key``, and grant again."""
+        hold = self.book.find(key)
+        if hold is not None:
+            hold.certain_until = 0.0
+            hold.retry_at = 0.0
+            self.wake.set()
+
+    def move(self, first: int, last: int, target: Owner, reason: str) -> None:
+        """Hand the keys from ``first`` to ``last`` over to ``target``."""
+        owner = self.owner
+
+        def decide(table: RangeTable, token: str) -> RangeTable | None:
+            moved = [r for r in table.ranges if r.first <= last and first <= r.last]
+            if any(r.owner != owner for r in moved):
+                return None
+            return reassign(table, first, last, target, token)
+
+        self._start_move(first, last, reason, decide)
+
+    async def give_all_away(self) -> None:
+        """Hand all ranges over and return when that is done."""
+        self.is_leaving = True
+        self.wake.set()
+        while True:
+            table = self.tables.table
+            if table is None or not table.owned_by(self.vm):
+                return
+            if not self.other_owners():
+                return
+            await self.tables.mirror.wait_for_change(CHECK_INTERVAL_S)
+
+    def _on_change(self, event) -> None:
+        if event.key == self.tables.key:
+            self.wake.set()
+
+    async def _run(self) -> None:
+        while True:
+            self.wake.clear()
+            try:
+                self._step()
+            except Exception:
+                # A failed round must not end the renewal of the holds.
+                log.exception("range_keeper_failed")
+            with suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_INTERVAL_S):
+                    await self.wake.wait()
+
+    def _step(self) -> None:
+        table = self.tables.table
+        if table is None:
+            return
+        mine = table.owned_by(self.vm)
+        current = [r for r in mine if r.owner == self.owner]
+        self.book.set_ranges(current, boottime())
+        for first, last in self.moves:
+            self.book.start_release(first, last)
+        is_serving = (
+            self.endpoint is not None and self.endpoint.is_ready and not self.is_leaving
+        )
+        if not is_serving:
+            self._give_away(mine)
+            return
+        self._adopt([r for r in mine if r.owner != self.owner])
+        self._raise_fences()
+        self._send_grants()
+
+    def _adopt(self, ranges: list[KeyRange]) -> None:
+        """Take the ranges of an earlier life of the endpoint at this VM."""
+        if not ranges or "adopt" in self.writes:
+            return
+        owner = self.owner
+
+        def decide(table: RangeTable | None) -> RangeTable | None:
+            changed = None
+            for r in table.owned_by(self.vm):
+                if r.owner != owner:
+                    changed = reassign(changed or table, r.first, r.last, owner)
+            return changed
+
+        self._start_write("adopt", "new life of the endpoint", decide)
+
+    def _raise_fences(self) -> None:
+        refused = self.book.refused()
+        if not refused or "fence" in self.writes:
+            return
+        owner = self.owner
+
+        def decide(table: RangeTable | None) -> RangeTable | None:
+            changed = None
+            for old in refused:
+                r = table.find(old.first)
+                if r.owner == owner and r.fence == old.fence:
+                    changed = reassign(
+                        changed or table, r.first, r.last, owner, r.handover
+                    )
+            return changed
+
+        self._start_write("fence", "a higher fence was seen", decide)
+
+    def _start_write(self, key: str, reason: str, decide) -> None:
+        async def write() -> None:
+            try:
+                await self.tables.change(reason, decide)
+            finally:
+                self.writes.pop(key, None)
+                self.wake.set()
+
+        self.writes[key] = asyncio.ensure_future(write())
+
+    def _send_grants(self) -> None:
+        now = boottime()
+        right_until = self.registration.renewed_at + HOLD_S
+        for order in self.book.orders(right_until, now):
+            key = (order.key_range.first, order.key_range.last, order.key_range.fence)
+            if key in self.grants:
+                continue
+            self.book.note_sent(order, now)
+            self.grants[key] = asyncio.ensure_future(self._grant(key, order))
+
+    async def _grant(self, key: tuple[int, int, int], order: GrantOrder) -> None:
+        r = order.key_range
+        book = self.book
+        sent_at = boottime()
+        self.counters["grants"] += 1
+        try:
+            is_granted = await self.orders.grant(
+                r.first, r.last, r.fence, order.hold_s, r.handover
+            )
+        except EndpointSilentError as error:
+            self.counters["grants_unanswered"] += 1
+            log.info("grant_unanswered", first=r.first, fence=r.fence, error=str(error))
+            return
+        except EndpointGoneError as error:
+            log.info("endpoint_gone", first=r.first, error=str(error))
+            return
+        finally:
+            self.grants.pop(key, None)
+        if is_granted:
+            hold = book.find(r.first)
+            if hold is not None and hold.certain_until < sent_at:
+                log.info("granted", first=r.first, last=r.last, fence=r.fence)
+            book.note_granted(order, sent_at)
+            granted, self.granted = self.granted, asyncio.Event()
+            granted.set()
+        else:
+            log.warning("grant_refused", first=r.first, last=r.last, fence=r.fence)
+            book.note_refused(order)
+            self.wake.set()
+
+    def _give_away(self, ranges: list[KeyRange]) -> None:
+        if not self.other_owners():
+            return
+        for r in ranges:
+            self._start_move(r.first, r.last, "the endpoint leaves", self._deal_out(r))
+
+    def _deal_out(self, old: KeyRange):
+        def decide(table: RangeTable, token: str) -> RangeTable | None:
+            others = self.other_owners()
+            r = table.find(old.first)
+            if not others or r.owner != old.owner:
+                return None
+            return deal(table, [_with_token(r, token)], others)
+
+        return decide
+
+    def other_owners(self) -> list[Owner]:
+        """Return the other endpoints that may own keys of the service."""
+        return [
+            Owner(node.vm, node.endpoint.id, node.endpoint.born)
+            for node in self.nodes.endpoints_of(self.tables.service)
+            if node.vm != self.vm and not node.is_stopping
+        ]
+
+    def _start_move(self, first: int, last: int, reason: str, decide) -> None:
+        if (first, last) in self.moves:
+            return
+        if any(begin <= last and first <= end for begin, end in self.moves):
+            return
+        self.book.start_release(first, last)
+        task = asyncio.ensure_future(self._move(first, last, reason, decide))
+        self.moves[first, last] = task
+
+    async def _move(self, first: int, last: int, reason: str, decide) -> None:
+        log.info("move_started", first=first, last=last, reason=reason)
+        book = self.book
+        try:
+            token = await self._release(first, last)
+            await self.tables.change(
+                reason, lambda table: table and decide(table, token)
+            )
+        finally:
+            book.stop_release(first, last)
+            self.moves.pop((first, last), None)
+            self.wake.set()
+
+    async def _release(self, first: int, last: int) -> str:
+        """Return the handover token once the endpoint surely holds none of the keys."""
+        book = self.book
+        table = self.tables.table
+        tokens = []
+        for r in table.owned_by(self.vm) if table else []:
+            if r.last < first or r.first > last or r.owner != self.owner:
+                continue
+            part = (max(first, r.first), min(last, r.last), r.fence)
+            tokens.append(await self._release_part(*part))
+        if all(tokens) and tokens:
+            # A grant without an answer may be carried out after the release.
+            await self._sleep_until(book.unanswered_until(first, last))
+            return tokens[0] if len(tokens) == 1 else ""
+        await self._sleep_until(book.possible_until(first, last))
+        return ""
+
+    async def _release_part(self, first: int, last: int, fence: int) -> str:
+        book = self.book
+        end = min(boottime() + RELEASE_PATIENCE_S, book.possible_until(first, last))
+        while boottime() < end and not self.is_endpoint_gone:
+            try:
+                async with asyncio.timeout(max(0.05, end - boottime())):
+                    return await self.orders.release(first, last, fence)
+            except EndpointGoneError:
+                return ""
+            except (EndpointSilentError, TimeoutError) as error:
+                log.info(
+                    "release_unanswered", first=first, last=last, error=repr(error)
+                )
+                await asyncio.sleep(RELEASE_RETRY_S)
+        return ""
+
+    async def _sleep_until(self, end: float) -> None:
+        while not self.is_endpoint_gone:
+            left_s = end - boottime()
+            if left_s <= 0:
+                return
+            await asyncio.sleep(min(left_s, CHECK_INTERVAL_S))
+
+
+def _with_token(r: KeyRange, token: str) -> KeyRange:
+    return KeyRange(r.first, r.last, r.owner, r.fence, token)
--- /dev/null
+++ b/src/sesamepost/internal/ranges/table.py
@@ -0,0 +1,187 @@
+"""The table of a partitioned service: which endpoint owns which range of keys.
+
+All functions are pure: they return a new table and leave the old one as it is.
+"""
+
+from bisect import bisect_right
+from dataclasses import dataclass, replace
+
+import msgpack
+
+KEYS = 1 << 16
+LAST_KEY = KEYS - 1
+TABLE_PREFIX = "sesamepost/ranges/"
+MAX_RANGES = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class Owner:
+    """One life of an endpoint and the VM that it runs on."""
+
+    vm: str
+    endpoint_id: str
+    born: int
+
+    @property
+    def life(self) -> tuple[str, int]:
+        """The identity of the run of the endpoint."""
+        return self.endpoint_id, self.born
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRange:
+    """Keys from ``first`` to ``last``, both included, and their owner.
+
+    ``fence`` rises each time that the keys change hands. ``handover`` is the token of
+    the last owner, empty if it gave none.
+    """
+
+    first: int
+    last: int
+    owner: Owner | None
+    fence: int
+    handover: str = ""
+
+    @property
+    def size(self) -> int:
+        """The number of keys."""
+        return self.last - self.first + 1
+
+
+@dataclass(frozen=True, slots=True)
+class RangeTable:
+    """All ranges of one service in ascending order, without gaps.
+
+    ``fence`` is the highest fence that was ever given out.
+    """
+
+    ranges: tuple[KeyRange, ...]
+    fence: int
+
+    def find(self, key: int) -> KeyRange:
+        """Return the range with ``key``."""
+        if not 0 <= key < KEYS:
+            raise ValueError(f"a key must be from 0 to {LAST_KEY}, not {key}")
+        index = bisect_right(self.ranges, key, key=lambda r: r.first) - 1
+        return self.ranges[index]
+
+    def owned_by(self, vm: str) -> list[KeyRange]:
+        """Return the ranges whose owner runs on ``vm``."""
+        return [r for r in self.ranges if r.owner is not None and r.owner.vm == vm]
+
+    def keys_by_owner(self) -> dict[Owner | None, int]:
+        """Return the number of keys of each owner; None stands for no owner."""
+        sizes: dict[Owner | None, int] = {}
+        for r in self.ranges:
+            sizes[r.owner] = sizes.get(r.owner, 0) + r.size
+        return sizes
+
+    def encode(self) -> bytes:
+        """Return the table as it is kept in the store."""
+        owners = sorted(
+            {r.owner for r in self.ranges if r.owner is not None},
+            key=lambda o: (o.vm, o.endpoint_id, o.born),
+        )
+        index = {owner: i for i, owner in enumerate(owners)}
+        return msgpack.packb(
+            [
+                self.fence,
+                [[o.vm, o.endpoint_id, o.born] for o in owners],
+                [
+                    [r.first, index.get(r.owner, -1), r.fence, r.handover]
+                    for r in self.ranges
+                ],
+            ]
+        )
+
+
+def decode_table(data: bytes) -> RangeTable:
+    """Return the table in ``data``; raise ``ValueError`` if it is not a valid one."""
+    try:
+        fence, owner_rows, rows = msgpack.unpackb(data)
+        owners = [Owner(*row) for row in owner_rows]
+        bounds = [row[0] for row in rows] + [KEYS]
+        ranges = tuple(
+            KeyRange(
+                first, bounds[i + 1] - 1, owners[o] if o >= 0 else None, f, handover
+            )
+            for i, (first, o, f, handover) in enumerate(rows)
+        )
+    except Exception as error:
+        # Malformed input raises any of several unrelated exception types.
+        raise ValueError(f"not a range table: {error!r}") from None
+    _check(ranges)
+    return RangeTable(ranges, fence)
+
+
+def new_table(owners: list[Owner]) -> RangeTable:
+    """Return a table that deals all keys evenly.
+
+    >>> len(new_table([Owner("a", "i", 1), Owner("b", "j", 1)]).ranges)
+    2
+    """
+    if not owners:
+        return RangeTable((KeyRange(0, LAST_KEY, None, 0),), 0)
+    bounds = [i * KEYS // len(owners) for i in range(len(owners) + 1)]
+    ranges = tuple(
+        KeyRange(bounds[i], bounds[i + 1] - 1, owner, i + 1)
+        for i, owner in enumerate(owners)
+    )
+    return RangeTable(ranges, len(owners))
+
+
+def reassign(
+    table: RangeTable,
+    first: int,
+    last: int,
+    owner: Owner | None,
+    handover: str = "",
+) -> RangeTable:
+    """Give the keys from ``first`` to ``last`` to ``owner`` with a new fence."""
+    if not 0 <= first <= last <= LAST_KEY:
+        raise ValueError(f"{first} to {last} is not a range of keys")
+    fence = table.fence + 1
+    ranges = []
+    for r in table.ranges:
+        if r.last < first or r.first > last:
+            ranges.append(r)
+            continue
+        if r.first < first:
+            ranges.append(replace(r, last=first - 1))
+        if r.first <= first:
+            ranges.append(KeyRange(first, last, owner, fence, handover))
+        if r.last > last:
+            ranges.append(replace(r, first=last + 1))
+    return RangeTable(tuple(ranges), fence)
+
+
+def deal(table: RangeTable, orphans: list[KeyRange], owners: list[Owner]) -> RangeTable:
+    """Give ``orphans`` to the owners with the fewest keys, cut where that is fairer.
+
+    Ranges without a handover of the same owner are not joined: each has its own fence.
+    """
+    if not owners:
+        return table
+    sizes = {owner: 0 for owner in owners}
+    for owner, size in table.keys_by_owner().items():
+        if owner in sizes:
+            sizes[owner] = size
+    fair = -(-(sum(sizes.values()) + sum(r.size for r in orphans)) // len(owners))
+    for orphan in orphans:
+        first = orphan.first
+        while first <= orphan.last:
+            owner = min(owners, key=lambda o: (sizes[o], o.vm))
+            room = max(fair - sizes[owner], KEYS // 256)
+            last = min(orphan.last, first + room - 1)
+            table = reassign(table, first, last, owner, orphan.handover)
+            sizes[owner] += last - first + 1
+            first = last + 1
+    return table
+
+
+def _check(ranges: tuple[KeyRange, ...]) -> None:
+    if not ranges or len(ranges) > MAX_RANGES or ranges[0].first != 0:
+        raise ValueError(f"a table must begin at key 0 with 1 to {MAX_RANGES} ranges")
+    for r in ranges:
+        if r.first > r.last:
+            raise ValueError(f"the range from {r.first} to {r.last} is empty")
--- /dev/null
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -0,0 +1,171 @@
+"""Gives ranges without a living owner to the endpoints that there are.
+
+Any node may do it. Nodes act in the order of their VM, each a little later than the
+one before, so that usually one writes; a race is decided by the store.
+"""
+
+import asyncio
+from contextlib import suppress
+
+import structlog
+
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.mirror import Mirror
+from sesamepost.internal.coordination.nodes import LEASE_COUNT_PREFIX, NodeTable
+from sesamepost.internal.ranges.holds import HOLD_S, TAKEOVER_SLACK_S
+from sesamepost.internal.ranges.keeper import TableStore
+from sesamepost.internal.ranges.table import (
+    KeyRange,
+    Owner,
+    RangeTable,
+    deal,
+    new_table,
+)
+
+CHECK_INTERVAL_S = 0.2
+# Nodes that start together should be there when the first table is made.
+SETTLE_S = 0.8
+SETTLE_MAX_S = 4.0
+TURN_S = 0.5
+
+log = structlog.get_logger()
+
+
+def lost_owners(
+    table: RangeTable,
+    present: set[str],
+    missing_since: dict[str, float],
+    now: float,
+) -> set[str]:
+    """Return the VMs whose holds have surely ended, so that their ranges are free.
+
+    ``missing_since`` says since when an entry has been missing without a gap.
+    """
+    lost = set()
+    for r in table.ranges:
+        if r.owner is None or r.owner.vm in present:
+            continue
+        since = missing_since.get(r.owner.vm, now)
+        if now - since >= HOLD_S + TAKEOVER_SLACK_S:
+            lost.add(r.owner.vm)
+    return lost
+
+
+class Takeover:
+    """Watches one partitioned service for ranges that nobody can serve."""
+
+    def __init__(
+        self, vm: str, tables: TableStore, nodes: NodeTable, mirror: Mirror
+    ) -> None:
+        self.vm = vm
+        self.tables = tables
+        self.nodes = nodes
+        self.mirror = mirror
+        self.first_seen: float | None = None
+        self.last_joined = 0.0
+        self.known: set[str] = set()
+        self.due_since: float | None = None
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin the checks."""
+        self.task = asyncio.create_task(self._run())
+
+    async def __aenter__(self) -> "Takeover":
+        self.start()
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        self.task.cancel()
+        with suppress(asyncio.CancelledError):
+            await self.task
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._step()
+            except Exception:
+                # The next round must not depend on this one.
+                log.exception("takeover_failed")
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    async def _step(self) -> None:
+        now = boottime()
+        owners = self._owners()
+        if not self.mirror.in_contact or not owners or not self._is_due(now):
+            return
+        if not self._is_my_turn(now):
+            return
+        self.due_since = None
+        if self.tables.table is None:
+            await self.tables.change(
+                "first table",
+                lambda table: new_table(owners) if table is None else None,
+            )
+            return
+        lost = self._lost(now)
+        conditions = {self.nodes.node_key(vm): 0 for vm in lost}
+        for vm in lost:
+            count_key = LEASE_COUNT_PREFIX + vm
+            conditions[count_key] = self.mirror.revision_of(count_key)
+
+        def decide(table: RangeTable | None) -> RangeTable | None:
+            orphans = _orphans(table, lost)
+            return deal(table, orphans, owners) if orphans else None
+
+        await self.tables.change("owners are gone", decide, conditions)
+
+    def _is_due(self, now: float) -> bool:
+        if self.tables.table is None:
+            is_due = self._has_settled(now)
+        else:
+            is_due = bool(_orphans(self.tables.table, self._lost(now)))
+        if not is_due:
+            self.due_since = None
+        elif self.due_since is None:
+            self.due_since = now
+        return is_due
+
+    def _is_my_turn(self, now: float) -> bool:
+        names = sorted(vm for vm, node in self.nodes.nodes.items())
+        rank = names.index(self.vm) if self.vm in names else len(names)
+        return now - self.due_since >= rank * TURN_S
+
+    def _has_settled(self, now: float) -> bool:
+        present = {node.vm for node in self.nodes.endpoints_of(self.tables.service)}
+        if present - self.known:
+            self.known |= present
+            self.last_joined = now
+        if self.first_seen is None:
+            self.first_seen = now
+        if now - self.first_seen >= SETTLE_MAX_S:
+            return True
+        return now - self.last_joined >= SETTLE_S
+
+    def _lost(self, now: float) -> set[str]:
+        table = self.tables.table
+        present = set(self.nodes.nodes)
+        vms = {r.owner.vm for r in table.ranges if r.owner is not None}
+        missing = {
+            vm: self.mirror.missing_since(self.nodes.node_key(vm), now)
+            for vm in vms - present
+        }
+        return lost_owners(table, present, missing, now)
+
+    def _owners(self) -> list[Owner]:
+        return [
+            Owner(node.vm, node.endpoint.id, node.endpoint.born)
+            for node in self.nodes.endpoints_of(self.tables.service)
+            if not node.is_stopping
+        ]
+
+
+def _orphans(table: RangeTable, lost: set[str]) -> list[KeyRange]:
+    """Return the ranges without an owner, their tokens kept only where still valid."""
+    orphans = []
+    for r in table.ranges:
+        if r.owner is None:
+            orphans.append(r)
+        elif r.owner.vm in lost:
+            orphans.append(KeyRange(r.first, r.last, r.owner, r.fence))
+    return orphans
--- a/src/sesamepost/internal/wire/pool.py
+++ b/src/sesamepost/internal/wire/pool.py
@@ -45,6 +45,7 @@
         self.waiting: set[PeerStream] = set()
         self.sweeper: asyncio.Task | None = None
         self.counters: Counter[str] = Counter()
+        self.closed_listeners: list[Callable[[PeerStream], None]] = []
         self.server: asyncio.Server | None = None
         self.closed_bytes_sent = 0
         self.closed_bytes_received = 0
@@ -176,6 +177,8 @@
         self.opening.discard(stream)
         if self.streams.get(stream.peer) is stream:
             del self.streams[stream.peer]
+        for listener in self.closed_listeners:
+            listener(stream)
 
     def _on_message(self, stream: PeerStream, item: Any) -> None:
         handler = self.handlers.get(type(item))
--- /dev/null
+++ b/src/sesamepost/platform/control_plane.py
@@ -0,0 +1,132 @@
+"""The HTTP ports for workers' check-ins, readiness and metrics."""
+
+import json
+from contextlib import AsyncExitStack
+
+import structlog
+from aiohttp import web
+
+from sesamepost.internal.coordination.nodes import EndpointInfo
+from sesamepost.internal.forwarding.node import Node
+from sesamepost.internal.wire.pool import Address
+from sesamepost.platform.names import (
+    HEARTBEAT_PATH,
+    LEAVE_PATH,
+    METRICS_PATH,
+    READY_PATH,
+)
+
+READY_STATE = "ready"
+DRAINING_STATE = "draining"
+
+log = structlog.get_logger()
+
+
+class CheckInError(ValueError):
+    """A check-in names no worker to use; the message names the field."""
+
+
+def decode_check_in(
+    worker_id: str, data: bytes, own_address: str
+) -> tuple[EndpointInfo, int]:
+    """Return the worker and the sequence number; raise ``CheckInError``."""
+    try:
+        fields = json.loads(data)
+        info = fields["serviceInfo"]
+        status = fields["status"]
+        state = status["state"]
+        if fields["address"] != own_address:
+            raise CheckInError(f"address is {fields['address']!r}, not {own_address!r}")
+        if state not in (READY_STATE, DRAINING_STATE):
+            raise CheckInError(f"state is {state!r}")
+        numbers = {
+            "slots": info["slots"],
+            "sequence": status["sequence"],
+            "born": fields["born"],
+        }
+        texts = {"service": info["service"], "version": info["version"]}
+    except (ValueError, KeyError, TypeError) as error:
+        if isinstance(error, CheckInError):
+            raise
+        raise CheckInError(f"it cannot be read: {error!r}") from None
+    for name, value in numbers.items():
+        if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+            raise CheckInError(f"{name} is {value!r}, not a whole number")
+    for name, value in texts.items():
+        if not isinstance(value, str):
+            raise CheckInError(f"{name} is {value!r}, not text")
+    endpoint = EndpointInfo(
+        texts["service"],
+        worker_id,
+        numbers["born"],
+        numbers["slots"],
+        texts["version"],
+        state == READY_STATE,
+    )
+    return endpoint, numbers["sequence"]
+
+
+class ControlPlane:
+    """Serves the ports that the platform and the worker call."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        endpoint = node.settings.endpoint_address
+        self.own_address = f"{endpoint.host}:{endpoint.port}"
+        self.stack = AsyncExitStack()
+        self.unreadable = 0
+
+    async def __aenter__(self) -> "ControlPlane":
+        settings = self.node.settings
+        await self._listen(
+            settings.heartbeat_address,
+            [
+                web.post(HEARTBEAT_PATH, self._heartbeat),
+                web.post(LEAVE_PATH, self._leave),
+            ],
+        )
+        await self._listen(settings.ready_address, [web.get(READY_PATH, self._ready)])
+        await self._listen(
+            Address(settings.vm, settings.metrics_port),
+            [web.get(METRICS_PATH, self._metrics)],
+        )
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        await self.stack.aclose()
+
+    async def _listen(self, address: Address, routes: list) -> None:
+        app = web.Application()
+        app.add_routes(routes)
+        runner = web.AppRunner(
+            app, handle_signals=False, access_log=None, shutdown_timeout=0.2
+        )
+        await runner.setup()
+        self.stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, *address).start()
+
+    async def _heartbeat(self, request: web.Request) -> web.Response:
+        data = await request.read()
+        try:
+            endpoint, sequence = decode_check_in(
+                request.match_info["id"], data, self.own_address
+            )
+        except CheckInError as error:
+            self.unreadable += 1
+            log.warning("check_in_unreadable", error=str(error))
+            return web.json_response({"error": str(error)}, status=400)
+        self.node.on_heartbeat(endpoint, sequence)
+        return web.json_response({})
+
+    async def _leave(self, request: web.Request) -> web.Response:
+        self.node.on_leave(request.match_info["id"])
+        return web.json_response({})
+
+    async def _ready(self, request: web.Request) -> web.Response:
+        return web.Response(status=200 if self.node.is_ready else 503)
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=self.node.metrics.render(),
+            headers={"Content-Type": "text/plain; version=0.0.4; charset=utf-8"},
+        )
--- /dev/null
+++ b/src/sesamepost/platform/endpoint_orders.py
@@ -0,0 +1,73 @@
+"""Orders to the worker on the same machine: grants and releases of keys."""
+
+import asyncio
+
+import aiohttp
+
+from sesamepost.internal.ranges.keeper import EndpointGoneError, EndpointSilentError
+from sesamepost.internal.wire.pool import Address
+from sesamepost.platform.names import GRANT_PATH, HANDOVER_HEADER, RELEASE_PATH
+
+GRANT_TIMEOUT_S = 1.0
+RELEASE_TIMEOUT_S = 6.0
+KEEP_ALIVE_S = 4.0
+
+
+class WorkerOrders:
+    """Sends orders over connections of their own, so that requests don't delay them."""
+
+    def __init__(self, address: Address) -> None:
+        self.base = f"http://{address.host}:{address.port}"
+        self.session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "WorkerOrders":
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=4, keepalive_timeout=KEEP_ALIVE_S),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+        self.session._retry_connection = False
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        await self.session.close()
+
+    async def grant(
+        self, first: int, last: int, fence: int, hold_s: float, handover: str
+    ) -> bool:
+        """Grant or renew a hold; False if a higher fence was seen."""
+        body = {
+            "from": first,
+            "target": last,
+            "fence": fence,
+            "holdS": round(hold_s, 3),
+        }
+        if handover:
+            body["handover"] = handover
+        status, _ = await self._order(GRANT_PATH, body, GRANT_TIMEOUT_S)
+        if status == 409:
+            return False
+        if status != 200:
+            raise EndpointSilentError(f"the grant was answered with status {status}")
+        return True
+
+    async def release(self, first: int, last: int, fence: int) -> str:
+        """End a hold once its work has ended; return the handover token."""
+        body = {"from": first, "target": last, "fence": fence}
+        status, handover = await self._order(RELEASE_PATH, body, RELEASE_TIMEOUT_S)
+        if status != 200:
+            raise EndpointSilentError(f"the release was answered with status {status}")
+        return handover
+
+    async def _order(self, path: str, body: dict, timeout_s: float) -> tuple[int, str]:
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with self.session.post(self.base + path, json=body) as response:
+                    await response.read()
+                    return response.status, response.headers.get(HANDOVER_HEADER, "")
+        except aiohttp.ClientConnectorError as error:
+            if isinstance(error.os_error, ConnectionRefusedError):
+                raise EndpointGoneError(str(error)) from None
+            raise EndpointSilentError(repr(error)) from None
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise EndpointSilentError(repr(error)) from None
--- /dev/null
+++ b/src/sesamepost/platform/main.py
@@ -0,0 +1,75 @@
+"""Entry point of the process beside a worker."""
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+# libuv may use io_uring, which the machines do not allow; this must be set before the
+# import of uvloop.
+os.environ["UV_USE_IO_URING"] = "0"
+
+import structlog
+import uvloop
+
+from sesamepost.internal.forwarding.node import Node
+from sesamepost.internal.forwarding.node_settings import NodeSettings
+from sesamepost.internal.telemetry.logs import configure_logs
+from sesamepost.platform.control_plane import ControlPlane
+from sesamepost.platform.endpoint_orders import WorkerOrders
+from sesamepost.platform.names import HEADERS, OPERATOR_KEY, SETTINGS_VARIABLE
+from sesamepost.platform.routing import decode_routing
+from sesamepost.platform.settings import SettingsError, read_settings
+from sesamepost.platform.store import PlatformStore
+
+EXIT_USAGE = 2
+GC_THRESHOLD = 50_000
+
+log = structlog.get_logger()
+
+
+async def serve(settings: NodeSettings) -> None:
+    """Run until SIGTERM, then stop in order."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    async with AsyncExitStack() as stack:
+        store = await stack.enter_async_context(PlatformStore(settings.store_url))
+        orders = await stack.enter_async_context(
+            WorkerOrders(settings.endpoint_address)
+        )
+        node = Node(settings, store, orders, HEADERS, OPERATOR_KEY, decode_routing)
+        await stack.enter_async_context(node)
+        await stack.enter_async_context(ControlPlane(node))
+        await stop.wait()
+        await node.stop()
+
+
+def main() -> None:
+    """Read the settings file that the platform names and run."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        print(f"the variable {SETTINGS_VARIABLE} names no file", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    try:
+        settings = read_settings(Path(path))
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    configure_logs(settings.name)
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
+    uvloop.run(serve(settings))
+
+
+def _note_reload() -> None:
+    log.info("reload")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/sesamepost/platform/settings.py
@@ -0,0 +1,60 @@
+"""The settings file of a process."""
+
+import tomllib
+from pathlib import Path
+
+from sesamepost.internal.forwarding.node_settings import NodeSettings
+from sesamepost.internal.wire.pool import Address
+
+DEFAULT_MAX_HOLD_S = 10.0
+DEFAULT_STOP_TIMEOUT_S = 6.0
+PEER_PORT_OFFSET = 0
+METRICS_PORT_OFFSET = 1
+
+
+class SettingsError(Exception):
+    """The settings file cannot be used; the message names the field."""
+
+
+def read_settings(path: Path) -> NodeSettings:
+    """Return the settings in a file; raise ``SettingsError``."""
+    try:
+        fields = tomllib.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise SettingsError(f"{path} cannot be read: {error}") from None
+    try:
+        return decode_settings(fields)
+    except KeyError as error:
+        raise SettingsError(f"{path} has no field {error}") from None
+    except (TypeError, ValueError) as error:
+        raise SettingsError(f"{path} has a wrong value: {error}") from None
+
+
+def decode_settings(fields: dict) -> NodeSettings:
+    """Return the settings in the platform's fields."""
+    listen = fields["listenAddresses"]
+    first_port = int(fields["internalPortRange"][0])
+    bounds = fields.get("bounds", {})
+    return NodeSettings(
+        name=fields["nodeName"],
+        vm=fields["ip"],
+        failure_domain=fields["zone"],
+        region=fields["region"],
+        service=fields.get("service", ""),
+        endpoint_address=_address(fields["applicationAddress"]),
+        callers_address=_address(listen["outbound"]),
+        peer_port=first_port + PEER_PORT_OFFSET,
+        ready_address=_address(listen["readyAddress"]),
+        heartbeat_address=_address(listen["controlPlane"]),
+        metrics_port=first_port + METRICS_PORT_OFFSET,
+        store_url="http://" + fields["platform"]["address"],
+        max_hold_s=float(bounds.get("maxHoldS", DEFAULT_MAX_HOLD_S)),
+        stop_timeout_s=float(bounds.get("gracePeriodS", DEFAULT_STOP_TIMEOUT_S)),
+    )
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host:
+        raise ValueError(f"{text!r} is not an address and a port")
+    return Address(host, int(port))
