Start pipelined requests early, share watch calls, order releases after grants

Cause 1: aiohttp takes the requests of a connection one after the other, so pipelined lookups waited for the sum of their times. Cause 3: each change of a node entry woke every watch.

--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -21,8 +21,10 @@
 WATCH_WAIT_S = 25.0
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
-# Changes that follow each other closely share one call of the store.
-PAUSE_S = 0.06
+# Changes that follow each other closely share one call of the store. Those of keys
+# under ``patient_prefix`` are less urgent, and many come when a fleet starts.
+PAUSE_S = 0.1
+PATIENT_PAUSE_S = 0.5
 
 log = structlog.get_logger()
 
@@ -36,9 +38,13 @@
     may have existed in between.
     """
 
-    def __init__(self, store: CoordinationStore, prefix: str = "") -> None:
+    def __init__(
+        self, store: CoordinationStore, prefix: str = "", patient_prefix: str = "\0"
+    ) -> None:
         self.store = store
         self.prefix = prefix
+        self.patient_prefix = patient_prefix
+        self.pause_s = PAUSE_S
         self.items: dict[str, Item] = {}
         self.revision = 0
         self.missing: dict[str, float] = {}
@@ -110,9 +116,12 @@
                 retry_s = min(retry_s * 2, RETRY_MAX_S)
 
     async def _watch(self) -> Batch:
-        await asyncio.sleep(PAUSE_S)
+        await asyncio.sleep(self.pause_s)
         self.counters["watches"] += 1
-        return await self.store.watch(self.prefix, self.revision, WATCH_WAIT_S)
+        batch = await self.store.watch(self.prefix, self.revision, WATCH_WAIT_S)
+        is_patient = all(e.key.startswith(self.patient_prefix) for e in batch.events)
+        self.pause_s = PATIENT_PAUSE_S if is_patient else PAUSE_S
+        return batch
 
     def _set_contact(self, in_contact: bool, reason: str) -> None:
         if in_contact == self.in_contact:
--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -23,12 +23,14 @@
 from sesamepost.internal.identity import NodeId
 from sesamepost.internal.wire.pool import Address
 
+PRESENCE_PREFIX = "sesamepost/node"
 NODE_PREFIX = "sesamepost/nodes/"
 # Changes with each new lease of a node, and stays when the lease ends. A transaction
 # that takes ranges over requires it to be unchanged, because an entry may have come
 # back and vanished again unseen.
-LEASE_COUNT_PREFIX = "sesamepost/leases/"
+LEASE_COUNT_PREFIX = "sesamepost/node-leases/"
 RETRY_S = 0.2
+FIRST_WRITE_DELAY_S = 2.0
 # A lease is counted from its renewal; a shorter one is lost with one late renewal.
 OWNER_LEASE_S = 3.0
 OWNER_RENEWAL_S = 0.9
@@ -203,6 +205,11 @@
             self.wake.set()
 
     async def _run(self) -> None:
+        if self.entry.endpoint is None:
+            # The first heartbeat usually comes soon, and saves a second write.
+            with suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_WRITE_DELAY_S):
+                    await self.wake.wait()
         while True:
             self.wake.clear()
             try:
--- a/src/sesamepost/internal/forwarding/ingress.py
+++ b/src/sesamepost/internal/forwarding/ingress.py
@@ -8,6 +8,7 @@
 
 import structlog
 from aiohttp import web
+from aiohttp.http_parser import RawRequestMessage
 from aiohttp.web_request import BaseRequest
 from multidict import CIMultiDict
 
@@ -23,6 +24,7 @@
 from sesamepost.internal.dispatch.headers import forwarded_headers
 from sesamepost.internal.forwarding.forwarder import Call, Forwarder, Progress
 from sesamepost.internal.forwarding.messages import NO_KEY
+from sesamepost.internal.forwarding.pipelining import PipelinedServer
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
 from sesamepost.internal.forwarding.routes import RouteIndex, SplitDraw
 from sesamepost.internal.ranges.table import LAST_KEY
@@ -35,8 +37,6 @@
 KEEP_ALIVE_S = 75.0
 # Clients that were refused together should not come back together.
 RETRY_SPREAD = 0.3
-# Calls of endpoints come before new work of callers: a failed call wastes its run.
-NESTED_RANK = -1
 
 log = structlog.get_logger()
 
@@ -45,8 +45,7 @@
     """Takes requests by HTTP, forwards them and writes the answers.
 
     ``index`` returns the routing settings in force, None before the first are known.
-    ``service`` returns the name of the service beside this node. ``is_nested`` tells
-    from the address of a caller whether it is the endpoint itself.
+    ``service`` returns the name of the service beside this node.
     """
 
     def __init__(
@@ -90,8 +89,9 @@
     async def listen(self, address: Address) -> None:
         """Accept callers at ``address``."""
         loop = asyncio.get_running_loop()
-        server = web.Server(
+        server = PipelinedServer(
             self.handle,
+            self._start_early,
             request_factory=partial(_make_request, loop),
             access_log=None,
             auto_decompress=False,
@@ -111,7 +111,42 @@
         await self.site.stop()
 
     async def handle(self, request: BaseRequest) -> web.Response:
-        """Answer one request."""
+        """Answer one request, which may have been started early."""
+        message = request._message
+        task = request.protocol.take_early(message)
+        if task is not None:
+            response = await task
+        else:
+            body = await self._read_body(request)
+            response = await self._process(message, body)
+        if self.is_stopping:
+            response.force_close()
+        return response
+
+    async def _read_body(self, request: BaseRequest) -> bytes | None:
+        """Return the body, or None if it is larger than what is accepted."""
+        if not request.body_exists:
+            return b""
+        try:
+            return await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return None
+
+    def _start_early(self, message: RawRequestMessage) -> asyncio.Task | None:
+        """Start a request behind another one if it may be repeated.
+
+        A caller sends a request again when the connection closes in front of it.
+        """
+        index = self.index()
+        route = index and index.find(*_host_and_path(message))
+        if not route or not route.is_repeatable:
+            return None
+        self.counters["started_early"] += 1
+        return asyncio.ensure_future(self._process(message, b""))
+
+    async def _process(
+        self, message: RawRequestMessage, body: bytes | None
+    ) -> web.Response:
         arrived = boottime()
         self.in_flight += 1
         self.idle.clear()
@@ -119,7 +154,9 @@
         call = None
         kind = ""
         try:
-            call = await self._parse(request, arrived)
+            if body is None:
+                raise RouterError(ErrorKind.BODY_TOO_LARGE)
+            call = self._parse(message, body, arrived)
             answer = await self.forwarder.run(call, progress)
             outcome = Outcome.RAN
             response = _response(answer)
@@ -127,13 +164,9 @@
             kind = error.kind
             outcome = ANSWERS[error.kind].outcome
             response = self._error(error, progress)
-        except web.HTTPRequestEntityTooLarge:
-            kind = ErrorKind.BODY_TOO_LARGE
-            outcome = Outcome.NOT_RUN
-            response = self._error(RouterError(kind), progress)
         except asyncio.CancelledError:
             self.counters["callers_gone"] += 1
-            self._log_end(request, call, progress, 0, "caller_gone", arrived)
+            self._log_end(message, call, progress, 0, "caller_gone", arrived)
             raise
         except Exception:
             log.exception("request_failed")
@@ -144,54 +177,48 @@
             self.in_flight -= 1
             if self.in_flight == 0:
                 self.idle.set()
-        if self.is_stopping:
-            response.force_close()
-        self._log_end(request, call, progress, response.status, kind, arrived)
+        self._log_end(message, call, progress, response.status, kind, arrived)
         if call is not None:
             seconds = boottime() - arrived
             self.observe(call.service, call.route.name, outcome, seconds)
         return response
 
-    async def _parse(self, request: BaseRequest, arrived: float) -> Call:
+    def _parse(self, message: RawRequestMessage, body: bytes, arrived: float) -> Call:
         names = self.names
         index = self.index()
         if index is None:
             raise RouterError(ErrorKind.NO_SETTINGS)
-        target = request.raw_path
-        path = target.partition("?")[0]
-        host = request.headers.get("Host", "")
-        route = index.find(host.partition(":")[0], path)
+        host, path = _host_and_path(message)
+        route = index.find(host, path)
         if route is None:
             raise RouterError(ErrorKind.UNKNOWN_ROUTE, f"{host}{path}")
-        body = await request.read() if request.body_exists else b""
         service = self.splits.draw(route)
         settings = index.settings
         key = NO_KEY
         if service in settings.services and settings.services[service].is_partitioned:
-            key = _key(request.headers.get(names.key, ""))
-        timeout_s = _timeout_s(request.headers.get(names.timeout_ms))
+            key = _key(message.headers.get(names.key, ""))
+        timeout_s = _timeout_s(message.headers.get(names.timeout_ms))
         if route.timeout_s:
             timeout_s = min(timeout_s, route.timeout_s)
         headers = [
             (name, value)
-            for name, lower, value in forwarded_headers(request.raw_headers)
+            for name, lower, value in forwarded_headers(message.raw_headers)
             if lower not in self.own_headers
         ]
-        headers.append(("Host", host))
+        headers.append(("Host", message.headers.get("Host", "")))
         headers.append((names.caller_service, self.service()))
-        is_nested = request.remote == self.forwarder.vm
         return Call(
-            request.headers.get(names.request_id, ""),
+            message.headers.get(names.request_id, ""),
             route,
             service,
             key,
-            request.method,
-            target,
+            message.method,
+            message.path,
             headers,
             body,
             arrived + timeout_s,
             arrived + (route.aim_s or timeout_s),
-            NESTED_RANK if is_nested else route.priority,
+            route.priority,
             settings.version,
         )
 
@@ -209,7 +236,7 @@
 
     def _log_end(
         self,
-        request: BaseRequest,
+        message: RawRequestMessage,
         call: Call | None,
         progress: Progress,
         status: int,
@@ -218,9 +245,8 @@
     ) -> None:
         log.info(
             "request",
-            request=request.headers.get(self.names.request_id, ""),
-            remote=request.remote,
-            path=request.raw_path,
+            request=message.headers.get(self.names.request_id, ""),
+            path=message.path,
             route=call.route.name if call else "",
             service=call.service if call else "",
             key=call.key if call else NO_KEY,
@@ -240,6 +266,11 @@
     )
 
 
+def _host_and_path(message: RawRequestMessage) -> tuple[str, str]:
+    host = message.headers.get("Host", "")
+    return host.partition(":")[0], message.path.partition("?")[0]
+
+
 def _response(answer: Answer) -> web.Response:
     headers = CIMultiDict(answer.headers)
     return web.Response(status=answer.status, body=answer.body, headers=headers)
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -10,6 +10,7 @@
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import (
+    PRESENCE_PREFIX,
     EndpointInfo,
     NodeEntry,
     NodeTable,
@@ -96,7 +97,7 @@
         self.pool = await enter(PeerPool(self.id, key))
         await self.pool.listen(Address(settings.vm, settings.peer_port))
         self.store = RelayedStore(self.direct_store, self.pool, self._helpers)
-        self.mirror = Mirror(self.store)
+        self.mirror = Mirror(self.store, patient_prefix=PRESENCE_PREFIX)
         self.nodes = NodeTable(self.mirror)
         entry = NodeEntry(
             settings.vm,
--- /dev/null
+++ b/src/sesamepost/internal/forwarding/pipelining.py
@@ -0,0 +1,63 @@
+"""Starts pipelined requests before the answers in front of them are written.
+
+``aiohttp`` takes the requests of a connection one after the other. A caller that sends
+several at once would wait for the sum of their times. Answers keep their order, since
+``aiohttp`` still writes them one by one.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import web
+from aiohttp.http_parser import RawRequestMessage
+from aiohttp.web_protocol import RequestHandler
+
+StartEarly = Callable[[RawRequestMessage], asyncio.Task | None]
+
+
+class PipelinedHandler(RequestHandler):
+    """One connection; ``start_early`` is offered each request that has to wait."""
+
+    __slots__ = ("early", "start_early")
+
+    def __init__(self, manager, start_early: StartEarly, **options) -> None:
+        super().__init__(manager, **options)
+        self.start_early = start_early
+        # The message is kept beside its task, so that no other one gets its id.
+        self.early: dict[int, tuple[RawRequestMessage, asyncio.Task | None]] = {}
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived and offer requests that are behind another one."""
+        super().data_received(data)
+        is_idle = self._waiter is not None
+        waiting = list(self._messages)[1 if is_idle else 0 :]
+        for message, payload in waiting:
+            is_request = isinstance(message, RawRequestMessage)
+            if id(message) in self.early or not is_request or not payload.is_eof():
+                continue
+            self.early[id(message)] = message, self.start_early(message)
+
+    def connection_lost(self, error: BaseException | None) -> None:
+        """End the work on requests whose caller has left."""
+        super().connection_lost(error)
+        for _, task in self.early.values():
+            if task is not None:
+                task.cancel()
+        self.early.clear()
+
+    def take_early(self, message: RawRequestMessage) -> asyncio.Task | None:
+        """Return the task of a request that was started early."""
+        _, task = self.early.pop(id(message), (message, None))
+        return task
+
+
+class PipelinedServer(web.Server):
+    """A low-level server whose connections are ``PipelinedHandler``."""
+
+    def __init__(self, handler, start_early: StartEarly, **options) -> None:
+        super().__init__(handler, **options)
+        self.start_early = start_early
+
+    def __call__(self) -> RequestHandler:
+        """Return the protocol of a new connection."""
+        return PipelinedHandler(self, self.start_early, loop=self._loop, **self._kwargs)
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -444,6 +444,14 @@
     async def _release(self, first: int, last: int) -> str:
         """Return the handover token once the endpoint surely holds none of the keys."""
         book = self.book
+        # A grant that is under way could otherwise be taken after the release.
+        pending = [
+            task
+            for (begin, end, _), task in self.grants.items()
+            if begin <= last and first <= end
+        ]
+        if pending:
+            await asyncio.wait(pending)
         table = self.tables.table
         tokens = []
         for r in table.owned_by(self.vm) if table else []:
