Assume the grants of the process before, bound the logs, order the queue by deadline

It now waits for the first heartbeat and assumes the longest hold.

Also: log lines on standard output that never block and are limited for requests; an endpoint that is suspected is probed, and a closed port proves its end; within a rank the queue is ordered by the latest start.

--- a/src/sesamepost/internal/forwarding/endpoint_connection.py
+++ b/src/sesamepost/internal/forwarding/endpoint_connection.py
@@ -80,15 +80,14 @@
                 self.parser.receive_data(b"")
                 self._read_events()
             except h11.RemoteProtocolError as error:
-                self._fail(ErrorKind.ANSWER_CUT_OFF, f"ended early: {error}")
+                self._fail(self._broken_kind(), f"ended early: {error}")
         self.close()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the request in flight: it may have run."""
         self.is_open = False
-        kind = ErrorKind.ANSWER_CUT_OFF if self.head else ErrorKind.OUTCOME_UNKNOWN
-        self._fail(kind, f"the endpoint closed the connection: {error!r}")
+        self._fail(self._broken_kind(), f"the endpoint closed: {error!r}")
 
     def close(self) -> None:
         """Close at once; the endpoint drops the request in flight."""
@@ -189,6 +188,9 @@
             if name == "timeout" and number.isdigit():
                 self.idle_limit_s = float(number)
 
+    def _broken_kind(self) -> ErrorKind:
+        return ErrorKind.ANSWER_CUT_OFF if self.head else ErrorKind.OUTCOME_UNKNOWN
+
     def _fail(self, kind: ErrorKind, detail: str) -> None:
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_exception(RouterError(kind, detail))
--- a/src/sesamepost/internal/forwarding/endpoint_pool.py
+++ b/src/sesamepost/internal/forwarding/endpoint_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from enum import Enum
 
 from sesamepost.errors import ErrorKind, RouterError
 from sesamepost.internal.clock import boottime
@@ -20,6 +21,17 @@
 MAX_IDLE = 16
 
 
+class Listening(Enum):
+    """Whether something listens at the endpoint's address.
+
+    ``NO`` proves that the endpoint's process has ended; silence does not.
+    """
+
+    YES = "yes"
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
 class EndpointPool:
     """Opens connections as needed and uses the one that was idle for the shortest."""
 
@@ -64,14 +76,15 @@
             self.busy.discard(connection)
             self._give_back(connection)
 
-    async def is_listening(self) -> bool:
+    async def probe(self) -> Listening:
         """Return whether the endpoint's port accepts a connection."""
         try:
             connection = await self._connect()
-        except RouterError:
-            return False
+        except RouterError as error:
+            is_closed = isinstance(error.__cause__, ConnectionRefusedError)
+            return Listening.NO if is_closed else Listening.UNKNOWN
         self._give_back(connection)
-        return True
+        return Listening.YES
 
     def _take_idle(self) -> EndpointConnection | None:
         now = boottime()
@@ -98,7 +111,7 @@
             self.counters["connection_failures"] += 1
             raise RouterError(
                 ErrorKind.ENDPOINT_UNREACHABLE, f"{self.address}: {error!r}"
-            ) from None
+            ) from error
         return connection
 
     def _give_back(self, connection: EndpointConnection) -> None:
--- a/src/sesamepost/internal/forwarding/gate.py
+++ b/src/sesamepost/internal/forwarding/gate.py
@@ -33,18 +33,21 @@
 
 
 class EndpointGate:
-    """Starts requests while slots are free and queues a few in order of their rank.
+    """Starts requests while slots are free and queues a few in order of urgency.
 
-    The order is strict: a class of lower urgency gets a slot only when no more urgent
-    request waits. Shares by weight, as ``internal/admission`` has them, would let a
-    less urgent class be served more often than a more urgent one. All times are in
-    seconds on one clock, and ``now`` is passed in.
+    The order of ranks is strict: a class of lower urgency gets a slot only when no more
+    urgent request waits. Shares by weight, as ``internal/admission`` has them, would
+    let a less urgent class be served more often than a more urgent one. Within a rank
+    the request that must start first comes first, so that short calls of endpoints,
+    whose failure wastes the run behind them, pass long requests.
+
+    All times are in seconds on one clock, and ``now`` is passed in.
     """
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
         self.running: dict[Ticket, tuple[int, float]] = {}
-        self.queue: list[tuple[int, int, Waiting]] = []
+        self.queue: list[tuple[int, float, int, Waiting]] = []
         self.queued: dict[Ticket, Waiting] = {}
         self.order = itertools.count()
         self.mean_s: dict[int, float] = {}
@@ -70,20 +73,21 @@
         if len(self.running) < self.slots and not self.queued:
             self._start(ticket, rank, now)
             return None
-        if self.slots == 0 or now + self.expected_wait(rank) > latest_start:
+        wait_s = self.expected_wait(rank, latest_start)
+        if now + wait_s > latest_start:
             return ErrorKind.OVERLOADED
         waiting = Waiting(ticket, rank, latest_start)
         self.queued[ticket] = waiting
-        heapq.heappush(self.queue, (rank, next(self.order), waiting))
+        heapq.heappush(self.queue, (rank, latest_start, next(self.order), waiting))
         return None
 
-    def expected_wait(self, rank: int) -> float:
-        """Return how long a new request of ``rank`` would probably be queued."""
+    def expected_wait(self, rank: int, latest_start: float) -> float:
+        """Return how long a new request would probably be queued."""
         if self.slots == 0:
             return float("inf")
         ahead_s = 0.0
         for waiting in self.queued.values():
-            if waiting.rank <= rank:
+            if (waiting.rank, waiting.latest_start) <= (rank, latest_start):
                 ahead_s += self._mean(waiting.rank)
         free = self.slots - len(self.running)
         if free > 0 and ahead_s == 0:
@@ -117,7 +121,7 @@
                 del self.queued[ticket]
                 released.expired.append(ticket)
         while self.queue and len(self.running) < self.slots:
-            rank, _, waiting = heapq.heappop(self.queue)
+            rank, _, _, waiting = heapq.heappop(self.queue)
             if self.queued.get(waiting.ticket) is not waiting:
                 continue
             del self.queued[waiting.ticket]
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -26,7 +26,7 @@
     Write,
 )
 from sesamepost.internal.forwarding.endpoint import LocalEndpoint
-from sesamepost.internal.forwarding.endpoint_pool import EndpointPool
+from sesamepost.internal.forwarding.endpoint_pool import EndpointPool, Listening
 from sesamepost.internal.forwarding.forwarder import Forwarder
 from sesamepost.internal.forwarding.ingress import Ingress
 from sesamepost.internal.forwarding.loads import LoadBook
@@ -44,8 +44,8 @@
 PEER_KEY = "sesamepost/peer-key"
 PEER_KEY_BYTES = 32
 STORE_RETRY_S = 0.15
-# The endpoint counts as suspect after this many of its heartbeats are missing.
-MISSING_HEARTBEATS = 2.5
+# An endpoint without heartbeats for this long is probed.
+MISSING_HEARTBEATS_S = 3.0
 SUSPICION_INTERVAL_S = 0.5
 # Two readiness checks, a second apart, must fail before callers go elsewhere.
 UNREADY_S = 2.3
@@ -113,6 +113,7 @@
             EndpointPool(settings.endpoint_address, self.names)
         )
         self.local = await enter(LocalEndpoint(self.endpoint_pool, self.names))
+        self.local.on_suspicion = self._suspect
         self.loads = LoadBook(settings.failure_domain, settings.region)
         self.nodes.listeners.append(self._on_node)
         self.forwarder = Forwarder(
@@ -295,7 +296,9 @@
         self.registration.is_owner = self.local.keeper is not None
         for service, keeper in self.keepers.items():
             is_mine = info is not None and info.service == service
-            keeper.set_endpoint(info if is_mine else None, is_gone)
+            # Another endpoint at the address proves that the earlier one has ended.
+            is_replaced = info is not None and not is_mine
+            keeper.set_endpoint(info if is_mine else None, is_gone or is_replaced)
 
     async def _watch_endpoint(self) -> None:
         """Find out whether an endpoint without heartbeats still listens."""
@@ -305,14 +308,25 @@
             if info is None or not info.is_ready:
                 continue
             silent_s = boottime() - self.last_heartbeat
-            if silent_s < MISSING_HEARTBEATS and not self.is_suspect:
+            if silent_s < MISSING_HEARTBEATS_S and not self.is_suspect:
                 continue
-            if await self.endpoint_pool.is_listening():
+            listening = await self.endpoint_pool.probe()
+            if listening is Listening.YES:
                 self.is_suspect = False
                 self.last_heartbeat = boottime()
                 continue
-            log.warning("endpoint_not_listening", endpoint=info.id, silent_s=silent_s)
-            self._set_endpoint(_unready(info), is_gone=False)
+            if self.endpoint is not info:
+                continue
+            log.warning(
+                "endpoint_not_listening",
+                endpoint=info.id,
+                listening=listening.value,
+                silent_s=round(silent_s, 2),
+            )
+            self._set_endpoint(_unready(info), is_gone=listening is Listening.NO)
+
+    def _suspect(self) -> None:
+        self.is_suspect = True
 
     def _export_counters(self) -> None:
         parts = {
--- a/src/sesamepost/internal/ranges/holds.py
+++ b/src/sesamepost/internal/ranges/holds.py
@@ -17,6 +17,8 @@
 CLOCK_FACTOR = 1.03
 MARGIN_S = 0.1
 MIN_HOLD_S = 0.3
+# The longest time for which an endpoint may hold a range after the last grant.
+LONGEST_HOLD_S = HOLD_S * CLOCK_FACTOR + MARGIN_S
 # A grant is renewed when less than this part of the longest hold is left.
 RENEW_SHARE = 0.6
 RETRY_GRANT_S = 0.25
@@ -47,11 +49,13 @@
     """The holds of one life of an endpoint.
 
     ``now`` is in seconds on the clock of ``internal/clock``. The longest hold is
-    ``max_hold_s`` seconds.
+    ``max_hold_s`` seconds. Until ``assumed_until`` the endpoint may hold any key by a
+    grant of the process that ran here before.
     """
 
-    def __init__(self, max_hold_s: float = HOLD_S) -> None:
+    def __init__(self, max_hold_s: float = HOLD_S, assumed_until: float = 0.0) -> None:
         self.max_hold_s = min(HOLD_S, max_hold_s)
+        self.assumed_until = assumed_until
         self.holds: dict[tuple[int, int, int], Hold] = {}
         # Grants of ranges that this node owns no more, until they have surely ended.
         self.past: list[Hold] = []
@@ -93,7 +97,6 @@
             return
         until = now + order.hold_s * CLOCK_FACTOR + MARGIN_S
         hold.possible_until = max(hold.possible_until, until)
-        hold.unanswered_until = max(hold.unanswered_until, until)
         hold.retry_at = now + RETRY_GRANT_S
 
     def note_granted(self, order: GrantOrder, sent_at: float) -> None:
@@ -103,8 +106,13 @@
             return
         hold.certain_until = max(hold.certain_until, sent_at + order.hold_s - MARGIN_S)
         hold.retry_at = 0.0
-        if hold.possible_until >= hold.unanswered_until:
-            hold.unanswered_until = 0.0
+
+    def note_silent(self, order: GrantOrder, sent_at: float) -> None:
+        """Note that a grant got no answer, so it may be carried out much later."""
+        until = sent_at + order.hold_s * CLOCK_FACTOR + MARGIN_S
+        for hold in self._touching(order.key_range.first, order.key_range.last):
+            hold.unanswered_until = max(hold.unanswered_until, until)
+            hold.possible_until = max(hold.possible_until, until)
 
     def note_refused(self, order: GrantOrder) -> None:
         """Note that the endpoint has seen a higher fence: this one is never used."""
@@ -143,7 +151,7 @@
     def possible_until(self, first: int, last: int) -> float:
         """Return until when the endpoint may hold one of these keys."""
         holds = [*self._touching(first, last), *self._past_touching(first, last)]
-        return max((h.possible_until for h in holds), default=0.0)
+        return max([self.assumed_until, *(h.possible_until for h in holds)])
 
     def unanswered_until(self, first: int, last: int) -> float:
         """Return until when a grant without an answer may still give these keys."""
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -19,7 +19,12 @@
     Transaction,
     Write,
 )
-from sesamepost.internal.ranges.holds import HOLD_S, GrantOrder, HoldBook
+from sesamepost.internal.ranges.holds import (
+    HOLD_S,
+    LONGEST_HOLD_S,
+    GrantOrder,
+    HoldBook,
+)
 from sesamepost.internal.ranges.table import (
     TABLE_PREFIX,
     KeyRange,
@@ -31,6 +36,8 @@
 )
 
 CHECK_INTERVAL_S = 0.25
+# A process that has just started gives no ranges away before this.
+FIRST_HEARTBEAT_S = 4.0
 RELEASE_RETRY_S = 0.3
 # Work that is longer than this is cut off by the end of its hold.
 RELEASE_PATIENCE_S = HOLD_S + 1.0
@@ -167,8 +174,11 @@
         self.nodes = nodes
         self.registration = registration
         self.orders = orders
-        self.book = HoldBook(max_hold_s)
+        self.started_at = boottime()
+        self.book = HoldBook(max_hold_s, self.started_at + LONGEST_HOLD_S)
         self.endpoint: EndpointInfo | None = None
+        self.life: tuple[str, int] | None = None
+        self.was_endpoint_seen = False
         self.is_endpoint_gone = False
         self.is_leaving = False
         self.wake = asyncio.Event()
@@ -208,13 +218,12 @@
 
         ``is_gone`` says that its process has ended, so that its holds are void.
         """
-        if endpoint is None or self.endpoint is None:
-            has_new_life = endpoint is not None
-        else:
-            has_new_life = endpoint.life != self.endpoint.life
-        if has_new_life:
+        life = endpoint.life if endpoint else None
+        if life != self.life and self.life is not None:
             self.book = HoldBook(self.book.max_hold_s)
+        self.life = life or self.life
         self.endpoint = endpoint
+        self.was_endpoint_seen |= endpoint is not None or is_gone
         self.is_endpoint_gone = is_gone
         self.wake.set()
 
@@ -306,12 +315,17 @@
             self.endpoint is not None and self.endpoint.is_ready and not self.is_leaving
         )
         if not is_serving:
-            self._give_away(mine)
+            if self.was_endpoint_seen or self.is_leaving or self._has_waited():
+                self._give_away(mine)
             return
         self._adopt([r for r in mine if r.owner != self.owner])
         self._raise_fences()
         self._send_grants()
 
+    def _has_waited(self) -> bool:
+        """Return whether an endpoint that lives would have been heard of by now."""
+        return boottime() - self.started_at >= FIRST_HEARTBEAT_S
+
     def _adopt(self, ranges: list[KeyRange]) -> None:
         """Take the ranges of an earlier life of the endpoint at this VM."""
         if not ranges or "adopt" in self.writes:
@@ -376,6 +390,7 @@
             )
         except EndpointSilentError as error:
             self.counters["grants_unanswered"] += 1
+            book.note_silent(order, sent_at)
             log.info("grant_unanswered", first=r.first, fence=r.fence, error=str(error))
             return
         except EndpointGoneError as error:
--- a/src/sesamepost/platform/main.py
+++ b/src/sesamepost/platform/main.py
@@ -17,7 +17,7 @@
 
 from sesamepost.internal.forwarding.node import Node
 from sesamepost.internal.forwarding.node_settings import NodeSettings
-from sesamepost.internal.telemetry.logs import configure_logs
+from sesamepost.internal.telemetry.logs import NonBlockingOutput, configure_logs
 from sesamepost.platform.control_plane import ControlPlane
 from sesamepost.platform.endpoint_orders import WorkerOrders
 from sesamepost.platform.names import HEADERS, OPERATOR_KEY, SETTINGS_VARIABLE
@@ -61,7 +61,7 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    configure_logs(settings.name)
+    configure_logs(settings.name, NonBlockingOutput(sys.stdout.fileno()))
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     uvloop.run(serve(settings))
--- a/src/sesamepost/platform/routing.py
+++ b/src/sesamepost/platform/routing.py
@@ -35,15 +35,16 @@
             routes.append(_route(host["host"], path))
     services = {s["name"]: _service(s) for s in fields["services"]}
     limits = fields.get("limits", {})
+    defaults = Limits()
     return RoutingSettings(
         int(fields["version"]),
         tuple(routes),
         services,
         Limits(
-            int(limits.get("maxHeaderBytes", Limits.header_bytes)),
-            int(limits.get("maxBodyBytes", Limits.body_bytes)),
-            float(limits.get("headerTimeoutS", Limits.header_timeout_s)),
-            float(limits.get("idleTimeoutS", Limits.idle_timeout_s)),
+            int(limits.get("maxHeaderBytes", defaults.header_bytes)),
+            int(limits.get("maxBodyBytes", defaults.body_bytes)),
+            float(limits.get("headerTimeoutS", defaults.header_timeout_s)),
+            float(limits.get("idleTimeoutS", defaults.idle_timeout_s)),
         ),
     )
 
--- /dev/null
+++ b/tests/coordination/memory_store.py
@@ -0,0 +1,104 @@
+"""A store in memory, with leases that a test ends and calls that it can fail."""
+
+import asyncio
+
+from sesamepost.internal.coordination.store import (
+    Batch,
+    ConditionFailedError,
+    Deletion,
+    Item,
+    LeaseEndedError,
+    StoreError,
+    StoreSilentError,
+    Transaction,
+)
+
+
+class MemoryStore:
+    """Implements ``CoordinationStore``. ``failure`` is raised by every call if set.
+
+    With ``loses_answers`` a transaction takes effect and its answer is lost.
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, Item] = {}
+        self.events: list[Item | Deletion] = []
+        self.revision = 0
+        self.leases: set[int] = set()
+        self.next_lease = 0
+        self.failure: StoreError | None = None
+        self.loses_answers = False
+        self.commits: list[Transaction] = []
+        self.changed = asyncio.Condition()
+
+    def _check(self) -> None:
+        if self.failure is not None:
+            raise self.failure
+
+    async def get(self, key: str) -> tuple[Item | None, int]:
+        self._check()
+        return self.items.get(key), self.revision
+
+    async def list(self, prefix: str) -> Batch:
+        self._check()
+        found = [i for key, i in self.items.items() if key.startswith(prefix)]
+        return Batch(self.revision, tuple(found))
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Batch:
+        self._check()
+        async with self.changed:
+            while not (found := self._events_after(prefix, after)):
+                await self.changed.wait()
+                self._check()
+        return Batch(self.revision, tuple(found))
+
+    async def commit(self, transaction: Transaction) -> int:
+        self._check()
+        for key, revision in transaction.conditions.items():
+            item = self.items.get(key)
+            if (0 if item is None else item.revision) != revision:
+                raise ConditionFailedError(key)
+        for write in transaction.writes:
+            if write.lease and write.lease not in self.leases:
+                raise LeaseEndedError(str(write.lease))
+        self.commits.append(transaction)
+        self.revision += 1
+        for write in transaction.writes:
+            item = Item(write.key, write.value, self.revision, write.lease)
+            self.items[write.key] = item
+            self.events.append(item)
+        await self._notify()
+        if self.loses_answers:
+            self.loses_answers = False
+            raise StoreSilentError("the answer was lost")
+        return self.revision
+
+    async def open_lease(self, ttl_s: float) -> int:
+        self._check()
+        self.next_lease += 1
+        self.leases.add(self.next_lease)
+        return self.next_lease
+
+    async def renew_lease(self, lease: int) -> None:
+        self._check()
+        if lease not in self.leases:
+            raise LeaseEndedError(str(lease))
+
+    async def end_lease(self, lease: int) -> None:
+        self.leases.discard(lease)
+        for key, item in list(self.items.items()):
+            if item.lease != lease:
+                continue
+            del self.items[key]
+            self.revision += 1
+            self.events.append(Deletion(key, self.revision))
+        await self._notify()
+
+    def _events_after(self, prefix: str, after: int):
+        return [
+            e for e in self.events if e.revision > after and e.key.startswith(prefix)
+        ]
+
+    async def _notify(self) -> None:
+        async with self.changed:
+            self.changed.notify_all()
--- /dev/null
+++ b/tests/forwarding/test_endpoint_connection.py
@@ -0,0 +1,141 @@
+"""Answers of endpoints that break off, come twice or are no answers."""
+
+import asyncio
+import socket
+import struct
+from contextlib import asynccontextmanager
+
+import pytest
+
+from sesamepost.errors import ErrorKind, RouterError
+from sesamepost.internal.forwarding.endpoint_pool import EndpointPool, Listening
+from sesamepost.internal.forwarding.protocol_names import HeaderNames
+from sesamepost.internal.wire.pool import Address
+
+NAMES = HeaderNames("Id", "Timeout", "Seal", "Not-Run", "From", "Only", "Key", "Life")
+
+
+def answer(request_id: str, body: str, extra: str = "") -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nId: {request_id}\r\n{extra}"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n{body}".encode()
+
+
+class Endpoint:
+    """Answers the n-th request with the n-th script, a list of bytes and actions."""
+
+    def __init__(self, scripts: list[list]) -> None:
+        self.scripts = scripts
+        self.connections = 0
+        self.requests: list[bytes] = []
+        self.asked = asyncio.Event()
+        self.closed = asyncio.Event()
+
+    async def serve(self, reader, writer) -> None:
+        self.connections += 1
+        try:
+            while self.scripts:
+                self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+                self.asked.set()
+                for step in self.scripts.pop(0):
+                    if step == "reset":
+                        linger = struct.pack("ii", 1, 0)
+                        connection = writer.get_extra_info("socket")
+                        connection.setsockopt(
+                            socket.SOL_SOCKET, socket.SO_LINGER, linger
+                        )
+                        writer.transport.abort()
+                        return
+                    if step == "close":
+                        writer.close()
+                        return
+                    if step == "wait":
+                        await reader.read()
+                        self.closed.set()
+                        return
+                    writer.write(step)
+                    await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+
+
+@asynccontextmanager
+async def pool_to(*scripts: list):
+    endpoint = Endpoint(list(scripts))
+    server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    async with EndpointPool(address, NAMES) as pool:
+        yield pool, endpoint
+    server.close()
+
+
+async def send(pool: EndpointPool, request_id: str):
+    return await pool.send("GET", "/a", [("Host", "h")], b"", request_id)
+
+
+async def test_a_connection_is_used_again():
+    async with pool_to([answer("1", "one")], [answer("2", "two")]) as (pool, endpoint):
+        assert (await send(pool, "1")).body == b"one"
+        assert (await send(pool, "2")).body == b"two"
+        assert endpoint.connections == 1
+
+
+async def test_a_second_answer_is_never_taken_for_the_next_request():
+    # The extra answer arrives behind the next request, in front of its answer.
+    late = [answer("1", "extra"), answer("2", "two")]
+    async with pool_to([answer("1", "one")], late) as (pool, _):
+        assert (await send(pool, "1")).body == b"one"
+        assert (await send(pool, "2")).body == b"two"
+        assert pool.counters["skipped_answers"] == 1
+
+
+async def test_bytes_behind_an_answer_end_the_connection():
+    doubled = answer("1", "one") + answer("1", "one")
+    async with pool_to([doubled], [answer("2", "two")]) as (pool, endpoint):
+        assert (await send(pool, "1")).body == b"one"
+        assert (await send(pool, "2")).body == b"two"
+        assert endpoint.connections == 2
+
+
+@pytest.mark.parametrize(
+    ("script", "kind"),
+    [
+        ([b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal", "close"], "answer_cut"),
+        ([b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal", "reset"], "answer_cut"),
+        ([b"HTTP/1.1 200 OK\r\n\r\nhalf", "reset"], "answer_cut"),
+        ([b"\x00\x01 no answer\r\n\r\n"], "answer_cut"),
+        (["reset"], "outcome_unknown"),
+        (["close"], "outcome_unknown"),
+    ],
+)
+async def test_an_answer_that_ends_early_is_not_complete(script, kind):
+    async with pool_to(script) as (pool, _):
+        with pytest.raises(RouterError) as caught:
+            await send(pool, "1")
+        assert caught.value.kind.startswith(kind)
+
+
+async def test_an_answer_without_a_length_ends_with_its_connection():
+    script = [b"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole", "close"]
+    async with pool_to(script) as (pool, _):
+        assert (await send(pool, "1")).body == b"whole"
+
+
+async def test_a_caller_that_leaves_ends_the_work_at_the_endpoint():
+    async with pool_to(["wait"]) as (pool, endpoint):
+        task = asyncio.ensure_future(send(pool, "1"))
+        await endpoint.asked.wait()
+        task.cancel()
+        async with asyncio.timeout(5):
+            await endpoint.closed.wait()
+
+
+async def test_a_closed_port_says_that_nothing_was_sent():
+    server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    server.close()
+    await server.wait_closed()
+    async with EndpointPool(address, NAMES) as pool:
+        with pytest.raises(RouterError) as caught:
+            await send(pool, "1")
+        assert caught.value.kind is ErrorKind.ENDPOINT_UNREACHABLE
+        assert await pool.probe() is Listening.NO
--- /dev/null
+++ b/tests/forwarding/test_loads.py
@@ -0,0 +1,66 @@
+"""The choice among endpoints that are near, busy, failing or out of reach."""
+
+from sesamepost.internal.coordination.nodes import EndpointInfo, NodeEntry
+from sesamepost.internal.forwarding.loads import LoadBook
+from sesamepost.internal.forwarding.messages import LoadHint
+
+
+def node(vm: str, domain: str, region: str) -> NodeEntry:
+    endpoint = EndpointInfo("s", "i-" + vm, 1, 2, "v1", True)
+    return NodeEntry(vm, vm, 1, 7600, domain, region, endpoint)
+
+
+NEAR = node("near", "a1", "a")
+BESIDE = node("beside", "a2", "a")
+FAR = node("far", "b1", "b")
+ALL = [FAR, BESIDE, NEAR]
+
+
+def hint(running: int, queued: int = 0, mean_ms: int = 100) -> LoadHint:
+    return LoadHint("s", running, queued, 2, mean_ms, 0, 0)
+
+
+def test_requests_stay_in_their_failure_domain_while_it_has_room():
+    book = LoadBook("a1", "a")
+    assert book.pick(ALL, 0.0, 1.0) is NEAR
+
+
+def test_a_full_endpoint_gives_way_to_the_next_one():
+    book = LoadBook("a1", "a")
+    book.note_hint("near", hint(2, 4), 0.0)
+    assert book.pick(ALL, 0.1, 1.0) is BESIDE
+
+
+def test_requests_on_their_way_count_before_the_next_hint():
+    # Guards against herding onto the endpoint that was idle a moment ago.
+    book = LoadBook("a1", "a")
+    for vm in ("near", "beside", "far"):
+        book.note_hint(vm, hint(0, mean_ms=200), 0.0)
+    for _ in range(4):
+        book.note_sent("near")
+    assert book.pick(ALL, 0.1, 1.0) is BESIDE
+
+
+def test_an_endpoint_that_fails_gets_less_and_is_tried_again():
+    book = LoadBook("a1", "a")
+    for _ in range(4):
+        book.note_sent("near")
+        book.note_done("near", True, 0.0)
+    assert book.pick(ALL, 0.1, 1.0) is BESIDE
+    assert book.pick(ALL, 20.0, 1.0) is NEAR
+
+
+def test_a_node_out_of_reach_is_left_alone_for_a_moment():
+    book = LoadBook("a1", "a")
+    book.note_unreachable("near", 0.0)
+    assert book.pick(ALL, 0.5, 1.0) is BESIDE
+    assert book.pick(ALL, 2.0, 1.0) is NEAR
+
+
+def test_nothing_is_picked_if_all_would_let_the_request_wait_too_long():
+    # Guards against sending what can be refused at once.
+    book = LoadBook("a1", "a")
+    for vm in ("near", "beside", "far"):
+        book.note_hint(vm, hint(2, 20), 0.0)
+    assert book.pick(ALL, 0.1, 0.5) is None
+    assert book.shortest_wait_s(ALL, 0.1) > 0.5
--- /dev/null
+++ b/tests/forwarding/test_routes.py
@@ -0,0 +1,38 @@
+"""Routes by host and path, and the shares of a split."""
+
+from sesamepost.internal.forwarding.routes import (
+    Route,
+    RoutingSettings,
+    Share,
+    SplitDraw,
+)
+
+
+def route(prefix: str, *shares: Share, host: str = "a.example") -> Route:
+    shares = shares or (Share("s", 1.0),)
+    return Route(prefix, host, prefix, True, 1.0, 0.5, 2, 1, shares)
+
+
+def test_the_longest_prefix_of_the_host_wins():
+    routes = (route("/"), route("/a/"), route("/a/b/"), route("/a/", host="b.example"))
+    index = RoutingSettings(1, routes, {}).index()
+    assert index.find("a.example", "/a/b/c").prefix == "/a/b/"
+    assert index.find("A.EXAMPLE", "/a/bc").prefix == "/a/"
+    assert index.find("a.example", "/x").prefix == "/"
+    assert index.find("b.example", "/a/b/c").prefix == "/a/"
+    assert index.find("b.example", "/b") is None
+    assert index.find("c.example", "/a/") is None
+
+
+def test_each_share_of_a_split_gets_its_weight_within_a_short_time():
+    # Guards against shares that are off by more than the operator allows.
+    split = route("/a/", Share("s", 90.0), Share("t", 10.0))
+    draw = SplitDraw()
+    found = [draw.draw(split) for _ in range(100)]
+    assert 9 <= found.count("t") <= 11
+
+
+def test_a_share_without_weight_gets_nothing():
+    split = route("/a/", Share("s", 0.0), Share("t", 5.0))
+    draw = SplitDraw()
+    assert {draw.draw(split) for _ in range(20)} == {"t"}
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,151 @@
+"""What the platform sends is read once, and what cannot be read harms nothing."""
+
+import json
+
+import pytest
+
+from sesamepost.internal.wire.pool import Address
+from sesamepost.platform.control_plane import CheckInError, decode_check_in
+from sesamepost.platform.routing import decode_routing
+from sesamepost.platform.settings import SettingsError, read_settings
+
+SETTINGS = """
+nodeName = "sidecar-a-1"
+ip = "10.1.0.41"
+zone = "a"
+region = "north"
+internalPortRange = [7600, 7615]
+applicationAddress = "10.1.0.41:8628"
+service = "desk"
+unknown = 5
+[listenAddresses]
+inbound = "10.1.0.41:8624"
+outbound = "10.1.0.41:8629"
+readyAddress = "10.1.0.41:8625"
+controlPlane = "10.1.0.41:8620"
+[bounds]
+gracePeriodS = 6
+maxHoldS = 10
+[platform]
+address = "10.200.1.7:8627"
+"""
+
+ROUTING = {
+    "version": 7,
+    "services": [{"name": "desk", "sharded": True}, {"name": "shop"}],
+    "limits": {"maxHeaderBytes": 100, "idleTimeoutS": 15},
+    "virtualHosts": [
+        {
+            "host": "h",
+            "paths": [
+                {
+                    "name": "r",
+                    "prefix": "/a/",
+                    "kind": "unsafe",
+                    "timeoutS": 1.5,
+                    "targetLatencyS": 0.8,
+                    "priority": 2,
+                    "maxAttempts": 2,
+                    "trafficSplit": [
+                        {"service": "desk", "weight": 90},
+                        {"service": "shop", "weight": 10},
+                    ],
+                },
+                {"name": "s", "prefix": "/b/", "kind": "safe", "service": "shop"},
+            ],
+        }
+    ],
+}
+
+CHECK_IN = {
+    "address": "10.1.0.41:8628",
+    "born": 1778173088000,
+    "serviceInfo": {"service": "desk", "version": "v1", "zone": "a", "slots": 6},
+    "status": {"state": "ready", "sequence": 4, "coldRemainingS": 0},
+}
+
+
+def test_settings_are_read_with_fields_that_are_not_known(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS)
+    settings = read_settings(path)
+    assert settings.callers_address == Address("10.1.0.41", 8629)
+    assert settings.peer_port == 7600
+    assert settings.max_hold_s == 10.0
+    assert settings.store_url == "http://10.200.1.7:8627"
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "said"),
+    [
+        ("nodeName", "otherName", "nodeName"),
+        ('"10.1.0.41:8629"', '"nowhere"', "nowhere"),
+        ("[platform]", "[platform", "cannot be read"),
+    ],
+)
+def test_a_wrong_settings_file_is_named(tmp_path, before, after, said):
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS.replace(before, after))
+    with pytest.raises(SettingsError, match=said):
+        read_settings(path)
+
+
+def test_routing_settings_keep_kinds_times_and_shares():
+    routing = decode_routing(json.dumps(ROUTING).encode())
+    split, plain = routing.routes
+    assert not split.is_repeatable
+    assert (split.timeout_s, split.aim_s, split.max_endpoints) == (1.5, 0.8, 2)
+    assert [(s.service, s.weight) for s in split.shares] == [("desk", 90), ("shop", 10)]
+    assert plain.is_repeatable
+    assert plain.shares[0].service == "shop"
+    assert routing.services["desk"].is_partitioned
+    assert not routing.services["shop"].is_partitioned
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b'{"version": 1}', b'"x"'])
+def test_unreadable_routing_settings_change_nothing(data):
+    assert decode_routing(data) is None
+
+
+def decode(**changes):
+    fields = json.loads(json.dumps(CHECK_IN))
+    for path, value in changes.items():
+        *parents, name = path.split("__")
+        place = fields
+        for parent in parents:
+            place = place[parent]
+        place[name] = value
+    return decode_check_in("i-1", json.dumps(fields).encode(), "10.1.0.41:8628")
+
+
+def test_a_check_in_names_the_life_of_the_endpoint():
+    endpoint, sequence = decode()
+    assert endpoint.life == ("i-1", 1778173088000)
+    assert (endpoint.service, endpoint.slots, endpoint.is_ready) == ("desk", 6, True)
+    assert sequence == 4
+    assert not decode(status__state="draining")[0].is_ready
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"born": "yesterday"},
+        {"born": 1.5},
+        {"serviceInfo__slots": True},
+        {"serviceInfo__slots": -1},
+        {"serviceInfo__service": 5},
+        {"status__state": "resting"},
+        {"status__sequence": None},
+        {"address": "10.1.0.41:1"},
+        {"serviceInfo": "x"},
+    ],
+)
+def test_a_check_in_of_another_writer_names_no_endpoint(changes):
+    with pytest.raises(CheckInError):
+        decode(**changes)
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b"{", b"\xff\xfe", b"null"])
+def test_bytes_that_are_no_check_in_are_refused(data):
+    with pytest.raises(CheckInError):
+        decode_check_in("i-1", data, "10.1.0.41:8628")
--- /dev/null
+++ b/tests/ranges/test_balance.py
@@ -0,0 +1,71 @@
+"""Load patterns and the moves that answer them."""
+
+from sesamepost.internal.ranges.balance import (
+    KeyCounts,
+    Move,
+    OwnerLoad,
+    choose_move,
+    choose_target,
+)
+from sesamepost.internal.ranges.table import KEYS, KeyRange, Owner
+
+A, B, C = (Owner(f"10.0.0.{i}", f"i-{i}", i) for i in (1, 2, 3))
+RANGE = KeyRange(0, 9999, A, 1)
+
+
+def counts_of(loads: dict[int, float]) -> KeyCounts:
+    counts = KeyCounts()
+    counts.counts = dict(loads)
+    counts.halved_at = 0.0
+    return counts
+
+
+def moved_load(move: Move, loads: dict[int, float]) -> float:
+    return sum(c for key, c in loads.items() if move.first <= key <= move.last)
+
+
+def test_neighbouring_hot_keys_are_cut_apart():
+    # Sixty neighbouring keys with most of the load: half of them must go, and the cold
+    # keys around them need not.
+    loads = {key: 10.0 for key in range(5000, 5060)} | {100: 1.0, 9000: 1.0}
+    mine, target = OwnerLoad(A, 2.0, 10_000), OwnerLoad(B, 0.2, 10_000)
+    move = choose_move(mine, target, [RANGE], counts_of(loads))
+    assert 0.3 < moved_load(move, loads) / sum(loads.values()) < 0.6
+
+
+def test_one_hot_key_that_is_all_of_the_load_stays():
+    # Guards against a key that is handed around, unserved during each move.
+    loads = {700: 100.0}
+    mine, target = OwnerLoad(A, 2.0, 10_000), OwnerLoad(B, 0.2, 10_000)
+    assert choose_move(mine, target, [RANGE], counts_of(loads)) is None
+
+
+def test_an_endpoint_without_keys_gets_half_of_the_largest_owner():
+    mine, new = OwnerLoad(A, 0.1, 10_000), OwnerLoad(B, 0.0, 0)
+    assert choose_target(mine, [new, OwnerLoad(C, 0.5, 9000)]) == new
+    move = choose_move(mine, new, [RANGE], KeyCounts())
+    assert move == Move(5000, 9999, B)
+
+
+def test_two_new_endpoints_are_served_by_two_owners():
+    new = [OwnerLoad(B, 0.0, 0), OwnerLoad(C, 0.0, 0)]
+    first, second = OwnerLoad(A, 0.1, 9000), OwnerLoad(Owner("z", "i", 1), 0.1, 8000)
+    assert choose_target(first, [*new, second]) == new[0]
+    assert choose_target(second, [*new, first]) == new[1]
+
+
+def test_small_differences_move_nothing():
+    # Guards against keys that change hands for noise in the load.
+    mine = OwnerLoad(A, 0.8, KEYS // 2)
+    assert choose_target(mine, [OwnerLoad(B, 0.7, KEYS // 2)]) is None
+    idle = OwnerLoad(A, 0.4, KEYS // 2)
+    assert choose_target(idle, [OwnerLoad(B, 0.0, KEYS // 2)]) is None
+
+
+def test_counts_forget_old_hot_keys():
+    counts = KeyCounts()
+    for _ in range(64):
+        counts.add(5, 0.0)
+    for second in range(3, 30, 3):
+        counts.add(7, float(second))
+    assert counts.counts.get(5, 0.0) < counts.counts[7]
--- /dev/null
+++ b/tests/ranges/test_table.py
@@ -0,0 +1,99 @@
+"""The range table stays complete and its fences rise."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sesamepost.internal.ranges.table import (
+    KEYS,
+    LAST_KEY,
+    KeyRange,
+    Owner,
+    RangeTable,
+    deal,
+    decode_table,
+    new_table,
+    reassign,
+)
+
+OWNERS = [Owner(f"10.0.0.{i}", f"i-{i}", i) for i in range(1, 6)]
+
+
+def keys():
+    return st.integers(0, LAST_KEY)
+
+
+@st.composite
+def moves(draw):
+    first, last = sorted((draw(keys()), draw(keys())))
+    return (
+        first,
+        last,
+        draw(st.sampled_from([*OWNERS, None])),
+        draw(st.sampled_from(["", "t1", "t2"])),
+    )
+
+
+def is_complete(table: RangeTable) -> bool:
+    ranges = table.ranges
+    ends = [r.last + 1 for r in ranges]
+    return ranges[0].first == 0 and ends == [*(r.first for r in ranges[1:]), KEYS]
+
+
+@given(st.lists(moves(), max_size=12))
+def test_any_moves_keep_every_key_in_one_range(found):
+    # Guards against a cut that loses keys or gives one key to two owners.
+    table = new_table(OWNERS[:3])
+    for first, last, owner, token in found:
+        before = table
+        table = reassign(table, first, last, owner, token)
+        assert is_complete(table)
+        for key in (first, last):
+            assert table.find(key).owner == owner
+            assert table.find(key).fence > before.fence
+        for key in (first - 1, last + 1):
+            if 0 <= key <= LAST_KEY:
+                assert table.find(key).owner == before.find(key).owner
+                assert table.find(key).fence == before.find(key).fence
+
+
+@given(st.lists(moves(), max_size=8))
+def test_a_table_survives_the_store(found):
+    table = new_table(OWNERS)
+    for move in found:
+        table = reassign(table, *move)
+    assert decode_table(table.encode()) == table
+
+
+@given(st.integers(1, 5), st.integers(1, 4))
+def test_orphans_are_dealt_evenly_to_the_living(count, living):
+    # Guards against one endpoint getting all keys of the lost ones.
+    table = new_table(OWNERS[:count])
+    owners = OWNERS[:living]
+    lost = [r for r in table.ranges if r.owner not in owners]
+    dealt = deal(table, lost, owners)
+    assert is_complete(dealt)
+    sizes = [dealt.keys_by_owner().get(owner, 0) for owner in owners]
+    assert sum(sizes) == KEYS
+    if lost:
+        assert max(sizes) <= -(-KEYS // living) + KEYS // 256 + KEYS // max(count, 1)
+
+
+def test_ranges_that_are_not_dealt_keep_their_fence():
+    # Guards against churn: a loss must not move keys of the living.
+    table = new_table(OWNERS[:3])
+    dealt = deal(table, [table.ranges[1]], [OWNERS[0], OWNERS[2]])
+    assert dealt.find(0) == table.find(0)
+    assert dealt.find(LAST_KEY) == table.find(LAST_KEY)
+
+
+@pytest.mark.parametrize("data", [b"", b"\x93\x01\x90\x90", b"\xc1", b"\x91\x01"])
+def test_an_unreadable_table_is_refused(data):
+    with pytest.raises(ValueError, match="table"):
+        decode_table(data)
+
+
+def test_an_empty_fleet_owns_nothing():
+    table = new_table([])
+    assert table.ranges == (KeyRange(0, LAST_KEY, None, 0),)
+    assert deal(table, list(table.ranges), []) == table
--- /dev/null
+++ b/tests/ranges/test_takeover.py
@@ -0,0 +1,113 @@
+"""When the ranges of a node that is missing may go to another one."""
+
+import asyncio
+
+import pytest
+
+from sesamepost.internal.coordination.mirror import Mirror
+from sesamepost.internal.coordination.nodes import (
+    LEASE_COUNT_PREFIX,
+    EndpointInfo,
+    NodeEntry,
+    NodeTable,
+)
+from sesamepost.internal.coordination.store import Deletion, Item, Transaction, Write
+from sesamepost.internal.ranges.holds import HOLD_S, TAKEOVER_SLACK_S
+from sesamepost.internal.ranges.keeper import TableStore
+from sesamepost.internal.ranges.table import Owner, new_table
+from sesamepost.internal.ranges.takeover import Takeover, lost_owners
+from tests.coordination.memory_store import MemoryStore
+
+A, B = Owner("10.0.0.1", "i-1", 1), Owner("10.0.0.2", "i-2", 2)
+WAIT_S = HOLD_S + TAKEOVER_SLACK_S
+
+
+def entry(owner: Owner, ready: bool = True) -> NodeEntry:
+    endpoint = EndpointInfo("desk", owner.endpoint_id, owner.born, 6, "v1", ready)
+    return NodeEntry(owner.vm, owner.vm, 1, 7600, "a", "r", endpoint)
+
+
+def test_a_missing_owner_is_lost_only_after_its_longest_hold():
+    # Guards against two holders after a lease that ended early.
+    table = new_table([A, B])
+    missing = {A.vm: 10.0}
+    assert lost_owners(table, {B.vm}, missing, 10.0 + WAIT_S - 0.01) == set()
+    assert lost_owners(table, {B.vm}, missing, 10.0 + WAIT_S) == {A.vm}
+    assert lost_owners(table, {A.vm, B.vm}, missing, 100.0) == set()
+
+
+@pytest.fixture
+def parts():
+    store = MemoryStore()
+    mirror = Mirror(store)
+    nodes = NodeTable(mirror)
+    tables = TableStore(store, mirror, "desk")
+    return store, mirror, nodes, tables
+
+
+async def put(store: MemoryStore, mirror: Mirror, key: str, value: bytes) -> None:
+    revision = store.items[key].revision if key in store.items else 0
+    await store.commit(Transaction({key: revision}, (Write(key, value),)))
+    mirror.offer(store.items[key])
+
+
+async def prepare(store, mirror, nodes, tables) -> Takeover:
+    for owner in (A, B):
+        await put(store, mirror, nodes.node_key(owner.vm), entry(owner).encode())
+        await put(store, mirror, LEASE_COUNT_PREFIX + owner.vm, b"1")
+    await put(store, mirror, tables.key, new_table([A, B]).encode())
+    mirror.in_contact = True
+    return Takeover(B.vm, tables, nodes, mirror)
+
+
+def vanish(store: MemoryStore, mirror: Mirror, key: str, missing_s: float) -> None:
+    store.revision += 1
+    del store.items[key]
+    mirror._apply(Deletion(key, store.revision), -missing_s)
+
+
+async def test_the_ranges_of_a_lost_node_go_to_the_living(parts):
+    store, mirror, nodes, tables = parts
+    takeover = await prepare(*parts)
+    key = nodes.node_key(A.vm)
+    vanish(store, mirror, key, 0.0)
+    mirror.missing[key] = asyncio.get_running_loop().time() - 1e6
+    await takeover._step()
+    assert set(tables.table.keys_by_owner()) == {B}
+
+
+async def test_an_entry_that_came_back_unseen_keeps_its_ranges(parts):
+    # The node returned and was lost again while this node heard nothing: its holds
+    # may be younger than this node believes.
+    store, mirror, nodes, tables = parts
+    takeover = await prepare(*parts)
+    key = nodes.node_key(A.vm)
+    vanish(store, mirror, key, 0.0)
+    mirror.missing[key] = asyncio.get_running_loop().time() - 1e6
+    count_key = LEASE_COUNT_PREFIX + A.vm
+    store.revision += 1
+    store.items[count_key] = Item(count_key, b"2", store.revision)
+    await takeover._step()
+    assert set(tables.table.keys_by_owner()) == {A, B}
+
+
+async def test_nothing_is_taken_over_without_contact(parts):
+    store, mirror, nodes, tables = parts
+    takeover = await prepare(*parts)
+    key = nodes.node_key(A.vm)
+    vanish(store, mirror, key, 0.0)
+    mirror.missing[key] = asyncio.get_running_loop().time() - 1e6
+    mirror.in_contact = False
+    await takeover._step()
+    assert set(tables.table.keys_by_owner()) == {A, B}
+
+
+async def test_a_listing_after_lost_history_starts_the_wait_anew(parts):
+    # Guards against a return that the lost history has hidden.
+    store, mirror, nodes, _ = parts
+    await prepare(*parts)
+    key = nodes.node_key(A.vm)
+    vanish(store, mirror, key, 100.0)
+    before = mirror.missing[key]
+    mirror._replace(await store.list(""))
+    assert mirror.missing[key] > before
