Move keys to faster endpoints, deal keys of ended endpoints at once, answer before the store does

Cause: slow endpoints made lookups late before they were full. Cause: a process that started while the store was down did not take heartbeats.

--- a/src/sesamepost/internal/coordination/messages.py
+++ b/src/sesamepost/internal/coordination/messages.py
@@ -20,3 +20,15 @@
     error: str
     detail: str
     result: bytes
+
+
+@message(92)
+class LifeEnded:
+    """Tells that an endpoint holds nothing any more, as the node beside it knows.
+
+    ``born`` is the Unix time of the endpoint's start in milliseconds.
+    """
+
+    vm: str
+    endpoint_id: str
+    born: int
--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -190,7 +190,8 @@
 
     async def withdraw(self) -> None:
         """Remove the entry, as the process stops and holds nothing any more."""
-        self.task.cancel()
+        if self.task is not None:
+            self.task.cancel()
         if self.lease:
             with suppress(StoreError):
                 await self.store.end_lease(self.lease)
--- a/src/sesamepost/internal/forwarding/endpoint.py
+++ b/src/sesamepost/internal/forwarding/endpoint.py
@@ -82,7 +82,7 @@
             len(gate.running),
             len(gate.queued),
             gate.slots,
-            int(gate.overall_mean_s * 1000),
+            int(gate.recent_mean_s * 1000),
             min(10_000, int(gate.busy_share(boottime()) * 100)),
             int(self.failures * 100),
         )
@@ -91,10 +91,9 @@
         """Return the recent use of the slots, above 1 while requests wait."""
         return self.gate.busy_share(boottime())
 
-    def retry_after_s(self) -> float:
-        """Return when the queue will probably have room again."""
-        gate = self.gate
-        return gate.overall_mean_s * (1 + len(gate.queued)) / max(1, gate.slots)
+    def mean_s(self) -> float:
+        """Return the recent mean time of a request at the endpoint."""
+        return self.gate.recent_mean_s
 
     async def run(self, request: Forward) -> EndpointAnswer:
         """Return the endpoint's answer; raise ``RouterError``.
@@ -142,12 +141,14 @@
         now = boottime()
         self.next_ticket += 1
         ticket = self.next_ticket
-        reserve_s = self.gate.overall_mean_s * START_RESERVE
+        reserve_s = self.gate.expected_time(request.route) * START_RESERVE
         latest_start = min(
             deadline - reserve_s,
             now + max(MIN_PATIENCE_S, request.aim_ms / 1000 - reserve_s),
         )
-        kind = self.gate.submit(ticket, request.rank, max(now, latest_start), now)
+        kind = self.gate.submit(
+            ticket, request.route, request.rank, max(now, latest_start), now
+        )
         if kind is not None:
             self.counters["refused"] += 1
             raise RouterError(kind, f"{len(self.gate.queued)} requests wait")
--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -237,6 +237,7 @@
         request = Forward(
             0,
             call.request_id,
+            call.route.name,
             call.service,
             call.key,
             call.method,
--- a/src/sesamepost/internal/forwarding/gate.py
+++ b/src/sesamepost/internal/forwarding/gate.py
@@ -9,10 +9,12 @@
 
 Ticket = Hashable
 
-# Weight of the newest request in the mean time of its rank.
+# Weight of the newest request in the mean time of its kind.
 MEAN_WEIGHT = 0.08
 INITIAL_TIME_S = 0.1
 BUSY_WINDOW_S = 2.0
+# The operator may add hundreds of routes.
+MAX_KINDS = 1000
 
 
 @dataclass(slots=True)
@@ -28,6 +30,7 @@
     """A queued request: it is refused unless it starts before ``latest_start``."""
 
     ticket: Ticket
+    kind: str
     rank: int
     latest_start: float
 
@@ -46,37 +49,36 @@
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
-        self.running: dict[Ticket, tuple[int, float]] = {}
+        self.running: dict[Ticket, tuple[str, float]] = {}
         self.queue: list[tuple[int, float, int, Waiting]] = []
         self.queued: dict[Ticket, Waiting] = {}
         self.order = itertools.count()
-        self.mean_s: dict[int, float] = {}
+        self.mean_s: dict[str, float] = {}
+        self.recent_mean_s = INITIAL_TIME_S
         self.busy = 0.0
         self.busy_at = 0.0
 
-    @property
-    def overall_mean_s(self) -> float:
-        """The mean time of requests of all ranks that were seen."""
-        if not self.mean_s:
-            return INITIAL_TIME_S
-        return sum(self.mean_s.values()) / len(self.mean_s)
+    def expected_time(self, kind: str) -> float:
+        """Return the mean time of a request of ``kind`` at the endpoint."""
+        return self.mean_s.get(kind, self.recent_mean_s)
 
     def submit(
-        self, ticket: Ticket, rank: int, latest_start: float, now: float
+        self, ticket: Ticket, kind: str, rank: int, latest_start: float, now: float
     ) -> ErrorKind | None:
         """Start or queue a request; return why it is refused, or None.
 
-        ``ticket in gate.running`` tells whether it was started.
+        Requests of one ``kind`` take about the same time. ``ticket in gate.running``
+        tells whether it was started.
         """
         if latest_start < now:
             return ErrorKind.DEADLINE_NOT_RUN
         if len(self.running) < self.slots and not self.queued:
-            self._start(ticket, rank, now)
+            self._start(ticket, kind, now)
             return None
         wait_s = self.expected_wait(rank, latest_start)
         if now + wait_s > latest_start:
             return ErrorKind.OVERLOADED
-        waiting = Waiting(ticket, rank, latest_start)
+        waiting = Waiting(ticket, kind, rank, latest_start)
         self.queued[ticket] = waiting
         heapq.heappush(self.queue, (rank, latest_start, next(self.order), waiting))
         return None
@@ -88,20 +90,19 @@
         ahead_s = 0.0
         for waiting in self.queued.values():
             if (waiting.rank, waiting.latest_start) <= (rank, latest_start):
-                ahead_s += self._mean(waiting.rank)
+                ahead_s += self.expected_time(waiting.kind)
         free = self.slots - len(self.running)
         if free > 0 and ahead_s == 0:
             return 0.0
         # On average a running request has half of its time left.
-        return (ahead_s + self.overall_mean_s / 2) / self.slots
+        return (ahead_s + self.recent_mean_s / 2) / self.slots
 
     def finish(self, ticket: Ticket, now: float, measured: bool = True) -> Released:
         """Free the slot of a started request; return what changes by it."""
         self._note_busy(now)
-        rank, started = self.running.pop(ticket)
+        kind, started = self.running.pop(ticket)
         if measured:
-            mean_s = self.mean_s.get(rank, now - started)
-            self.mean_s[rank] = mean_s + MEAN_WEIGHT * (now - started - mean_s)
+            self._measure(kind, now - started)
         return self.poll(now)
 
     def cancel(self, ticket: Ticket) -> None:
@@ -121,11 +122,11 @@
                 del self.queued[ticket]
                 released.expired.append(ticket)
         while self.queue and len(self.running) < self.slots:
-            rank, _, _, waiting = heapq.heappop(self.queue)
+            _, _, _, waiting = heapq.heappop(self.queue)
             if self.queued.get(waiting.ticket) is not waiting:
                 continue
             del self.queued[waiting.ticket]
-            self._start(waiting.ticket, rank, now)
+            self._start(waiting.ticket, waiting.kind, now)
             released.started.append(waiting.ticket)
         return released
 
@@ -134,12 +135,16 @@
         self._note_busy(now)
         return self.busy
 
-    def _mean(self, rank: int) -> float:
-        return self.mean_s.get(rank, self.overall_mean_s)
+    def _measure(self, kind: str, time_s: float) -> None:
+        if kind not in self.mean_s and len(self.mean_s) >= MAX_KINDS:
+            self.mean_s.clear()
+        mean_s = self.mean_s.get(kind, time_s)
+        self.mean_s[kind] = mean_s + MEAN_WEIGHT * (time_s - mean_s)
+        self.recent_mean_s += MEAN_WEIGHT * (time_s - self.recent_mean_s)
 
-    def _start(self, ticket: Ticket, rank: int, now: float) -> None:
+    def _start(self, ticket: Ticket, kind: str, now: float) -> None:
         self._note_busy(now)
-        self.running[ticket] = (rank, now)
+        self.running[ticket] = (kind, now)
 
     def _note_busy(self, now: float) -> None:
         elapsed = now - self.busy_at
--- a/src/sesamepost/internal/forwarding/loads.py
+++ b/src/sesamepost/internal/forwarding/loads.py
@@ -15,7 +15,7 @@
 FAILURE_WEIGHT = 0.2
 FAILURE_HALF_LIFE_S = 2.5
 # A hint is believed for this long; then the endpoint counts as having room.
-HINT_LIFE_S = 2.0
+HINT_LIFE_S = 3.0
 DEFAULT_MEAN_S = 0.1
 # Small differences must not send all nodes to the same endpoint.
 JITTER_S = 0.01
@@ -106,6 +106,13 @@
             return None
         return load.hint.busy_percent / 100
 
+    def mean_of(self, vm: str) -> float | None:
+        """Return the mean time of a request at an endpoint, None if not known."""
+        load = self.loads.get(vm)
+        if load is None or load.hint is None or not load.hint.mean_ms:
+            return None
+        return load.hint.mean_ms / 1000
+
     def is_reachable(self, vm: str, now: float) -> bool:
         """Return whether the last attempt to open a stream did not just fail."""
         return now >= self.of(vm).unreachable_until
--- a/src/sesamepost/internal/forwarding/messages.py
+++ b/src/sesamepost/internal/forwarding/messages.py
@@ -9,13 +9,15 @@
 class Forward:
     """A request on its way to the endpoint beside the receiver.
 
-    ``key`` is ``NO_KEY`` for a service that is not partitioned. ``rank`` orders the
+    ``key`` is ``NO_KEY`` for a service that is not partitioned. Requests of one
+    ``route`` take about the same time at an endpoint. ``rank`` orders the
     queue, the lowest first. ``repeats`` counts the times that the request has reached
     an endpoint before. The answer is an ``Answer`` or a ``Refusal``.
     """
 
     id: int
     request_id: str
+    route: str
     service: str
     key: int
     method: str
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -8,6 +8,7 @@
 import structlog
 
 from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.messages import LifeEnded
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import (
     PRESENCE_PREFIX,
@@ -37,9 +38,11 @@
 from sesamepost.internal.identity import new_node_id
 from sesamepost.internal.ranges.balancing import Balancing
 from sesamepost.internal.ranges.keeper import EndpointOrders, RangeKeeper, TableStore
+from sesamepost.internal.ranges.table import Owner
 from sesamepost.internal.ranges.takeover import Takeover
 from sesamepost.internal.telemetry.metrics import Metrics
 from sesamepost.internal.wire.pool import Address, PeerPool
+from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
 
 PEER_KEY = "sesamepost/peer-key"
 PEER_KEY_BYTES = 32
@@ -86,6 +89,7 @@
         self._has_left = False
         self.tables: dict[str, TableStore] = {}
         self.keepers: dict[str, RangeKeeper] = {}
+        self.takeovers: list[Takeover] = []
         self.stack = AsyncExitStack()
         self.metrics = Metrics(lambda service: service)
         self.started_at = boottime()
@@ -93,9 +97,8 @@
     async def __aenter__(self) -> "Node":
         settings = self.settings
         enter = self.stack.enter_async_context
-        key = await self._peer_key()
-        self.pool = await enter(PeerPool(self.id, key))
-        await self.pool.listen(Address(settings.vm, settings.peer_port))
+        self.pool = await enter(PeerPool(self.id, b""))
+        self.pool.on(LifeEnded, self._on_life_ended)
         self.store = RelayedStore(self.direct_store, self.pool, self._helpers)
         self.mirror = Mirror(self.store, patient_prefix=PRESENCE_PREFIX)
         self.nodes = NodeTable(self.mirror)
@@ -132,9 +135,8 @@
         self._export_counters()
         self.mirror.changes.subscribe(self._on_change)
         await enter(self.mirror)
-        await enter(self.registration)
-        self.watcher = asyncio.create_task(self._watch_endpoint())
-        self.stack.callback(self.watcher.cancel)
+        for work in (self._watch_endpoint(), self._join()):
+            self.stack.callback(asyncio.create_task(work).cancel)
         await self.ingress.listen(settings.callers_address)
         log.info("started", node=str(self.id), name=settings.name)
         return self
@@ -194,6 +196,7 @@
         end = began + self.settings.stop_timeout_s - STOP_RESERVE_S
         log.info("stopping", in_flight=self.ingress.in_flight)
         self.registration.update(is_stopping=True)
+        await self._announce_end()
         moves = [keeper.give_all_away() for keeper in self.keepers.values()]
         with suppress(TimeoutError):
             async with asyncio.timeout_at(_loop_time(began + UNREADY_S + 0.5)):
@@ -207,6 +210,43 @@
         await self.registration.withdraw()
         log.info("drained", in_flight=self.ingress.in_flight)
 
+    async def _join(self) -> None:
+        """Open the peers' port and tell the fleet of this node.
+
+        Callers and the endpoint are answered before that, also while the store is down.
+        """
+        self.pool.key = await self._peer_key()
+        await self.pool.listen(Address(self.settings.vm, self.settings.peer_port))
+        await self.stack.enter_async_context(self.registration)
+
+    async def _announce_end(self) -> None:
+        """Tell all nodes that the endpoint has ended, if that is so.
+
+        They deal its keys without a wait, also if the store is down until later.
+        """
+        info = self.endpoint
+        if info is None or info.service not in self.keepers:
+            return
+        if await self.endpoint_pool.probe() is not Listening.NO:
+            return
+        self._set_endpoint(_unready(info), is_gone=True)
+        message = LifeEnded(self.settings.vm, info.id, info.born)
+        await asyncio.gather(*(self._tell(peer, message) for peer in self._helpers()))
+
+    async def _tell(self, peer: NodeEntry, message: LifeEnded) -> None:
+        try:
+            stream = await self.pool.stream_to(peer.address, peer.node_id)
+            stream.send(message)
+        except StreamClosedError as error:
+            log.info("peer_not_told", peer=peer.vm, error=str(error))
+
+    def _on_life_ended(self, stream: PeerStream, message: LifeEnded) -> None:
+        owner = Owner(message.vm, message.endpoint_id, message.born)
+        if stream.peer.vm != owner.vm:
+            return
+        for takeover in self.takeovers:
+            takeover.note_ended(owner)
+
     def _own_service(self) -> str:
         return self.endpoint.service if self.endpoint else self.settings.service
 
@@ -264,6 +304,7 @@
         )
         self.keepers[service] = keeper
         takeover = Takeover(self.settings.vm, tables, self.nodes, self.mirror)
+        self.takeovers.append(takeover)
         balancing = Balancing(keeper, self.local, self.loads)
         for part in (keeper, takeover, balancing):
             self.stack.push_async_exit(part)
--- a/src/sesamepost/internal/ranges/balance.py
+++ b/src/sesamepost/internal/ranges/balance.py
@@ -16,6 +16,12 @@
 MIN_GAP = 0.25
 MIN_BUSY = 0.6
 MIN_MOVE_INTERVAL_S = 0.8
+# An endpoint that takes this part of the time of another one gets keys of it while it
+# has room: its answers come sooner, though the slower one is not full.
+FASTER_SHARE = 0.7
+MIN_SLOW_BUSY = 0.12
+MAX_FAST_BUSY = 0.45
+FAST_BUSY_GOAL = 0.55
 MAX_MOVED_SHARE = 0.5
 
 
@@ -46,11 +52,15 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerLoad:
-    """The use of an owner's slots (1: all of them) and the number of its keys."""
+    """The use of an owner's slots (1: all of them) and the number of its keys.
+
+    ``mean_s`` is the mean time of a request there, 0 if it is not known.
+    """
 
     owner: Owner
     busy: float
     keys: int
+    mean_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,12 +86,30 @@
         )
         rank = donors.index(mine)
         return empty[rank] if rank < len(empty) else None
-    if not others or mine.busy < MIN_BUSY:
+    if others and mine.busy >= MIN_BUSY:
+        target = min(others, key=lambda o: (o.busy, o.owner.vm))
+        if mine.busy - target.busy >= MIN_GAP:
+            return target
+    if mine.busy < MIN_SLOW_BUSY:
         return None
-    target = min(others, key=lambda o: (o.busy, o.owner.vm))
-    if mine.busy - target.busy < MIN_GAP:
-        return None
-    return target
+    faster = [o for o in others if _is_faster(o, mine) and o.busy < MAX_FAST_BUSY]
+    return min(faster, key=lambda o: (o.mean_s, o.owner.vm), default=None)
+
+
+def _is_faster(other: OwnerLoad, mine: OwnerLoad) -> bool:
+    return 0 < other.mean_s < mine.mean_s * FASTER_SHARE
+
+
+def _wanted_share(mine: OwnerLoad, target: OwnerLoad) -> float:
+    """Return the part of my load that should move to ``target``."""
+    gap = mine.busy - target.busy
+    if mine.busy >= MIN_BUSY and gap >= MIN_GAP:
+        return min(MAX_MOVED_SHARE, gap / 2 / mine.busy)
+    if not _is_faster(target, mine):
+        return min(MAX_MOVED_SHARE, max(0.0, gap) / 2 / max(mine.busy, 0.01))
+    room = FAST_BUSY_GOAL - target.busy
+    added = mine.busy * target.mean_s / mine.mean_s
+    return min(MAX_MOVED_SHARE, max(0.0, room) / max(added, 0.01))
 
 
 def choose_move(
@@ -103,8 +131,7 @@
         if target.keys == 0:
             return _half_of_the_largest(target.owner, ranges)
         return None
-    share = min(MAX_MOVED_SHARE, (mine.busy - target.busy) / 2 / max(mine.busy, 0.01))
-    wanted = share * total
+    wanted = _wanted_share(mine, target) * total
     best: tuple[float, Move] | None = None
     for r, keys in listed:
         for moved, move in _cuts(r, keys, target.owner):
--- a/src/sesamepost/internal/ranges/balancing.py
+++ b/src/sesamepost/internal/ranges/balancing.py
@@ -32,6 +32,9 @@
     def busy(self) -> float:
         """Return the recent use of the slots."""
 
+    def mean_s(self) -> float:
+        """Return the recent mean time of a request."""
+
 
 class PeerLoads(Protocol):
     """The loads that other nodes have reported."""
@@ -39,6 +42,9 @@
     def busy_of(self, vm: str, now: float) -> float | None:
         """Return the use of the slots, None if it is not known."""
 
+    def mean_of(self, vm: str) -> float | None:
+        """Return the mean time of a request, None if it is not known."""
+
 
 class Balancing:
     """Moves keys from the local endpoint to others when it is the busier one."""
@@ -86,14 +92,17 @@
         ranges = [r for r in table.owned_by(keeper.vm) if r.owner == mine]
         if not ranges or not keeper.tables.mirror.in_contact:
             return
-        my_load = OwnerLoad(mine, self.local.busy(), sizes.get(mine, 0))
+        my_load = OwnerLoad(
+            mine, self.local.busy(), sizes.get(mine, 0), self.local.mean_s()
+        )
         others = []
         for owner in keeper.other_owners():
             keys = sizes.get(owner, 0)
             busy = self.loads.busy_of(owner.vm, now)
             if now < self.settling.get(owner, 0.0) or (busy is None and keys):
                 continue
-            others.append(OwnerLoad(owner, busy or 0.0, keys))
+            mean_s = self.loads.mean_of(owner.vm) or 0.0
+            others.append(OwnerLoad(owner, busy or 0.0, keys, mean_s))
         target = choose_target(my_load, others)
         if target is None:
             return
--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Collection
 from contextlib import suppress
 
 import structlog
@@ -36,18 +37,22 @@
     present: set[str],
     missing_since: dict[str, float],
     now: float,
-) -> set[str]:
-    """Return the VMs whose holds have surely ended, so that their ranges are free.
+    ended: Collection[Owner] = (),
+) -> set[Owner]:
+    """Return the owners whose holds have surely ended, so that their ranges are free.
 
-    ``missing_since`` says since when an entry has been missing without a gap.
+    ``missing_since`` says since when an entry has been missing without a gap, ``ended``
+    are those of which the node beside them has said so.
     """
     lost = set()
     for r in table.ranges:
+        if r.owner in ended:
+            lost.add(r.owner)
         if r.owner is None or r.owner.vm in present:
             continue
         since = missing_since.get(r.owner.vm, now)
         if now - since >= HOLD_S + TAKEOVER_SLACK_S:
-            lost.add(r.owner.vm)
+            lost.add(r.owner)
     return lost
 
 
@@ -64,6 +69,7 @@
         self.first_seen: float | None = None
         self.last_joined = 0.0
         self.known: set[str] = set()
+        self.ended: set[Owner] = set()
         self.due_since: float | None = None
         self.task: asyncio.Task | None = None
 
@@ -80,6 +86,11 @@
         with suppress(asyncio.CancelledError):
             await self.task
 
+    def note_ended(self, owner: Owner) -> None:
+        """Take the word of the node beside an endpoint that it holds nothing."""
+        log.info("endpoint_ended", vm=owner.vm, endpoint=owner.endpoint_id)
+        self.ended.add(owner)
+
     async def _run(self) -> None:
         while True:
             try:
@@ -91,7 +102,7 @@
 
     async def _step(self) -> None:
         now = boottime()
-        owners = self._owners()
+        owners = [owner for owner in self._owners() if owner not in self.ended]
         if not self.mirror.in_contact or not owners or not self._is_due(now):
             return
         if not self._is_my_turn(now):
@@ -104,8 +115,9 @@
             )
             return
         lost = self._lost(now)
-        conditions = {self.nodes.node_key(vm): 0 for vm in lost}
-        for vm in lost:
+        conditions = {}
+        for vm in {owner.vm for owner in lost if owner not in self.ended}:
+            conditions[self.nodes.node_key(vm)] = 0
             count_key = LEASE_COUNT_PREFIX + vm
             conditions[count_key] = self.mirror.revision_of(count_key)
 
@@ -142,7 +154,7 @@
             return True
         return now - self.last_joined >= SETTLE_S
 
-    def _lost(self, now: float) -> set[str]:
+    def _lost(self, now: float) -> set[Owner]:
         table = self.tables.table
         present = set(self.nodes.nodes)
         vms = {r.owner.vm for r in table.ranges if r.owner is not None}
@@ -150,7 +162,7 @@
             vm: self.mirror.missing_since(self.nodes.node_key(vm), now)
             for vm in vms - present
         }
-        return lost_owners(table, present, missing, now)
+        return lost_owners(table, present, missing, now, self.ended)
 
     def _owners(self) -> list[Owner]:
         return [
@@ -160,12 +172,12 @@
         ]
 
 
-def _orphans(table: RangeTable, lost: set[str]) -> list[KeyRange]:
+def _orphans(table: RangeTable, lost: set[Owner]) -> list[KeyRange]:
     """Return the ranges without an owner, their tokens kept only where still valid."""
     orphans = []
     for r in table.ranges:
         if r.owner is None:
             orphans.append(r)
-        elif r.owner.vm in lost:
+        elif r.owner in lost:
             orphans.append(KeyRange(r.first, r.last, r.owner, r.fence))
     return orphans
--- a/tests/ranges/test_balance.py
+++ b/tests/ranges/test_balance.py
@@ -69,3 +69,20 @@
     for second in range(3, 30, 3):
         counts.add(7, float(second))
     assert counts.counts.get(5, 0.0) < counts.counts[7]
+
+
+def test_a_slow_endpoint_gives_keys_to_a_fast_one_with_room():
+    # Endpoints of one service differ in speed by three times; a slow one makes answers
+    # late long before its slots are full.
+    slow = OwnerLoad(A, 0.4, 10_000, 0.45)
+    fast, busy_fast = OwnerLoad(B, 0.1, 10_000, 0.15), OwnerLoad(C, 0.7, 100, 0.14)
+    assert choose_target(slow, [fast, busy_fast]) == fast
+    loads = {key: 1.0 for key in range(0, 10_000, 100)}
+    move = choose_move(slow, fast, [RANGE], counts_of(loads))
+    assert 0.3 < moved_load(move, loads) / sum(loads.values()) <= 0.6
+    assert choose_target(fast, [slow]) is None
+
+
+def test_an_endpoint_of_like_speed_gets_nothing_for_its_speed():
+    mine = OwnerLoad(A, 0.4, 10_000, 0.2)
+    assert choose_target(mine, [OwnerLoad(B, 0.1, 10_000, 0.18)]) is None
