Reach restarted nodes under any incarnation, use the predecessor's endpoint, push moved ranges

Requests for a range that was being moved were refused and asked again every 50 ms (147 not_owner in 2 s); they now wait at the old owner.

--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -20,7 +20,7 @@
     Transaction,
     Write,
 )
-from sesamepost.internal.identity import NodeId
+from sesamepost.internal.identity import ANY_INCARNATION, NodeId
 from sesamepost.internal.wire.pool import Address
 
 PRESENCE_PREFIX = "sesamepost/node"
@@ -76,8 +76,11 @@
 
     @property
     def node_id(self) -> NodeId:
-        """The identity that the process proves when a stream opens."""
-        return NodeId(self.vm, self.incarnation)
+        """What a peer must prove to be when a stream opens.
+
+        A restarted process is as good: it refuses what it cannot run.
+        """
+        return NodeId(self.vm, ANY_INCARNATION)
 
     @property
     def address(self) -> Address:
--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -25,7 +25,7 @@
 HOLD_STEP_S = 0.05
 # A refused caller comes back when the keys have probably found an owner.
 NO_OWNER_RETRY_S = 0.5
-MIN_RETRY_AFTER_S = 0.1
+MIN_RETRY_AFTER_S = 0.3
 MAX_ATTEMPTS = 8
 MIN_REPEAT_TIME_S = 0.02
 
@@ -143,8 +143,12 @@
                 node = self._pick(candidates, call)
                 if node is not None:
                     return node
-                if candidates or progress.tried:
-                    self._refuse_overload(candidates, progress)
+                now = boottime()
+                reachable = [
+                    n for n in candidates if self.loads.is_reachable(n.vm, now)
+                ]
+                if reachable or (progress.tried and not candidates):
+                    self._refuse_overload(reachable, progress)
                 reason = ErrorKind.NO_ENDPOINT
             await self._hold(call, progress, reason)
 
--- a/src/sesamepost/internal/forwarding/loads.py
+++ b/src/sesamepost/internal/forwarding/loads.py
@@ -19,7 +19,7 @@
 DEFAULT_MEAN_S = 0.1
 # Small differences must not send all nodes to the same endpoint.
 JITTER_S = 0.01
-UNREACHABLE_S = 1.0
+UNREACHABLE_S = 0.4
 
 
 @dataclass(slots=True)
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from contextlib import AsyncExitStack, suppress
+from functools import partial
 
 import structlog
 
+from sesamepost.errors import RouterError
 from sesamepost.internal.clock import boottime
-from sesamepost.internal.coordination.messages import LifeEnded
+from sesamepost.internal.coordination.messages import ItemPush, LifeEnded
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import (
     PRESENCE_PREFIX,
@@ -16,6 +18,7 @@
     NodeEntry,
     NodeTable,
     Registration,
+    decode_node,
 )
 from sesamepost.internal.coordination.relay import RelayedStore
 from sesamepost.internal.coordination.store import (
@@ -38,7 +41,7 @@
 from sesamepost.internal.identity import new_node_id
 from sesamepost.internal.ranges.balancing import Balancing
 from sesamepost.internal.ranges.keeper import EndpointOrders, RangeKeeper, TableStore
-from sesamepost.internal.ranges.table import Owner
+from sesamepost.internal.ranges.table import TABLE_PREFIX, Owner
 from sesamepost.internal.ranges.takeover import Takeover
 from sesamepost.internal.telemetry.metrics import Metrics
 from sesamepost.internal.wire.pool import Address, PeerPool
@@ -47,6 +50,8 @@
 PEER_KEY = "sesamepost/peer-key"
 PEER_KEY_BYTES = 32
 STORE_RETRY_S = 0.15
+HEALTH_TIMEOUT_S = 0.5
+DEFAULT_HEALTH_PATH = "/health"
 # An endpoint without heartbeats for this long is probed.
 MISSING_HEARTBEATS_S = 3.0
 SUSPICION_INTERVAL_S = 0.5
@@ -83,6 +88,7 @@
         self.index: RouteIndex | None = None
         self.is_stopping = False
         self.endpoint: EndpointInfo | None = None
+        self.is_confirmed = True
         self.last_sequence = -1
         self.last_heartbeat = 0.0
         self.is_suspect = False
@@ -90,6 +96,7 @@
         self.tables: dict[str, TableStore] = {}
         self.keepers: dict[str, RangeKeeper] = {}
         self.takeovers: list[Takeover] = []
+        self.background: set[asyncio.Task] = set()
         self.stack = AsyncExitStack()
         self.metrics = Metrics(lambda service: service)
         self.started_at = boottime()
@@ -99,6 +106,7 @@
         enter = self.stack.enter_async_context
         self.pool = await enter(PeerPool(self.id, b""))
         self.pool.on(LifeEnded, self._on_life_ended)
+        self.pool.on(ItemPush, self._on_item_push)
         self.store = RelayedStore(self.direct_store, self.pool, self._helpers)
         self.mirror = Mirror(self.store, patient_prefix=PRESENCE_PREFIX)
         self.nodes = NodeTable(self.mirror)
@@ -233,13 +241,38 @@
         message = LifeEnded(self.settings.vm, info.id, info.born)
         await asyncio.gather(*(self._tell(peer, message) for peer in self._helpers()))
 
-    async def _tell(self, peer: NodeEntry, message: LifeEnded) -> None:
+    async def _tell(self, peer: NodeEntry, message: LifeEnded | ItemPush) -> None:
         try:
             stream = await self.pool.stream_to(peer.address, peer.node_id)
             stream.send(message)
         except StreamClosedError as error:
             log.info("peer_not_told", peer=peer.vm, error=str(error))
 
+    def _push_table(self, service: str, first: int, last: int) -> None:
+        """Tell the new owners of a range before their watch does."""
+        tables = self.tables[service]
+        item = self.mirror.get(tables.key)
+        message = ItemPush(item.key, item.value, item.revision)
+        owners = {
+            r.owner.vm
+            for r in tables.table.ranges
+            if r.owner is not None and r.first <= last and first <= r.last
+        }
+        for vm in owners - {self.settings.vm}:
+            peer = self.nodes.nodes.get(vm)
+            if peer is not None:
+                self._spawn(self._tell(peer, message))
+
+    def _spawn(self, work: Coroutine) -> None:
+        task = asyncio.ensure_future(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    def _on_item_push(self, stream: PeerStream, message: ItemPush) -> None:
+        if not message.key.startswith(TABLE_PREFIX):
+            return
+        self.mirror.offer(Item(message.key, message.value, message.revision))
+
     def _on_life_ended(self, stream: PeerStream, message: LifeEnded) -> None:
         owner = Owner(message.vm, message.endpoint_id, message.born)
         if stream.peer.vm != owner.vm:
@@ -270,7 +303,37 @@
                 log.info("peer_key_unknown", error=str(error))
                 await asyncio.sleep(STORE_RETRY_S)
 
+    async def _ask_predecessors_endpoint(self, info: EndpointInfo) -> None:
+        """Use the endpoint that the process before this one knew, if it is still there.
+
+        Its next heartbeat may be more than a second away.
+        """
+        service = self.index and self.index.settings.services.get(info.service)
+        path = service.health_path if service else DEFAULT_HEALTH_PATH
+        address = self.settings.endpoint_address
+        headers = [("Host", f"{address.host}:{address.port}")]
+        try:
+            async with asyncio.timeout(HEALTH_TIMEOUT_S):
+                answer = await self.endpoint_pool.send("GET", path, headers, b"", "")
+        except (RouterError, TimeoutError) as error:
+            log.info("predecessors_endpoint_silent", error=repr(error))
+            return
+        if self.endpoint is not None or answer.status != 200:
+            return
+        if answer.header(self.names.endpoint_id) == info.id:
+            log.info("predecessors_endpoint_used", endpoint=info.id, born=info.born)
+            self._set_endpoint(info, is_gone=False, is_confirmed=False)
+
+    def _on_own_entry(self, event: Item) -> None:
+        entry = decode_node(event)
+        if entry is None or entry.incarnation == self.id.incarnation:
+            return
+        if entry.endpoint is not None and entry.endpoint.is_ready:
+            self._spawn(self._ask_predecessors_endpoint(entry.endpoint))
+
     def _on_change(self, event) -> None:
+        if event.key == self.registration.key and isinstance(event, Item):
+            self._on_own_entry(event)
         if event.key != self.settings_key or not isinstance(event, Item):
             return
         routing = self.decode_settings(event.value)
@@ -302,6 +365,7 @@
             self.orders,
             self.settings.max_hold_s,
         )
+        keeper.on_moved = partial(self._push_table, service)
         self.keepers[service] = keeper
         takeover = Takeover(self.settings.vm, tables, self.nodes, self.mirror)
         self.takeovers.append(takeover)
@@ -315,7 +379,9 @@
         if node is None or node.endpoint is None:
             self.loads.forget(vm)
 
-    def _set_endpoint(self, info: EndpointInfo, is_gone: bool) -> None:
+    def _set_endpoint(
+        self, info: EndpointInfo, is_gone: bool, is_confirmed: bool = True
+    ) -> None:
         if info != self.endpoint:
             log.info(
                 "endpoint_changed",
@@ -325,10 +391,12 @@
                 ready=info.is_ready,
                 slots=info.slots,
                 is_gone=is_gone,
+                is_confirmed=is_confirmed,
             )
             self.endpoint = info
             self.local.set_info(info)
             self.registration.update(endpoint=info)
+        self.is_confirmed = is_confirmed
         self._tell_keepers(is_gone)
 
     def _tell_keepers(self, is_gone: bool) -> None:
@@ -339,7 +407,9 @@
             is_mine = info is not None and info.service == service
             # Another endpoint at the address proves that the earlier one has ended.
             is_replaced = info is not None and not is_mine
-            keeper.set_endpoint(info if is_mine else None, is_gone or is_replaced)
+            keeper.set_endpoint(
+                info if is_mine else None, is_gone or is_replaced, self.is_confirmed
+            )
 
     async def _watch_endpoint(self) -> None:
         """Find out whether an endpoint without heartbeats still listens."""
--- a/src/sesamepost/internal/identity.py
+++ b/src/sesamepost/internal/identity.py
@@ -5,6 +5,8 @@
 from typing import NamedTuple
 
 INCARNATION_BITS = 63
+# Stands for whichever process runs on a VM at the moment.
+ANY_INCARNATION = 0
 
 
 class NodeId(NamedTuple):
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -179,6 +179,8 @@
         self.endpoint: EndpointInfo | None = None
         self.life: tuple[str, int] | None = None
         self.was_endpoint_seen = False
+        self.is_confirmed = False
+        self.inherited_until = self.started_at + HOLD_S
         self.is_endpoint_gone = False
         self.is_leaving = False
         self.wake = asyncio.Event()
@@ -187,6 +189,7 @@
         self.writes: dict[str, asyncio.Task] = {}
         self.grants: dict[tuple[int, int, int], asyncio.Task] = {}
         self.counters: Counter[str] = Counter()
+        self.on_moved: Callable[[int, int], None] = lambda first, last: None
         self.task: asyncio.Task | None = None
         tables.mirror.changes.subscribe(self._on_change)
         registration.on_renewed = self.wake.set
@@ -213,11 +216,17 @@
             return None
         return Owner(self.vm, self.endpoint.id, self.endpoint.born)
 
-    def set_endpoint(self, endpoint: EndpointInfo | None, is_gone: bool) -> None:
+    def set_endpoint(
+        self, endpoint: EndpointInfo | None, is_gone: bool, is_confirmed: bool = True
+    ) -> None:
         """Take what is known of the local endpoint.
 
-        ``is_gone`` says that its process has ended, so that its holds are void.
+        ``is_gone`` says that its process has ended, so that its holds are void. One
+        that is not confirmed is known from the process before this one. It may be
+        another life under the same id, so it gets no grants yet. It may still hold
+        what it was granted, and refuses requests itself if it does not.
         """
+        self.is_confirmed = is_confirmed
         life = endpoint.life if endpoint else None
         if life != self.life and self.life is not None:
             self.book = HoldBook(self.book.max_hold_s)
@@ -229,7 +238,14 @@
 
     def may_run(self, key: int) -> bool:
         """Return whether the endpoint surely holds ``key`` now."""
-        return self.book.may_run(key, boottime())
+        now = boottime()
+        if self.book.may_run(key, now):
+            return True
+        return (
+            not self.is_confirmed
+            and now < self.inherited_until
+            and (self.is_expected(key))
+        )
 
     def is_expected(self, key: int) -> bool:
         """Return whether the endpoint owns ``key`` and should hold it soon."""
@@ -237,16 +253,24 @@
         if table is None or self.endpoint is None:
             return False
         key_range = table.find(key)
-        if key_range.owner != self.owner:
-            return False
-        return not any(first <= key <= last for first, last in self.moves)
+        return key_range.owner == self.owner and not self._is_moving(key)
+
+    def _is_moving(self, key: int) -> bool:
+        return any(first <= key <= last for first, last in self.moves)
 
     async def wait_until_granted(self, key: int, timeout_s: float) -> bool:
         """Wait until the endpoint holds ``key``; False if it does not in time."""
         end = boottime() + timeout_s
         while not self.may_run(key):
             left_s = end - boottime()
-            if left_s <= 0 or not self.is_expected(key):
+            if left_s <= 0:
+                return False
+            if self._is_moving(key):
+                # The caller of this node asks the next owner when the move is done.
+                await self.tables.mirror.wait_for_change(left_s)
+                if self._is_moving(key):
+                    continue
+            if not self.is_expected(key):
                 return False
             event = self.granted
             with suppress(TimeoutError):
@@ -256,6 +280,7 @@
 
     def note_key_refused(self, key: int) -> None:
         """Take the endpoint's word that it does not hold ``key``, and grant again."""
+        self.inherited_until = 0.0
         hold = self.book.find(key)
         if hold is not None:
             hold.certain_until = 0.0
@@ -318,6 +343,8 @@
             if self.was_endpoint_seen or self.is_leaving or self._has_waited():
                 self._give_away(mine)
             return
+        if not self.is_confirmed:
+            return
         self._adopt([r for r in mine if r.owner != self.owner])
         self._raise_fences()
         self._send_grants()
@@ -448,9 +475,11 @@
         book = self.book
         try:
             token = await self._release(first, last)
-            await self.tables.change(
+            is_moved = await self.tables.change(
                 reason, lambda table: table and decide(table, token)
             )
+            if is_moved:
+                self.on_moved(first, last)
         finally:
             book.stop_release(first, last)
             self.moves.pop((first, last), None)
--- a/src/sesamepost/internal/wire/handshake.py
+++ b/src/sesamepost/internal/wire/handshake.py
@@ -9,7 +9,7 @@
 import hmac
 import secrets
 
-from sesamepost.internal.identity import NodeId
+from sesamepost.internal.identity import ANY_INCARNATION, NodeId
 from sesamepost.internal.wire.messages import (
     PROTOCOL_VERSION,
     Hello,
@@ -59,8 +59,11 @@
             )
         if len(hello.nonce) != NONCE_BYTES or hello.nonce == self.hello.nonce:
             raise ProtocolError("the peer's nonce is invalid")
-        if self.expected is not None and hello.node != self.expected:
-            raise ProtocolError(f"expected {self.expected}, reached {hello.node}")
+        expected = self.expected
+        if expected is None or hello.node == expected:
+            return
+        if expected.incarnation != ANY_INCARNATION or hello.node.vm != expected.vm:
+            raise ProtocolError(f"expected {expected}, reached {hello.node}")
 
     def _mac(self, by_dialer: bool) -> bytes:
         mine, peer = self.hello, self.peer
--- a/src/sesamepost/internal/wire/pool.py
+++ b/src/sesamepost/internal/wire/pool.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from sesamepost.internal.identity import NodeId
+from sesamepost.internal.identity import ANY_INCARNATION, NodeId
 from sesamepost.internal.wire.handshake import Handshake
 from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
 
@@ -38,6 +38,7 @@
         self.key = key
         self.handlers: type_handlers = {}
         self.streams: dict[NodeId, PeerStream] = {}
+        self.by_vm: dict[str, PeerStream] = {}
         self.dialing: dict[tuple[Address, NodeId | None], asyncio.Task] = {}
         self.opening: set[PeerStream] = set()
         # Two nodes that dial each other at once have two streams; both are used.
@@ -91,10 +92,13 @@
         """Return an open stream, dialing if there is none.
 
         Raises ``StreamClosedError`` if the peer cannot be reached, does not know the
-        key or is not the expected node.
+        key or is not the expected node. ``ANY_INCARNATION`` expects only the VM.
         """
         if expected is not None:
-            stream = self.streams.get(expected)
+            if expected.incarnation == ANY_INCARNATION:
+                stream = self.by_vm.get(expected.vm)
+            else:
+                stream = self.streams.get(expected)
             if stream is not None and stream.is_open:
                 return stream
         task = self.dialing.get((address, expected))
@@ -166,6 +170,7 @@
             return
         if stream.is_open:
             self.streams[stream.peer] = stream
+            self.by_vm[stream.peer.vm] = stream
             self.open.add(stream)
             self.counters["streams_opened"] += 1
 
@@ -177,6 +182,8 @@
         self.opening.discard(stream)
         if self.streams.get(stream.peer) is stream:
             del self.streams[stream.peer]
+        if stream.peer is not None and self.by_vm.get(stream.peer.vm) is stream:
+            del self.by_vm[stream.peer.vm]
         for listener in self.closed_listeners:
             listener(stream)
 
