--- a/src/sesamepost/internal/coordination/relay.py
+++ b/src/sesamepost/internal/coordination/relay.py
@@ -33,7 +33,7 @@
 # After a failure, calls go through a peer for this long before the store is tried.
 RETRY_DIRECT_S = 1.0
 RELAY_TIMEOUT_S = 0.8
-RELAYED_WATCH_WAIT_S = 5.0
+RELAYED_WATCH_WAIT_S = 3.0
 MAX_PEERS_TRIED = 3
 
 # These say that the store was reached and what it found.
@@ -77,12 +77,13 @@
         self.peers = peers
         self.direct_again_at = 0.0
         self.direct_lost = asyncio.Event()
-        self.replies: dict[int, asyncio.Future] = {}
+        self.replies: dict[int, tuple[PeerStream, asyncio.Future]] = {}
         self.next_id = 0
         self.tasks: set[asyncio.Task] = set()
         self.counters: Counter[str] = Counter()
         pool.on(StoreCall, self._serve)
         pool.on(StoreReply, self._on_reply)
+        pool.closed_listeners.append(self._on_closed)
 
     @property
     def is_direct(self) -> bool:
@@ -190,10 +191,10 @@
         self.next_id += 1
         call_id = self.next_id
         future = asyncio.get_running_loop().create_future()
-        self.replies[call_id] = future
         try:
             async with asyncio.timeout(timeout_s):
                 stream = await self.pool.stream_to(peer.address, peer.node_id)
+                self.replies[call_id] = stream, future
                 stream.send(StoreCall(call_id, operation, msgpack.packb(arguments)))
                 reply = await future
         except (TimeoutError, StreamClosedError) as error:
@@ -206,10 +207,15 @@
         return msgpack.unpackb(reply.result, strict_map_key=False)
 
     def _on_reply(self, stream: PeerStream, reply: StoreReply) -> None:
-        future = self.replies.get(reply.id)
+        _, future = self.replies.get(reply.id, (None, None))
         if future is not None and not future.done():
             future.set_result(reply)
 
+    def _on_closed(self, stream: PeerStream) -> None:
+        for used, future in list(self.replies.values()):
+            if used is stream and not future.done():
+                future.set_exception(StreamClosedError("the relaying peer is gone"))
+
     def _serve(self, stream: PeerStream, call: StoreCall) -> None:
         task = asyncio.ensure_future(self._answer(stream, call))
         self.tasks.add(task)
--- a/src/sesamepost/internal/forwarding/endpoint.py
+++ b/src/sesamepost/internal/forwarding/endpoint.py
@@ -1,6 +1,7 @@
 """The endpoint beside this node: what it may be sent, and what became of it."""
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable
 
@@ -11,7 +12,7 @@
 from sesamepost.internal.coordination.nodes import EndpointInfo
 from sesamepost.internal.forwarding.endpoint_connection import EndpointAnswer
 from sesamepost.internal.forwarding.endpoint_pool import EndpointPool
-from sesamepost.internal.forwarding.gate import EndpointGate, Released
+from sesamepost.internal.forwarding.gate import EndpointGate, Released, Waiting
 from sesamepost.internal.forwarding.messages import NO_KEY, Forward, LoadHint
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
 from sesamepost.internal.ranges.balance import KeyCounts
@@ -26,15 +27,36 @@
 FAILURE_WEIGHT = 0.05
 POLL_INTERVAL_S = 0.05
 # Shares of requests that may reach an endpoint again, below the operators' bound.
-REPEAT_PERCENT = 16
+REPEAT_PERCENT = 19
 MIN_REPEATS_PER_S = 1.0
-# Part of the mean time by which a request must start before its deadline.
-START_RESERVE = 0.8
-MIN_PATIENCE_S = 0.05
+# A request must start this many mean times before its deadline.
+START_RESERVE = 1.1
+# Arrivals of this time make up the demand.
+DEMAND_WINDOW_S = 1.0
 
 log = structlog.get_logger()
 
 
+class DecayingCount:
+    """Counts events of about the last ``window_s`` seconds."""
+
+    __slots__ = ("counted_at", "value", "window_s")
+
+    def __init__(self, window_s: float) -> None:
+        self.window_s = window_s
+        self.value = 0.0
+        self.counted_at = 0.0
+
+    def add(self, now: float) -> None:
+        """Count one event."""
+        self.value = self.at(now) + 1.0
+        self.counted_at = now
+
+    def at(self, now: float) -> float:
+        """Return the count, in which older events weigh less."""
+        return self.value * math.exp(-(now - self.counted_at) / self.window_s)
+
+
 class LocalEndpoint:
     """Admits requests to the endpoint beside this node and sends them.
 
@@ -48,6 +70,7 @@
         self.gate = EndpointGate(0)
         self.keeper: RangeKeeper | None = None
         self.key_counts = KeyCounts()
+        self.demand = DecayingCount(DEMAND_WINDOW_S)
         self.starts: dict[int, asyncio.Future] = {}
         self.next_ticket = 0
         self.failures = 0.0
@@ -83,13 +106,20 @@
             len(gate.queued),
             gate.slots,
             int(gate.recent_mean_s * 1000),
-            min(10_000, int(gate.busy_share(boottime()) * 100)),
+            min(10_000, int(self.busy() * 100)),
             int(self.failures * 100),
         )
 
     def busy(self) -> float:
-        """Return the recent use of the slots, above 1 while requests wait."""
-        return self.gate.busy_share(boottime())
+        """Return the recent use of the slots, or the demand for them if it is higher.
+
+        The demand also counts requests that were refused.
+        """
+        now = boottime()
+        slots = max(1, self.gate.slots)
+        arrivals_per_s = self.demand.at(now) / DEMAND_WINDOW_S
+        demand = arrivals_per_s * self.gate.recent_mean_s / slots
+        return max(self.gate.busy_share(now), demand)
 
     def mean_s(self) -> float:
         """Return the recent mean time of a request at the endpoint."""
@@ -103,6 +133,7 @@
         received = boottime()
         deadline = received + request.timeout_ms / 1000
         self._check_service(request)
+        self.demand.add(received)
         if request.repeats:
             if not self.budget.take(received):
                 raise RouterError(ErrorKind.OVERLOADED, "no retry budget is left")
@@ -141,14 +172,11 @@
         now = boottime()
         self.next_ticket += 1
         ticket = self.next_ticket
-        reserve_s = self.gate.expected_time(request.route) * START_RESERVE
-        latest_start = min(
-            deadline - reserve_s,
-            now + max(MIN_PATIENCE_S, request.aim_ms / 1000 - reserve_s),
-        )
-        kind = self.gate.submit(
-            ticket, request.route, request.rank, max(now, latest_start), now
-        )
+        time_s = self.gate.expected_time(request.route)
+        latest_start = max(now, deadline - time_s * START_RESERVE)
+        good_start = now + request.aim_ms / 1000 - time_s
+        waiting = Waiting(ticket, request.route, request.rank, good_start, latest_start)
+        kind = self.gate.submit(waiting, now)
         if kind is not None:
             self.counters["refused"] += 1
             raise RouterError(kind, f"{len(self.gate.queued)} requests wait")
--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -27,6 +27,8 @@
 NO_OWNER_RETRY_S = 0.5
 MIN_RETRY_AFTER_S = 0.3
 MAX_ATTEMPTS = 8
+# A node that refuses because it stops is left alone until it may be back.
+STOPPING_S = 2.0
 MIN_REPEAT_TIME_S = 0.02
 
 log = structlog.get_logger()
@@ -210,6 +212,8 @@
             if not self._may_repeat(call, progress):
                 raise progress.error(error.kind, error.detail)
             return
+        if error.kind is ErrorKind.SHUTTING_DOWN:
+            self.loads.note_unreachable(node.vm, boottime(), STOPPING_S)
         match error.kind:
             case ErrorKind.ENDPOINT_REFUSED:
                 progress.repeats += 1
--- a/src/sesamepost/internal/forwarding/gate.py
+++ b/src/sesamepost/internal/forwarding/gate.py
@@ -1,7 +1,5 @@
 """Admission at one endpoint: its slots and a queue in order of urgency."""
 
-import heapq
-import itertools
 from collections.abc import Hashable
 from dataclasses import dataclass, field
 
@@ -12,7 +10,9 @@
 # Weight of the newest request in the mean time of its kind.
 MEAN_WEIGHT = 0.08
 INITIAL_TIME_S = 0.1
-BUSY_WINDOW_S = 2.0
+BUSY_WINDOW_S = 1.0
+# A request that will be late is queued for this part of the time that it has.
+LATE_WAIT_SHARE = 0.5
 # The operator may add hundreds of routes.
 MAX_KINDS = 1000
 
@@ -27,13 +27,27 @@
 
 @dataclass(slots=True)
 class Waiting:
-    """A queued request: it is refused unless it starts before ``latest_start``."""
+    """A queued request.
+
+    It is worth most if it starts before ``good_start``, and is refused unless it starts
+    before ``latest_start``.
+    """
 
     ticket: Ticket
     kind: str
     rank: int
+    good_start: float
     latest_start: float
 
+    def order(self, now: float) -> tuple[int, bool, float]:
+        """Return the place in the queue, the lowest first.
+
+        What can still be in time comes before what will be late in any case.
+        """
+        is_late = self.good_start < now
+        start = self.latest_start if is_late else self.good_start
+        return self.rank, is_late, start
+
 
 class EndpointGate:
     """Starts requests while slots are free and queues a few in order of urgency.
@@ -42,7 +56,8 @@
     urgent request waits. Shares by weight, as ``internal/admission`` has them, would
     let a less urgent class be served more often than a more urgent one. Within a rank
     the request that must start first comes first, so that short calls of endpoints,
-    whose failure wastes the run behind them, pass long requests.
+    whose failure wastes the run behind them, pass long requests. Requests that will be
+    late get what room is left.
 
     All times are in seconds on one clock, and ``now`` is passed in.
     """
@@ -50,9 +65,7 @@
     def __init__(self, slots: int) -> None:
         self.slots = slots
         self.running: dict[Ticket, tuple[str, float]] = {}
-        self.queue: list[tuple[int, float, int, Waiting]] = []
         self.queued: dict[Ticket, Waiting] = {}
-        self.order = itertools.count()
         self.mean_s: dict[str, float] = {}
         self.recent_mean_s = INITIAL_TIME_S
         self.busy = 0.0
@@ -62,37 +75,37 @@
         """Return the mean time of a request of ``kind`` at the endpoint."""
         return self.mean_s.get(kind, self.recent_mean_s)
 
-    def submit(
-        self, ticket: Ticket, kind: str, rank: int, latest_start: float, now: float
-    ) -> ErrorKind | None:
+    def submit(self, waiting: Waiting, now: float) -> ErrorKind | None:
         """Start or queue a request; return why it is refused, or None.
 
         Requests of one ``kind`` take about the same time. ``ticket in gate.running``
         tells whether it was started.
         """
-        if latest_start < now:
+        if waiting.latest_start < now:
             return ErrorKind.DEADLINE_NOT_RUN
         if len(self.running) < self.slots and not self.queued:
-            self._start(ticket, kind, now)
+            self._start(waiting, now)
             return None
-        wait_s = self.expected_wait(rank, latest_start)
-        if now + wait_s > latest_start:
-            return ErrorKind.OVERLOADED
-        waiting = Waiting(ticket, kind, rank, latest_start)
-        self.queued[ticket] = waiting
-        heapq.heappush(self.queue, (rank, latest_start, next(self.order), waiting))
+        wait_s = self.expected_wait(waiting, now)
+        if now + wait_s > waiting.good_start:
+            # It will be late. A long wait for a late answer helps nobody.
+            waiting.good_start = now - 1.0
+            wait_s = self.expected_wait(waiting, now)
+            if wait_s > LATE_WAIT_SHARE * (waiting.latest_start - now):
+                return ErrorKind.OVERLOADED
+        self.queued[waiting.ticket] = waiting
         return None
 
-    def expected_wait(self, rank: int, latest_start: float) -> float:
+    def expected_wait(self, new: Waiting, now: float) -> float:
         """Return how long a new request would probably be queued."""
         if self.slots == 0:
             return float("inf")
+        place = new.order(now)
         ahead_s = 0.0
         for waiting in self.queued.values():
-            if (waiting.rank, waiting.latest_start) <= (rank, latest_start):
+            if waiting.order(now) <= place:
                 ahead_s += self.expected_time(waiting.kind)
-        free = self.slots - len(self.running)
-        if free > 0 and ahead_s == 0:
+        if len(self.running) < self.slots and ahead_s == 0:
             return 0.0
         # On average a running request has half of its time left.
         return (ahead_s + self.recent_mean_s / 2) / self.slots
@@ -121,12 +134,10 @@
             if waiting.latest_start < now:
                 del self.queued[ticket]
                 released.expired.append(ticket)
-        while self.queue and len(self.running) < self.slots:
-            _, _, _, waiting = heapq.heappop(self.queue)
-            if self.queued.get(waiting.ticket) is not waiting:
-                continue
+        while self.queued and len(self.running) < self.slots:
+            waiting = min(self.queued.values(), key=lambda w: w.order(now))
             del self.queued[waiting.ticket]
-            self._start(waiting.ticket, waiting.kind, now)
+            self._start(waiting, now)
             released.started.append(waiting.ticket)
         return released
 
@@ -142,9 +153,9 @@
         self.mean_s[kind] = mean_s + MEAN_WEIGHT * (time_s - mean_s)
         self.recent_mean_s += MEAN_WEIGHT * (time_s - self.recent_mean_s)
 
-    def _start(self, ticket: Ticket, kind: str, now: float) -> None:
+    def _start(self, waiting: Waiting, now: float) -> None:
         self._note_busy(now)
-        self.running[ticket] = (kind, now)
+        self.running[waiting.ticket] = (waiting.kind, now)
 
     def _note_busy(self, now: float) -> None:
         elapsed = now - self.busy_at
--- a/src/sesamepost/internal/forwarding/loads.py
+++ b/src/sesamepost/internal/forwarding/loads.py
@@ -95,9 +95,11 @@
         load.failures = share + FAILURE_WEIGHT * (float(failed) - share)
         load.failed_at = now
 
-    def note_unreachable(self, vm: str, now: float) -> None:
-        """Leave a VM alone for a moment, as no stream to it could be opened."""
-        self.of(vm).unreachable_until = now + UNREACHABLE_S
+    def note_unreachable(
+        self, vm: str, now: float, for_s: float = UNREACHABLE_S
+    ) -> None:
+        """Leave a VM alone for ``for_s`` seconds, as it could not be reached."""
+        self.of(vm).unreachable_until = now + for_s
 
     def busy_of(self, vm: str, now: float) -> float | None:
         """Return the use of an endpoint's slots, None if it is not known."""
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -87,6 +87,7 @@
         self.id = new_node_id(settings.vm)
         self.index: RouteIndex | None = None
         self.is_stopping = False
+        self.is_closing = False
         self.endpoint: EndpointInfo | None = None
         self.is_confirmed = True
         self.last_sequence = -1
@@ -131,6 +132,7 @@
             settings.vm, self.pool, self.nodes, self.local, self.loads, self.table_of
         )
         self.peers = await enter(PeerService(self.pool, self.local, self.loads))
+        self.peers.is_refusing = self._is_refusing
         self.ingress = await enter(
             Ingress(
                 self.forwarder,
@@ -210,6 +212,7 @@
             async with asyncio.timeout_at(_loop_time(began + UNREADY_S + 0.5)):
                 await asyncio.gather(*moves)
         await asyncio.sleep(max(0.0, began + UNREADY_S - boottime()))
+        self.is_closing = True
         await self.ingress.stop_accepting()
         with suppress(TimeoutError):
             async with asyncio.timeout_at(_loop_time(end)):
@@ -218,6 +221,20 @@
         await self.registration.withdraw()
         log.info("drained", in_flight=self.ingress.in_flight)
 
+    def _is_refusing(self, service: str) -> bool:
+        """Return whether requests of other nodes are refused.
+
+        A stopping node finishes what it has. It takes new work only while no other
+        endpoint can, and none at the end, when a request could be lost with it.
+        """
+        if not self.is_stopping or self.is_closing:
+            return self.is_closing
+        others = self.nodes.endpoints_of(service)
+        is_owner = self.local.keeper is not None
+        return not is_owner and any(
+            node.vm != self.settings.vm and not node.is_stopping for node in others
+        )
+
     async def _join(self) -> None:
         """Open the peers' port and tell the fleet of this node.
 
--- a/src/sesamepost/internal/forwarding/serving.py
+++ b/src/sesamepost/internal/forwarding/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 
 import structlog
 
@@ -22,12 +23,16 @@
 
 
 class PeerService:
-    """Takes ``Forward`` messages and answers them; ends work that nobody waits for."""
+    """Takes ``Forward`` messages and answers them; ends work that nobody waits for.
+
+    ``is_refusing`` says whether requests for a service are refused, as the node stops.
+    """
 
     def __init__(self, pool: PeerPool, local: LocalEndpoint, loads: LoadBook) -> None:
         self.local = local
         self.loads = loads
         self.tasks: dict[tuple[PeerStream, int], asyncio.Task] = {}
+        self.is_refusing: Callable[[str], bool] = lambda service: False
         self.hinted_at: dict[PeerStream, float] = {}
         self.counters: Counter[str] = Counter()
         pool.on(Forward, self._on_forward)
@@ -48,6 +53,10 @@
             await asyncio.wait(list(self.tasks.values()))
 
     def _on_forward(self, stream: PeerStream, request: Forward) -> None:
+        if self.is_refusing(request.service):
+            self.counters["refused_while_stopping"] += 1
+            stream.send(Refusal(request.id, ErrorKind.SHUTTING_DOWN, "", 0))
+            return
         key = (stream, request.id)
         task = asyncio.ensure_future(self._run(stream, request))
         self.tasks[key] = task
--- a/src/sesamepost/internal/ranges/balance.py
+++ b/src/sesamepost/internal/ranges/balance.py
@@ -15,7 +15,7 @@
 # Moves below this gain cost more in slow first requests than they bring.
 MIN_GAP = 0.25
 MIN_BUSY = 0.6
-MIN_MOVE_INTERVAL_S = 0.8
+MIN_MOVE_INTERVAL_S = 0.5
 # An endpoint that takes this part of the time of another one gets keys of it while it
 # has room: its answers come sooner, though the slower one is not full.
 FASTER_SHARE = 0.7
--- a/src/sesamepost/internal/ranges/balancing.py
+++ b/src/sesamepost/internal/ranges/balancing.py
@@ -17,9 +17,9 @@
 from sesamepost.internal.ranges.keeper import RangeKeeper
 from sesamepost.internal.ranges.table import Owner
 
-CHECK_INTERVAL_S = 0.5
+CHECK_INTERVAL_S = 0.25
 # A target that just got keys has not shown their load yet.
-SETTLE_S = 2.0
+SETTLE_S = 1.5
 
 log = structlog.get_logger()
 
