Push range tables to those who need them, watch the store less often, test the whole path with processes

A node that refuses a key for which it is not the owner now sends its table along, and new owners get it at once, so the watches may pause 0.6 s.

Found by the tests: contact with the store counted as lost until a watch of 25 s ended; a store without history was asked again without a pause.

--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -19,12 +19,11 @@
 )
 
 WATCH_WAIT_S = 25.0
+FIRST_WATCH_WAIT_S = 0.2
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
-# Changes that follow each other closely share one call of the store. Those of keys
-# under ``patient_prefix`` are less urgent, and many come when a fleet starts.
-PAUSE_S = 0.1
-PATIENT_PAUSE_S = 0.5
+# Changes that follow each other within this time share one call of the store.
+PAUSE_S = 0.6
 
 log = structlog.get_logger()
 
@@ -38,13 +37,9 @@
     may have existed in between.
     """
 
-    def __init__(
-        self, store: CoordinationStore, prefix: str = "", patient_prefix: str = "\0"
-    ) -> None:
+    def __init__(self, store: CoordinationStore, prefix: str = "") -> None:
         self.store = store
         self.prefix = prefix
-        self.patient_prefix = patient_prefix
-        self.pause_s = PAUSE_S
         self.items: dict[str, Item] = {}
         self.revision = 0
         self.missing: dict[str, float] = {}
@@ -73,11 +68,6 @@
         item = self.items.get(key)
         return 0 if item is None else item.revision
 
-    def under(self, prefix: str) -> list[Item]:
-        """Return the items whose key begins with ``prefix``, by key."""
-        found = [item for key, item in self.items.items() if key.startswith(prefix)]
-        return sorted(found, key=lambda item: item.key)
-
     def missing_since(self, key: str, now: float) -> float:
         """Return since when ``key`` has been absent, ``now`` if it was never seen."""
         return self.missing.setdefault(key, now)
@@ -108,7 +98,7 @@
             except HistoryGoneError:
                 log.info("store_history_gone", revision=self.revision)
                 listed = False
-                continue
+                await asyncio.sleep(RETRY_MIN_S)
             except StoreError as error:
                 self.counters["failures"] += 1
                 self._set_contact(False, str(error))
@@ -116,12 +106,11 @@
                 retry_s = min(retry_s * 2, RETRY_MAX_S)
 
     async def _watch(self) -> Batch:
-        await asyncio.sleep(self.pause_s)
+        await asyncio.sleep(PAUSE_S)
         self.counters["watches"] += 1
-        batch = await self.store.watch(self.prefix, self.revision, WATCH_WAIT_S)
-        is_patient = all(e.key.startswith(self.patient_prefix) for e in batch.events)
-        self.pause_s = PATIENT_PAUSE_S if is_patient else PAUSE_S
-        return batch
+        # Contact is known again when a watch ends, so the first one is short.
+        wait_s = WATCH_WAIT_S if self.in_contact else FIRST_WATCH_WAIT_S
+        return await self.store.watch(self.prefix, self.revision, wait_s)
 
     def _set_contact(self, in_contact: bool, reason: str) -> None:
         if in_contact == self.in_contact:
--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -23,12 +23,11 @@
 from sesamepost.internal.identity import ANY_INCARNATION, NodeId
 from sesamepost.internal.wire.pool import Address
 
-PRESENCE_PREFIX = "sesamepost/node"
 NODE_PREFIX = "sesamepost/nodes/"
 # Changes with each new lease of a node, and stays when the lease ends. A transaction
 # that takes ranges over requires it to be unchanged, because an entry may have come
 # back and vanished again unseen.
-LEASE_COUNT_PREFIX = "sesamepost/node-leases/"
+LEASE_COUNT_PREFIX = "sesamepost/leases/"
 RETRY_S = 0.2
 FIRST_WRITE_DELAY_S = 2.0
 # A lease is counted from its renewal; a shorter one is lost with one late renewal.
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -13,7 +13,6 @@
 from sesamepost.internal.coordination.messages import ItemPush, LifeEnded
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import (
-    PRESENCE_PREFIX,
     EndpointInfo,
     NodeEntry,
     NodeTable,
@@ -41,7 +40,7 @@
 from sesamepost.internal.identity import new_node_id
 from sesamepost.internal.ranges.balancing import Balancing
 from sesamepost.internal.ranges.keeper import EndpointOrders, RangeKeeper, TableStore
-from sesamepost.internal.ranges.table import TABLE_PREFIX, Owner
+from sesamepost.internal.ranges.table import LAST_KEY, TABLE_PREFIX, Owner
 from sesamepost.internal.ranges.takeover import Takeover
 from sesamepost.internal.telemetry.metrics import Metrics
 from sesamepost.internal.wire.pool import Address, PeerPool
@@ -109,7 +108,7 @@
         self.pool.on(LifeEnded, self._on_life_ended)
         self.pool.on(ItemPush, self._on_item_push)
         self.store = RelayedStore(self.direct_store, self.pool, self._helpers)
-        self.mirror = Mirror(self.store, patient_prefix=PRESENCE_PREFIX)
+        self.mirror = Mirror(self.store)
         self.nodes = NodeTable(self.mirror)
         entry = NodeEntry(
             settings.vm,
@@ -133,6 +132,7 @@
         )
         self.peers = await enter(PeerService(self.pool, self.local, self.loads))
         self.peers.is_refusing = self._is_refusing
+        self.peers.table_push = self._table_push
         self.ingress = await enter(
             Ingress(
                 self.forwarder,
@@ -280,6 +280,12 @@
             if peer is not None:
                 self._spawn(self._tell(peer, message))
 
+    def _table_push(self, service: str) -> ItemPush | None:
+        """Return the newest range table for a node that has an older one."""
+        tables = self.tables.get(service)
+        item = tables and self.mirror.get(tables.key)
+        return ItemPush(item.key, item.value, item.revision) if item else None
+
     def _spawn(self, work: Coroutine) -> None:
         task = asyncio.ensure_future(work)
         self.background.add(task)
@@ -385,6 +391,7 @@
         keeper.on_moved = partial(self._push_table, service)
         self.keepers[service] = keeper
         takeover = Takeover(self.settings.vm, tables, self.nodes, self.mirror)
+        takeover.on_dealt = partial(self._push_table, service, 0, LAST_KEY)
         self.takeovers.append(takeover)
         balancing = Balancing(keeper, self.local, self.loads)
         for part in (keeper, takeover, balancing):
--- a/src/sesamepost/internal/forwarding/serving.py
+++ b/src/sesamepost/internal/forwarding/serving.py
@@ -8,6 +8,7 @@
 
 from sesamepost.errors import ErrorKind, RouterError
 from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.messages import ItemPush
 from sesamepost.internal.forwarding.endpoint import LocalEndpoint
 from sesamepost.internal.forwarding.forwarder import to_message
 from sesamepost.internal.forwarding.loads import LoadBook
@@ -33,6 +34,8 @@
         self.loads = loads
         self.tasks: dict[tuple[PeerStream, int], asyncio.Task] = {}
         self.is_refusing: Callable[[str], bool] = lambda service: False
+        self.table_push: Callable[[str], ItemPush | None] = lambda service: None
+        self.pushed: dict[PeerStream, int] = {}
         self.hinted_at: dict[PeerStream, float] = {}
         self.counters: Counter[str] = Counter()
         pool.on(Forward, self._on_forward)
@@ -73,6 +76,7 @@
 
     def _on_closed(self, stream: PeerStream) -> None:
         self.hinted_at.pop(stream, None)
+        self.pushed.pop(stream, None)
         for (owner, _), task in list(self.tasks.items()):
             if owner is stream:
                 self.counters["ended_with_stream"] += 1
@@ -99,10 +103,23 @@
             reply = Refusal(request.id, ErrorKind.INTERNAL, "", 0)
         try:
             self._send_hint(stream, isinstance(reply, Refusal))
+            if isinstance(reply, Refusal) and reply.kind == ErrorKind.NOT_OWNER:
+                self._push_table(stream, request.service)
             stream.send(reply)
         except StreamClosedError as error:
             log.info("answer_lost", request=request.request_id, reason=str(error))
 
+    def _push_table(self, stream: PeerStream, service: str) -> None:
+        """Send the range table in front of a refusal, so that the peer asks the owner.
+
+        The peer's watch of the store may tell it half a second later.
+        """
+        push = self.table_push(service)
+        if push is None or self.pushed.get(stream, 0) >= push.revision:
+            return
+        self.pushed[stream] = push.revision
+        stream.send(push)
+
     def _send_hint(self, stream: PeerStream, is_urgent: bool) -> None:
         now = boottime()
         if not is_urgent and now - self.hinted_at.get(stream, 0.0) < HINT_INTERVAL_S:
--- a/src/sesamepost/internal/ranges/balancing.py
+++ b/src/sesamepost/internal/ranges/balancing.py
@@ -8,6 +8,7 @@
 
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.ranges.balance import (
+    MIN_BUSY,
     MIN_MOVE_INTERVAL_S,
     KeyCounts,
     OwnerLoad,
@@ -20,6 +21,8 @@
 CHECK_INTERVAL_S = 0.25
 # A target that just got keys has not shown their load yet.
 SETTLE_S = 1.5
+# Moves that only make answers faster are worth a call of each node's watch this often.
+MIN_SPEED_INTERVAL_S = 3.0
 
 log = structlog.get_logger()
 
@@ -106,6 +109,9 @@
         target = choose_target(my_load, others)
         if target is None:
             return
+        is_relief = my_load.busy >= MIN_BUSY or target.keys == 0
+        if not is_relief and now - self.moved_at < MIN_SPEED_INTERVAL_S:
+            return
         move = choose_move(my_load, target, ranges, self.local.key_counts)
         if move is None:
             return
--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from contextlib import suppress
 
 import structlog
@@ -71,6 +71,7 @@
         self.known: set[str] = set()
         self.ended: set[Owner] = set()
         self.due_since: float | None = None
+        self.on_dealt: Callable[[], None] = lambda: None
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -125,7 +126,8 @@
             orphans = _orphans(table, lost)
             return deal(table, orphans, owners) if orphans else None
 
-        await self.tables.change("owners are gone", decide, conditions)
+        if await self.tables.change("owners are gone", decide, conditions):
+            self.on_dealt()
 
     def _is_due(self, now: float) -> bool:
         if self.tables.table is None:
--- a/tests/coordination/memory_store.py
+++ b/tests/coordination/memory_store.py
@@ -1,6 +1,7 @@
 """A store in memory, with leases that a test ends and calls that it can fail."""
 
 import asyncio
+from contextlib import suppress
 
 from sesamepost.internal.coordination.store import (
     Batch,
@@ -15,7 +16,9 @@
 
 
 class MemoryStore:
-    """Implements ``CoordinationStore``. ``failure`` is raised by every call if set.
+    """Implements ``CoordinationStore``.
+
+    ``failure`` is raised by every call if set, ``watch_failure`` by watches only.
 
     With ``loses_answers`` a transaction takes effect and its answer is lost.
     """
@@ -27,6 +30,7 @@
         self.leases: set[int] = set()
         self.next_lease = 0
         self.failure: StoreError | None = None
+        self.watch_failure: StoreError | None = None
         self.loses_answers = False
         self.commits: list[Transaction] = []
         self.changed = asyncio.Condition()
@@ -35,6 +39,11 @@
         if self.failure is not None:
             raise self.failure
 
+    def _check_watch(self) -> None:
+        self._check()
+        if self.watch_failure is not None:
+            raise self.watch_failure
+
     async def get(self, key: str) -> tuple[Item | None, int]:
         self._check()
         return self.items.get(key), self.revision
@@ -45,11 +54,13 @@
         return Batch(self.revision, tuple(found))
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Batch:
-        self._check()
-        async with self.changed:
-            while not (found := self._events_after(prefix, after)):
-                await self.changed.wait()
-                self._check()
+        self._check_watch()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait_s), self.changed:
+                while not self._events_after(prefix, after):
+                    await self.changed.wait()
+                    self._check_watch()
+        found = self._events_after(prefix, after)
         return Batch(self.revision, tuple(found))
 
     async def commit(self, transaction: Transaction) -> int:
--- /dev/null
+++ b/tests/coordination/test_mirror.py
@@ -0,0 +1,67 @@
+"""The mirror follows the store through lost history, failures and own writes."""
+
+from sesamepost.internal.coordination.mirror import Mirror
+from sesamepost.internal.coordination.store import (
+    HistoryGoneError,
+    Item,
+    StoreRejectedError,
+    Transaction,
+    Write,
+)
+from tests.coordination.memory_store import MemoryStore
+from tests.waiting import until
+
+
+async def put(store: MemoryStore, key: str, value: bytes) -> None:
+    revision = store.items[key].revision if key in store.items else 0
+    await store.commit(Transaction({key: revision}, (Write(key, value),)))
+
+
+def value_of(mirror: Mirror, key: str) -> bytes | None:
+    item = mirror.get(key)
+    return None if item is None else item.value
+
+
+async def test_changes_arrive_by_the_watch():
+    store = MemoryStore()
+    await put(store, "a", b"1")
+    async with Mirror(store) as mirror:
+        await until(lambda: value_of(mirror, "a") == b"1")
+        await put(store, "a", b"2")
+        await until(lambda: value_of(mirror, "a") == b"2")
+
+
+async def test_a_listing_after_lost_history_shows_what_is_gone():
+    store = MemoryStore()
+    await put(store, "a", b"1")
+    lease = await store.open_lease(5.0)
+    await store.commit(Transaction({"b": 0}, (Write("b", b"1", lease),)))
+    async with Mirror(store) as mirror:
+        await until(lambda: value_of(mirror, "b") == b"1")
+        store.watch_failure = HistoryGoneError("compacted")
+        await store.end_lease(lease)
+        store.events.clear()
+        await until(lambda: mirror.get("b") is None)
+        assert value_of(mirror, "a") == b"1"
+
+
+async def test_contact_is_reported_when_it_changes():
+    store = MemoryStore()
+    seen = []
+    mirror = Mirror(store)
+    mirror.on_contact = seen.append
+    async with mirror:
+        await until(lambda: seen == [True])
+        store.failure = StoreRejectedError("busy")
+        await store._notify()
+        await until(lambda: seen == [True, False])
+        store.failure = None
+        await until(lambda: seen == [True, False, True])
+
+
+def test_an_older_item_never_replaces_a_newer_one():
+    # Guards against settings that go back after an own write or a push.
+    mirror = Mirror(MemoryStore())
+    mirror.offer(Item("a", b"new", 7))
+    mirror.offer(Item("a", b"old", 5))
+    assert value_of(mirror, "a") == b"new"
--- /dev/null
+++ b/tests/coordination/test_registration.py
@@ -0,0 +1,91 @@
+"""A node's entry survives lost answers and ended leases, and its right is honest."""
+
+from contextlib import asynccontextmanager
+
+from sesamepost.internal.coordination.mirror import Mirror
+from sesamepost.internal.coordination.nodes import (
+    LEASE_COUNT_PREFIX,
+    EndpointInfo,
+    NodeEntry,
+    NodeTable,
+    Registration,
+    decode_node,
+)
+from sesamepost.internal.coordination.store import Item, StoreRejectedError
+from tests.coordination.memory_store import MemoryStore
+from tests.waiting import until
+
+ENDPOINT = EndpointInfo("desk", "i-1", 1, 6, "v1", True)
+ENTRY = NodeEntry("10.0.0.1", "node-1", 77, 7600, "a", "r", ENDPOINT)
+
+
+@asynccontextmanager
+async def registered(store: MemoryStore):
+    mirror = Mirror(store)
+    NodeTable(mirror)
+    registration = Registration(store, mirror, ENTRY)
+    async with mirror, registration:
+        yield registration, mirror
+
+
+def entry_in(store: MemoryStore) -> NodeEntry | None:
+    item = store.items.get("sesamepost/nodes/10.0.0.1")
+    return None if item is None else decode_node(item)
+
+
+async def test_an_entry_is_bound_to_a_lease_and_counts_it():
+    store = MemoryStore()
+    async with registered(store):
+        await until(lambda: entry_in(store) == ENTRY)
+        assert store.items["sesamepost/nodes/10.0.0.1"].lease in store.leases
+        assert store.items[LEASE_COUNT_PREFIX + "10.0.0.1"].lease == 0
+
+
+async def test_an_entry_whose_answer_was_lost_is_not_a_rival():
+    # Guards against a node that takes its own lost write for another process.
+    store = MemoryStore()
+    store.loses_answers = True
+    async with registered(store) as (registration, _):
+        await until(lambda: registration.written == ENTRY)
+        assert entry_in(store) == ENTRY
+
+
+async def test_a_lease_that_ended_is_replaced_and_counted_anew():
+    # A node that takes ranges over relies on the count to notice the return.
+    store = MemoryStore()
+    async with registered(store) as (registration, _):
+        await until(lambda: registration.written == ENTRY)
+        count = store.items[LEASE_COUNT_PREFIX + "10.0.0.1"].revision
+        await store.end_lease(registration.lease)
+        await until(lambda: entry_in(store) == ENTRY)
+        assert store.items[LEASE_COUNT_PREFIX + "10.0.0.1"].revision > count
+
+
+async def test_the_right_does_not_grow_while_the_store_rejects_renewals():
+    # Guards against holds that outlast the wait of whoever takes the keys over.
+    store = MemoryStore()
+    async with registered(store) as (registration, _):
+        registration.is_owner = True
+        await until(lambda: registration.written == ENTRY)
+        store.failure = StoreRejectedError("busy")
+        registration.wake.set()
+        await until(lambda: registration.counters["failures"] >= 1)
+        renewed_at = registration.renewed_at
+        await until(lambda: registration.counters["failures"] >= 3)
+        assert registration.renewed_at == renewed_at
+
+
+async def test_a_changed_endpoint_is_written_soon():
+    store = MemoryStore()
+    async with registered(store) as (registration, _):
+        await until(lambda: registration.written == ENTRY)
+        registration.update(is_stopping=True)
+        await until(lambda: entry_in(store).is_stopping)
+
+
+def test_an_entry_of_another_writer_names_no_node():
+    mirror = Mirror(MemoryStore())
+    nodes = NodeTable(mirror)
+    mirror.offer(Item("sesamepost/nodes/10.0.0.9", b"\xc1 no entry", 3))
+    mirror.offer(Item("sesamepost/nodes/10.0.0.1", ENTRY.encode(), 4))
+    assert set(nodes.nodes) == {"10.0.0.1"}
--- /dev/null
+++ b/tests/coordination/test_relay.py
@@ -0,0 +1,85 @@
+"""A node that the store turns away works through its peers."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from sesamepost.internal.coordination.nodes import NodeEntry
+from sesamepost.internal.coordination.relay import RelayedStore
+from sesamepost.internal.coordination.store import (
+    ConditionFailedError,
+    StoreError,
+    StoreRejectedError,
+    Transaction,
+    Write,
+)
+from sesamepost.internal.identity import new_node_id
+from sesamepost.internal.wire.pool import Address, PeerPool
+from tests.coordination.memory_store import MemoryStore
+from tests.waiting import until
+
+KEY = b"k" * 32
+
+
+class Rejecting(MemoryStore):
+    """The store as it looks from a node that it turns away."""
+
+    def _check(self) -> None:
+        raise StoreRejectedError("busy")
+
+
+@asynccontextmanager
+async def two_nodes(first_store, second_store):
+    names = ("127.0.0.1", "127.0.0.2")
+    async with (
+        PeerPool(new_node_id(names[0]), KEY) as first,
+        PeerPool(new_node_id(names[1]), KEY) as second,
+    ):
+        address = await second.listen(Address(names[1], 0))
+        peer = NodeEntry(names[1], "b", 1, address.port, "a", "r", None)
+        RelayedStore(second_store, second, list)
+        yield RelayedStore(first_store, first, lambda: [peer]), first, second
+
+
+async def test_calls_go_through_a_peer_with_contact():
+    store = MemoryStore()
+    async with two_nodes(Rejecting(), store) as (relayed, _, _):
+        lease = await relayed.open_lease(3.0)
+        write = Write("a", b"\x00\xff", lease)
+        revision = await relayed.commit(Transaction({"a": 0}, (write,)))
+        item, _ = await relayed.get("a")
+        assert (item.value, item.revision, item.lease) == (b"\x00\xff", revision, lease)
+        await relayed.renew_lease(lease)
+        await relayed.end_lease(lease)
+        assert (await relayed.list("")).events == ()
+
+
+async def test_a_failed_condition_is_a_verdict_and_not_asked_again():
+    # Guards against a second commit at another peer.
+    store = MemoryStore()
+    async with two_nodes(Rejecting(), store) as (relayed, _, _):
+        await relayed.commit(Transaction({"a": 0}, (Write("a", b"1"),)))
+        with pytest.raises(ConditionFailedError):
+            await relayed.commit(Transaction({"a": 0}, (Write("a", b"2"),)))
+        assert len(store.commits) == 1
+
+
+async def test_a_watch_through_a_peer_that_goes_away_ends_at_once():
+    # It waited for its whole timeout, and settings came seconds late.
+    async with two_nodes(Rejecting(), MemoryStore()) as (relayed, _, second):
+        watch = asyncio.ensure_future(relayed.watch("", 5, 20.0))
+        await until(lambda: relayed.replies)
+        for stream in list(second.open):
+            stream.close("test")
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        with pytest.raises(StoreError):
+            await watch
+        assert loop.time() - began < 1.5
+
+
+async def test_without_any_contact_the_failure_is_told():
+    async with two_nodes(Rejecting(), Rejecting()) as (relayed, _, _):
+        with pytest.raises(StoreError, match=r"contact|busy"):
+            await relayed.get("a")
--- /dev/null
+++ b/tests/forwarding/test_pipelining.py
@@ -0,0 +1,84 @@
+"""Pipelined requests run side by side and are answered in their order."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from aiohttp import web
+
+from sesamepost.internal.forwarding.pipelining import PipelinedServer
+
+PIPELINED = "".join(f"GET /{n} HTTP/1.1\r\nHost: h\r\n\r\n" for n in "abc").encode()
+
+
+class Handler:
+    """Answers with the path once the test lets it."""
+
+    def __init__(self) -> None:
+        self.started: list[str] = []
+        self.cancelled: list[str] = []
+        self.release = asyncio.Event()
+        self.changed = asyncio.Event()
+
+    async def work(self, path: str) -> web.Response:
+        self.started.append(path)
+        self.changed.set()
+        try:
+            await self.release.wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(path)
+            self.changed.set()
+            raise
+        return web.Response(text=path)
+
+    def start_early(self, message) -> asyncio.Task | None:
+        return asyncio.ensure_future(self.work(message.path))
+
+    async def handle(self, request) -> web.Response:
+        task = request.protocol.take_early(request._message)
+        if task is not None:
+            return await task
+        return await self.work(request.raw_path)
+
+
+@asynccontextmanager
+async def served():
+    handler = Handler()
+    server = PipelinedServer(
+        handler.handle, handler.start_early, handler_cancellation=True
+    )
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    reader, writer = await asyncio.open_connection(*runner.addresses[0][:2])
+    yield handler, reader, writer
+    writer.close()
+    await runner.cleanup()
+
+
+async def wait_for(handler: Handler, condition) -> None:
+    async with asyncio.timeout(5):
+        while not condition():
+            handler.changed.clear()
+            await handler.changed.wait()
+
+
+async def test_all_start_before_the_first_is_answered():
+    async with served() as (handler, reader, writer):
+        writer.write(PIPELINED)
+        await wait_for(handler, lambda: len(handler.started) == 3)
+        handler.release.set()
+        seen = b""
+        async with asyncio.timeout(5):
+            while seen.count(b"HTTP/1.1 200") < 3 or not seen.endswith(b"/c"):
+                seen += await reader.read(4096)
+        assert seen.index(b"/a") < seen.index(b"/b") < seen.index(b"/c")
+        assert sorted(handler.started) == ["/a", "/b", "/c"]
+
+
+async def test_a_caller_that_leaves_ends_all_of_them():
+    # Guards against work that goes on for callers that have gone.
+    async with served() as (handler, _, writer):
+        writer.write(PIPELINED)
+        await wait_for(handler, lambda: len(handler.started) == 3)
+        writer.transport.abort()
+        await wait_for(handler, lambda: len(handler.cancelled) == 3)
--- /dev/null
+++ b/tests/platform/fleet.py
@@ -0,0 +1,230 @@
+"""Real processes beside stand-ins of workers, on loopback addresses of their own."""
+
+import asyncio
+import itertools
+import os
+import signal
+import socket
+import sys
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import aiohttp
+
+from sesamepost.internal.ranges.table import LAST_KEY
+from tests.platform.store_standin import StoreStandin
+from tests.platform.worker_standin import Record, WorkerStandin
+
+ROOT = Path(__file__).parents[2]
+PORT_NAMES = ("callers", "ready", "control", "inbound", "worker", "peer", "metrics")
+READY_TIMEOUT_S = 20.0
+POLL_S = 0.05
+REQUEST_IDS = itertools.count(1)
+
+ROUTING = {
+    "version": 5,
+    "services": [
+        {"name": "keyed", "sharded": True, "warmUpS": 1.0, "grants": "call"},
+        {"name": "plain"},
+    ],
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20},
+    "virtualHosts": [
+        {
+            "host": "app.example",
+            "paths": [
+                {
+                    "name": "k",
+                    "prefix": "/k/",
+                    "kind": "safe",
+                    "timeoutS": 2.0,
+                    "targetLatencyS": 0.8,
+                    "priority": 1,
+                    "maxAttempts": 2,
+                    "service": "keyed",
+                },
+                {
+                    "name": "p",
+                    "prefix": "/p/",
+                    "kind": "unsafe",
+                    "timeoutS": 2.0,
+                    "targetLatencyS": 0.8,
+                    "priority": 0,
+                    "maxAttempts": 2,
+                    "service": "plain",
+                },
+            ],
+        }
+    ],
+}
+
+SETTINGS = """
+nodeName = "sidecar-{index}"
+ip = "{ip}"
+zone = "zone-{zone}"
+region = "north"
+internalPortRange = [{peer}, {metrics}]
+applicationAddress = "{ip}:{worker}"
+service = "{service}"
+[listenAddresses]
+inbound = "{ip}:{inbound}"
+outbound = "{ip}:{callers}"
+readyAddress = "{ip}:{ready}"
+controlPlane = "{ip}:{control}"
+[bounds]
+gracePeriodS = 6
+maxHoldS = 10
+[platform]
+address = "{store}"
+"""
+
+
+def free_ports() -> dict[str, int]:
+    """Return one free port for each name; peer and metrics follow each other."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            base = probe.getsockname()[1]
+        if base < 60_000:
+            return {name: base + i for i, name in enumerate(PORT_NAMES)}
+
+
+class Fleet:
+    """A store, and nodes each beside a worker. Even nodes serve keys."""
+
+    def __init__(self, path: Path, nodes: int = 4) -> None:
+        self.path = path
+        self.count = nodes
+        self.stack = AsyncExitStack()
+        self.store = StoreStandin()
+        self.record = Record()
+        self.workers: dict[int, WorkerStandin] = {}
+        self.processes: dict[int, asyncio.subprocess.Process] = {}
+        self.ports = free_ports()
+        self.session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "Fleet":
+        enter = self.stack.enter_async_context
+        await enter(self.store)
+        self.session = await enter(aiohttp.ClientSession())
+        await self.store.put("op/config", ROUTING)
+        for index in range(self.count):
+            await self.start_worker(index)
+        await asyncio.gather(*(self.start(i) for i in range(self.count)))
+        await self.wait_until_served()
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        for worker in self.workers.values():
+            await worker.__aexit__()
+        await self.stack.aclose()
+
+    def ip(self, index: int) -> str:
+        """Return the address of a node; each has one of its own."""
+        return f"127.9.{os.getpid() % 250}.{index + 1}"
+
+    def service(self, index: int) -> str:
+        """Return the service of the worker beside a node."""
+        return "keyed" if index % 2 == 0 else "plain"
+
+    async def start_worker(self, index: int) -> None:
+        """Start a new life of the worker beside a node."""
+        worker = WorkerStandin(
+            self.ip(index), self.ports, self.service(index), self.record
+        )
+        self.workers[index] = await worker.__aenter__()
+
+    async def stop_worker(self, index: int) -> None:
+        """End a worker without a word."""
+        worker = self.workers.pop(index)
+        await worker.__aexit__()
+        self.record.note_release(worker.id, 0, LAST_KEY)
+
+    async def start(self, index: int) -> None:
+        """Start the process of a node."""
+        settings = self.path / f"node-{index}.toml"
+        settings.write_text(
+            SETTINGS.format(
+                index=index,
+                ip=self.ip(index),
+                zone=index // 2,
+                service=self.service(index),
+                store=self.store.address,
+                **self.ports,
+            )
+        )
+        log = (self.path / f"node-{index}.log").open("ab")
+        environment = {**os.environ, "SESAMEPOST_BOOT": str(settings)}
+        self.processes[index] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "deploy" / "node.py"),
+            stdout=log,
+            stderr=log,
+            env=environment,
+        )
+        log.close()
+
+    async def kill(self, *indexes: int) -> None:
+        """Kill processes at once."""
+        for index in indexes:
+            self.processes[index].kill()
+        for index in indexes:
+            await self.processes[index].wait()
+
+    def terminate(self, index: int) -> None:
+        """Ask a process to stop in order."""
+        self.processes[index].send_signal(signal.SIGTERM)
+
+    async def ask(self, via: int, path: str, key: int | None = None, body: str = ""):
+        """Send one request through a node; return status, headers and text."""
+        headers = {
+            "Host": "app.example",
+            "Request-Id": f"r-{next(REQUEST_IDS)}",
+            "Deadline-Milliseconds": "2000",
+        }
+        if key is not None:
+            headers["Shard-Key"] = str(key)
+        url = f"http://{self.ip(via)}:{self.ports['callers']}{path}"
+        method = "POST" if body else "GET"
+        timeout = aiohttp.ClientTimeout(total=5)
+        async with self.session.request(
+            method, url, headers=headers, data=body or None, timeout=timeout
+        ) as answer:
+            return answer.status, answer.headers, await answer.text()
+
+    async def is_served(self, via: int, key: int) -> bool:
+        """Return whether a key is served through a node."""
+        try:
+            status, _, _ = await self.ask(via, "/k/probe", key)
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+        return status == 200
+
+    async def wait_until(
+        self, condition: Callable[[], Awaitable[bool]], timeout_s: float
+    ) -> float:
+        """Return after how many seconds a condition holds."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        async with asyncio.timeout(timeout_s):
+            while True:
+                if await condition():
+                    return loop.time() - began
+                await asyncio.sleep(POLL_S)
+
+    async def wait_until_served(
+        self, via: int = 1, timeout_s: float = READY_TIMEOUT_S
+    ) -> float:
+        """Return after how many seconds all probed keys are served."""
+
+        async def all_served() -> bool:
+            for key in self.record.probed_keys:
+                if not await self.is_served(via, key):
+                    return False
+            return True
+
+        return await self.wait_until(all_served, timeout_s)
--- /dev/null
+++ b/tests/platform/store_standin.py
@@ -0,0 +1,183 @@
+"""A stand-in for the platform's metadata store, over HTTP."""
+
+import asyncio
+import itertools
+import json
+from base64 import b64encode
+
+from aiohttp import web
+
+HISTORY = 500
+
+
+class StoreStandin:
+    """Keeps items, leases and events in memory.
+
+    ``is_down`` makes every call fail, ``rejected`` those of the addresses in it. Leases
+    end after their time unless the store is down.
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, dict] = {}
+        self.events: list[dict] = []
+        self.revision = 0
+        self.leases: dict[int, list[float]] = {}
+        self.lease_ids = itertools.count(1000)
+        self.changed = asyncio.Condition()
+        self.is_down = False
+        self.rejected: set[str] = set()
+        self.calls = 0
+        self.runner: web.AppRunner | None = None
+        self.sweeper: asyncio.Task | None = None
+        self.address = ""
+
+    async def __aenter__(self) -> "StoreStandin":
+        app = web.Application(middlewares=[self._check])
+        app.add_routes(
+            [
+                web.get("/kv-key", self._key),
+                web.get("/kv-range", self._range),
+                web.get("/kv-watch", self._watch),
+                web.post("/kv-txn", self._txn),
+                web.post("/kv-lease", self._lease),
+                web.post("/kv-keep/{id}", self._keep),
+                web.delete("/kv-lease-end/{id}", self._end),
+            ]
+        )
+        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        self.address = "{}:{}".format(*self.runner.addresses[0][:2])
+        self.sweeper = asyncio.create_task(self._sweep())
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        self.sweeper.cancel()
+        await self.runner.cleanup()
+
+    async def put(self, key: str, value: dict) -> None:
+        """Write a value as the operator."""
+        await self._set(key, json.dumps(value).encode(), 0)
+
+    @web.middleware
+    async def _check(self, request: web.Request, handler):
+        self.calls += 1
+        if self.is_down or request.remote in self.rejected:
+            return web.json_response({"error": "busy"}, status=503)
+        return await handler(request)
+
+    async def _key(self, request: web.Request) -> web.Response:
+        item = self.items.get(request.query["key"])
+        if item is None:
+            return web.json_response({"atRevision": self.revision}, status=404)
+        return web.json_response({**item, "atRevision": self.revision})
+
+    async def _range(self, request: web.Request) -> web.Response:
+        prefix, after = request.query["prefix"], request.query.get("after", "")
+        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+        page = [self.items[key] for key in keys[:5]]
+        return web.json_response(
+            {
+                "items": page,
+                "truncated": len(keys) > len(page),
+                "atRevision": self.revision,
+            }
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        prefix = request.query["prefix"]
+        after = int(request.query["after"])
+        wait_s = int(request.query["waitMs"]) / 1000
+
+        def found() -> list[dict]:
+            return [
+                e
+                for e in self.events
+                if e["revision"] > after and e["key"].startswith(prefix)
+            ]
+
+        try:
+            async with asyncio.timeout(wait_s), self.changed:
+                await self.changed.wait_for(lambda: found() or self.is_down)
+        except TimeoutError:
+            pass
+        if self.is_down or request.remote in self.rejected:
+            return web.json_response({}, status=503)
+        events = found()
+        return web.json_response({"events": events, "atRevision": self.revision})
+
+    async def _txn(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        for row in body["expectedRevision"]:
+            item = self.items.get(row["key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                return web.json_response({"items": []}, status=412)
+        for write in body["setKeys"]:
+            if write["lease"] and write["lease"] not in self.leases:
+                return web.json_response({}, status=404)
+        self.revision += 1
+        for write in body["setKeys"]:
+            self._apply(write["key"], write["value"], write["lease"])
+        await self._notify()
+        return web.json_response({"revision": self.revision})
+
+    async def _lease(self, request: web.Request) -> web.Response:
+        ttl_s = (await request.json())["ttlS"]
+        lease = next(self.lease_ids)
+        self.leases[lease] = [ttl_s, asyncio.get_running_loop().time() + ttl_s]
+        return web.json_response({"lease": lease, "ttlS": ttl_s})
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        lease = self.leases.get(int(request.match_info["id"]))
+        if lease is None:
+            return web.json_response({}, status=404)
+        lease[1] = asyncio.get_running_loop().time() + lease[0]
+        return web.json_response({"ttlS": lease[0]})
+
+    async def _end(self, request: web.Request) -> web.Response:
+        await self._end_lease(int(request.match_info["id"]))
+        return web.json_response({})
+
+    async def _set(self, key: str, value: bytes, lease: int) -> None:
+        self.revision += 1
+        self._apply(key, b64encode(value).decode(), lease)
+        await self._notify()
+
+    def _apply(self, key: str, value: str, lease: int) -> None:
+        item = {
+            "key": key,
+            "value": value,
+            "revision": self.revision,
+            "createdRevision": self.revision,
+            "lease": lease,
+        }
+        self.items[key] = item
+        self._record(item)
+
+    def _record(self, event: dict) -> None:
+        self.events.append(event)
+        del self.events[:-HISTORY]
+
+    async def _end_lease(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        for key in [k for k, i in self.items.items() if i["lease"] == lease]:
+            del self.items[key]
+            self.revision += 1
+            self._record({"key": key, "revision": self.revision, "deleted": True})
+        await self._notify()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(0.05)
+            now = asyncio.get_running_loop().time()
+            if self.is_down:
+                await self._notify()
+                for lease in self.leases.values():
+                    lease[1] += 0.05
+                continue
+            for lease in [i for i, (_, end) in self.leases.items() if end < now]:
+                await self._end_lease(lease)
+
+    async def _notify(self) -> None:
+        async with self.changed:
+            self.changed.notify_all()
--- /dev/null
+++ b/tests/platform/test_fleet.py
@@ -0,0 +1,109 @@
+"""The whole path with real processes, against stand-ins of the platform."""
+
+import asyncio
+import json
+
+import pytest
+
+from sesamepost.internal.ranges.holds import HOLD_S
+from tests.platform.fleet import ROUTING, Fleet
+
+# The users' target for a loss, beside the longest hold of the lost owner.
+LOSS_TARGET_S = 4.0
+CONFIG_TARGET_S = 2.5
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    async with Fleet(tmp_path) as fleet:
+        yield fleet
+        assert fleet.record.problems == []
+
+
+async def test_requests_reach_the_owner_and_the_answer_comes_back_whole(fleet):
+    status, headers, text = await fleet.ask(1, "/k/a?x=1", 45000)
+    assert (status, text) == (200, "GET /k/a?x=1 plain ")
+    assert headers["Response-Seal"].startswith("seal-r-")
+    status, _, text = await fleet.ask(0, "/p/b", body="hello")
+    assert (status, text) == (200, "POST /p/b keyed hello")
+    status, _, _ = await fleet.ask(0, "/unknown/")
+    assert status == 404
+    assert all(len(lives) == 1 for lives in fleet.record.runs.values())
+
+
+async def test_a_killed_process_takes_its_keys_back(fleet):
+    # The endpoint lives on; its keys must not wait for a lease.
+    await fleet.kill(0)
+    await fleet.start(0)
+    assert await fleet.wait_until_served() < LOSS_TARGET_S
+
+
+async def test_all_processes_killed_at_once(fleet):
+    # Guards against a rule that needs a majority of the processes of before.
+    await fleet.kill(0, 1, 2, 3)
+    await asyncio.gather(*(fleet.start(i) for i in range(4)))
+    assert await fleet.wait_until_served() < LOSS_TARGET_S + HOLD_S
+
+
+async def test_the_keys_of_a_lost_vm_are_served_by_the_rest(fleet):
+    await fleet.kill(2)
+    await fleet.stop_worker(2)
+    assert await fleet.wait_until_served() < LOSS_TARGET_S + HOLD_S
+
+
+async def test_an_endpoint_that_ended_loses_its_keys_at_once(fleet):
+    # Its closed port proves that no hold is left, so nobody waits for one.
+    await fleet.stop_worker(0)
+    assert await fleet.wait_until_served() < LOSS_TARGET_S
+
+
+async def test_a_leaving_endpoint_hands_its_keys_over(fleet):
+    fleet.workers[0].state = "draining"
+
+    async def is_handed_over() -> bool:
+        return bool(fleet.record.handovers)
+
+    await fleet.wait_until(is_handed_over, LOSS_TARGET_S)
+    await fleet.wait_until_served()
+    before = len(fleet.record.runs)
+    for key in fleet.record.probed_keys:
+        assert await fleet.is_served(1, key)
+    later = list(fleet.record.runs.values())[before:]
+    assert fleet.workers[0].id not in {lives[-1] for lives in later}
+
+
+async def test_a_planned_stop_breaks_no_request_off(fleet):
+    fleet.workers[1].work_s = fleet.workers[3].work_s = 0.3
+    asked = [asyncio.ensure_future(fleet.ask(1, "/p/x", body="b")) for _ in range(6)]
+    await asyncio.sleep(0.1)
+    fleet.terminate(1)
+    answers = await asyncio.gather(*asked)
+    assert [status for status, _, _ in answers] == [200] * 6
+    async with asyncio.timeout(6.0):
+        assert await fleet.processes[1].wait() == 0
+
+
+async def test_keys_are_served_while_the_store_is_down_for_a_moment(fleet):
+    fleet.store.is_down = True
+    for _ in range(20):
+        assert await fleet.is_served(1, 20000)
+        await asyncio.sleep(0.1)
+    fleet.store.is_down = False
+    await fleet.wait_until_served()
+
+
+async def test_settings_reach_a_node_that_the_store_turns_away(fleet):
+    # Its calls go through peers, so it neither loses its keys nor its settings.
+    fleet.store.rejected.add(fleet.ip(0))
+    changed = json.loads(json.dumps(ROUTING))
+    changed["version"] = 9
+    changed["virtualHosts"][0]["paths"][1]["prefix"] = "/new/"
+    await fleet.store.put("op/config", changed)
+
+    async def is_in_force() -> bool:
+        return (await fleet.ask(0, "/new/", body="b"))[0] == 200
+
+    await fleet.wait_until(is_in_force, CONFIG_TARGET_S)
+    await asyncio.sleep(HOLD_S + 1)
+    assert await fleet.is_served(0, 0)
+    assert await fleet.is_served(0, 65535)
--- /dev/null
+++ b/tests/platform/worker_standin.py
@@ -0,0 +1,161 @@
+"""A stand-in for an application worker that holds keys by grants."""
+
+import asyncio
+import itertools
+import time
+from dataclasses import dataclass, field
+
+import aiohttp
+from aiohttp import web
+
+HEARTBEAT_S = 0.3
+BORN = itertools.count(1_700_000_000_000)
+
+
+@dataclass
+class Record:
+    """What all workers of a test saw; ``problems`` breaks the test."""
+
+    holders: dict[int, tuple[str, float, int]] = field(default_factory=dict)
+    runs: dict[str, list[str]] = field(default_factory=dict)
+    handovers: list[str] = field(default_factory=list)
+    problems: list[str] = field(default_factory=list)
+    probed_keys: tuple[int, ...] = (0, 9000, 20000, 33000, 45000, 60000, 65535)
+
+    def note_grant(self, worker: str, first: int, last: int, fence: int, end: float):
+        """Note a grant and compare it with the holds of others."""
+        now = time.monotonic()
+        for key in self.probed_keys:
+            if not first <= key <= last:
+                continue
+            holder, until, highest = self.holders.get(key, ("", 0.0, 0))
+            if holder not in ("", worker) and until > now:
+                self.problems.append(f"{worker} got {key}, held by {holder}")
+            if holder not in ("", worker) and fence <= highest:
+                self.problems.append(f"{worker} got {key} with the old fence {fence}")
+            self.holders[key] = worker, end, max(fence, highest)
+
+    def note_release(self, worker: str, first: int, last: int) -> None:
+        """Note that a worker holds these keys no more."""
+        for key in self.probed_keys:
+            holder, _, highest = self.holders.get(key, ("", 0.0, 0))
+            if first <= key <= last and holder == worker:
+                self.holders[key] = worker, 0.0, highest
+
+
+class WorkerStandin:
+    """One life of a worker beside the node at ``ip``."""
+
+    def __init__(self, ip: str, ports: dict, service: str, record: Record) -> None:
+        self.ip = ip
+        self.ports = ports
+        self.service = service
+        self.record = record
+        self.id = f"i-{ip}-{next(BORN)}"
+        self.born = next(BORN)
+        self.state = "ready"
+        self.sequence = 0
+        self.holds: list[tuple[int, int, int, float]] = []
+        self.needs_hold = service == "keyed"
+        self.work_s = 0.01
+        self.beater: asyncio.Task | None = None
+        self.runner: web.AppRunner | None = None
+
+    async def __aenter__(self) -> "WorkerStandin":
+        app = web.Application()
+        app.router.add_post("/grant", self._grant)
+        app.router.add_post("/release", self._release)
+        app.router.add_get("/health", self._health)
+        app.router.add_route("*", "/{path:.*}", self._request)
+        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, self.ip, self.ports["worker"]).start()
+        self.beater = asyncio.create_task(self._beat())
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        self.beater.cancel()
+        await self.runner.cleanup()
+
+    async def _beat(self) -> None:
+        url = f"http://{self.ip}:{self.ports['control']}/Instances.Heartbeat/{self.id}"
+        async with aiohttp.ClientSession() as session:
+            while True:
+                self.sequence += 1
+                body = {
+                    "address": f"{self.ip}:{self.ports['worker']}",
+                    "born": self.born,
+                    "serviceInfo": {
+                        "service": self.service,
+                        "version": "v1",
+                        "zone": "a",
+                        "slots": 4,
+                    },
+                    "status": {
+                        "state": self.state,
+                        "sequence": self.sequence,
+                        "coldRemainingS": 0,
+                    },
+                }
+                try:
+                    timeout = aiohttp.ClientTimeout(total=1)
+                    async with session.post(url, json=body, timeout=timeout):
+                        pass
+                except (aiohttp.ClientError, TimeoutError):
+                    pass
+                await asyncio.sleep(HEARTBEAT_S)
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        first, last, fence = body["from"], body["target"], body["fence"]
+        for begin, end, seen, _ in self.holds:
+            if begin <= last and first <= end and seen > fence:
+                return web.Response(status=409)
+        until = time.monotonic() + body["holdS"]
+        if body.get("handover"):
+            self.record.handovers.append(body["handover"])
+        self.record.note_grant(self.id, first, last, fence, until)
+        self.holds.append((first, last, fence, until))
+        return web.Response()
+
+    async def _release(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        first, last = body["from"], body["target"]
+        self.holds = [self._without(hold, first, last) for hold in self.holds]
+        await asyncio.sleep(self.work_s)
+        self.record.note_release(self.id, first, last)
+        return web.Response(headers={"Handover": f"token-{self.id}-{first}"})
+
+    @staticmethod
+    def _without(hold, first: int, last: int):
+        begin, end, fence, until = hold
+        if first <= begin and end <= last:
+            return begin, end, fence, 0.0
+        if begin < first <= end:
+            return begin, first - 1, fence, until
+        if begin <= last < end:
+            return last + 1, end, fence, until
+        return hold
+
+    async def _health(self, request: web.Request) -> web.Response:
+        status = 200 if self.state == "ready" else 503
+        return web.Response(status=status, headers={"Instance-Id": self.id})
+
+    async def _request(self, request: web.Request) -> web.Response:
+        request_id = request.headers["Request-Id"]
+        headers = {"Request-Id": request_id}
+        if request.headers.get("Expected-Instance") != self.id:
+            return web.Response(status=421, headers={**headers, "Not-Executed": "1"})
+        if self.needs_hold and not self._holds(int(request.headers["Shard-Key"])):
+            return web.Response(status=421, headers={**headers, "Not-Executed": "1"})
+        self.record.runs.setdefault(request_id, []).append(self.id)
+        body = await request.read()
+        await asyncio.sleep(self.work_s)
+        headers["Response-Seal"] = f"seal-{request_id}"
+        caller = request.headers["Caller-Service"]
+        text = f"{request.method} {request.rel_url} {caller} {body.decode()}"
+        return web.Response(text=text, headers=headers)
+
+    def _holds(self, key: int) -> bool:
+        now = time.monotonic()
+        return any(f <= key <= last and end > now for f, last, _, end in self.holds)
