Choose the nearest endpoint that answers in time; follow the endpoint in a module of its own

Cause: the choice went to faster endpoints in other failure domains, though the near one would have answered in time. Times are now kept by route and endpoint, and the nearest failure domain that is good enough wins.

Moved: heartbeats, probes and lives of the endpoint to endpoint_watch, the range table's store to table_store. A life that seems older is believed once the later one is silent, as clocks may step back.

--- /dev/null
+++ b/src/sesamepost/internal/forwarding/endpoint_watch.py
@@ -0,0 +1,161 @@
+"""The life of the endpoint beside this node, and whether it takes work."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import replace
+
+import structlog
+
+from sesamepost.errors import RouterError
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.nodes import EndpointInfo
+from sesamepost.internal.forwarding.endpoint_pool import EndpointPool, Listening
+from sesamepost.internal.forwarding.protocol_names import HeaderNames
+
+HEALTH_TIMEOUT_S = 0.5
+# An endpoint without heartbeats for this long is probed.
+MISSING_HEARTBEATS_S = 3.0
+CHECK_INTERVAL_S = 0.5
+# The clock of a VM may step back, so an earlier start counts once the later one rests.
+SILENT_LIFE_S = 2.0
+
+log = structlog.get_logger()
+
+
+class EndpointWatch:
+    """Follows the endpoint by its heartbeats and probes it when they stop.
+
+    ``on_change(is_gone)`` is called after each change of ``endpoint``; ``is_gone`` says
+    that its process has ended. An endpoint that is not confirmed is known from the
+    process before this one, and has sent no heartbeat yet.
+    """
+
+    def __init__(
+        self,
+        pool: EndpointPool,
+        names: HeaderNames,
+        on_change: Callable[[bool], None],
+    ) -> None:
+        self.pool = pool
+        self.names = names
+        self.on_change = on_change
+        self.endpoint: EndpointInfo | None = None
+        self.is_confirmed = True
+        self.has_left = False
+        self.last_sequence = -1
+        self.last_heartbeat = 0.0
+        self.is_suspect = False
+        self.task: asyncio.Task | None = None
+
+    async def __aenter__(self) -> "EndpointWatch":
+        self.task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        self.task.cancel()
+        with suppress(asyncio.CancelledError):
+            await self.task
+
+    def suspect(self) -> None:
+        """Have the endpoint probed soon, as a request to it broke off."""
+        self.is_suspect = True
+
+    def note_heartbeat(self, info: EndpointInfo, sequence: int) -> None:
+        """Take a heartbeat; late ones of an earlier life or time are ignored."""
+        now = boottime()
+        present = self.endpoint
+        if present is not None and info.life == present.life:
+            if sequence <= self.last_sequence:
+                return
+            if self.has_left and info.is_ready:
+                # A life that has announced its end does not come back from it.
+                info = present
+        elif present is not None and info.born < present.born:
+            is_silent = now - self.last_heartbeat >= SILENT_LIFE_S
+            if not is_silent:
+                return
+        if present is None or info.life != present.life:
+            self.has_left = False
+        self.has_left |= not info.is_ready
+        self.last_sequence = sequence
+        self.last_heartbeat = now
+        self.is_suspect = False
+        self._set(info, is_gone=False)
+
+    def note_leave(self, endpoint_id: str) -> None:
+        """Take the endpoint's word that it ends."""
+        present = self.endpoint
+        if present is None or present.id != endpoint_id:
+            return
+        self.has_left = True
+        self._set(replace(present, is_ready=False), is_gone=False)
+
+    async def check_ended(self) -> bool:
+        """Return whether the endpoint's process has ended, and note it if so."""
+        info = self.endpoint
+        if info is None or await self.pool.probe() is not Listening.NO:
+            return False
+        self._set(replace(info, is_ready=False), is_gone=True)
+        return True
+
+    async def use_predecessors(self, info: EndpointInfo, health_path: str) -> None:
+        """Use the endpoint that the process before this one knew, if it is still there.
+
+        Its next heartbeat may be more than a second away.
+        """
+        address = self.pool.address
+        headers = [("Host", f"{address.host}:{address.port}")]
+        try:
+            async with asyncio.timeout(HEALTH_TIMEOUT_S):
+                answer = await self.pool.send("GET", health_path, headers, b"", "")
+        except (RouterError, TimeoutError) as error:
+            log.info("predecessors_endpoint_silent", error=repr(error))
+            return
+        if self.endpoint is not None or answer.status != 200:
+            return
+        if answer.header(self.names.endpoint_id) == info.id:
+            log.info("predecessors_endpoint_used", endpoint=info.id, born=info.born)
+            self._set(info, is_gone=False, is_confirmed=False)
+
+    def _set(
+        self, info: EndpointInfo, is_gone: bool, is_confirmed: bool = True
+    ) -> None:
+        if info != self.endpoint or is_confirmed != self.is_confirmed:
+            log.info(
+                "endpoint_changed",
+                endpoint=info.id,
+                service=info.service,
+                born=info.born,
+                ready=info.is_ready,
+                slots=info.slots,
+                is_gone=is_gone,
+                is_confirmed=is_confirmed,
+            )
+        self.endpoint = info
+        self.is_confirmed = is_confirmed
+        self.on_change(is_gone)
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            info = self.endpoint
+            if info is None or not info.is_ready:
+                continue
+            silent_s = boottime() - self.last_heartbeat
+            if silent_s < MISSING_HEARTBEATS_S and not self.is_suspect:
+                continue
+            listening = await self.pool.probe()
+            if self.endpoint is not info:
+                continue
+            if listening is Listening.YES:
+                self.is_suspect = False
+                self.last_heartbeat = boottime()
+                continue
+            log.warning(
+                "endpoint_not_listening",
+                endpoint=info.id,
+                listening=listening.value,
+                silent_s=round(silent_s, 2),
+            )
+            self._set(replace(info, is_ready=False), listening is Listening.NO)
--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -14,7 +14,7 @@
 from sesamepost.internal.forwarding.loads import LoadBook
 from sesamepost.internal.forwarding.messages import Forward
 from sesamepost.internal.forwarding.routes import Route
-from sesamepost.internal.ranges.keeper import TableStore
+from sesamepost.internal.ranges.table_store import TableStore
 from sesamepost.internal.wire.messages import Answer, Cancel, Refusal
 from sesamepost.internal.wire.pool import PeerPool
 from sesamepost.internal.wire.stream import StreamClosedError
@@ -176,7 +176,8 @@
     def _pick(self, candidates: list[NodeEntry], call: Call) -> NodeEntry | None:
         now = boottime()
         max_wait_s = max(0.05, call.aim_at - now, (call.deadline - now) * HOLD_SHARE)
-        return self.loads.pick(candidates, now, max_wait_s)
+        aim_s = call.aim_at - now
+        return self.loads.pick(candidates, call.route.name, now, aim_s, max_wait_s)
 
     def _has_other(self, call: Call, progress: Progress) -> bool:
         if self.tables(call.service) is not None:
@@ -267,6 +268,8 @@
                 answer = await self._run_at(node, request)
             progress.reached.add(node.vm)
             failed = answer.status >= 500
+            ended = boottime()
+            self.loads.note_time(node.vm, call.route.name, ended - now, ended)
             return answer
         except RouterError as error:
             failed = error.kind is not ErrorKind.NOT_OWNER
--- a/src/sesamepost/internal/forwarding/loads.py
+++ b/src/sesamepost/internal/forwarding/loads.py
@@ -2,14 +2,16 @@
 
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import IntEnum
 
 from sesamepost.internal.coordination.nodes import NodeEntry
 from sesamepost.internal.forwarding.messages import LoadHint
 
-# Costs in seconds that make a nearer endpoint the better one until it has to queue.
-SAME_REGION_COST_S = 0.04
-OTHER_REGION_COST_S = 0.25
+# An answer within this part of its objective leaves room for slow requests.
+GOOD_SHARE = 0.7
+# Puts an endpoint that is not good enough behind every one that is.
+NOT_GOOD_S = 60.0
 # An endpoint that failed all recent requests costs this much more.
 FAILURE_COST_S = 2.0
 FAILURE_WEIGHT = 0.2
@@ -17,11 +19,39 @@
 # A hint is believed for this long; then the endpoint counts as having room.
 HINT_LIFE_S = 3.0
 DEFAULT_MEAN_S = 0.1
+# An endpoint that was not tried for a while counts as fast.
+TIME_LIFE_S = 6.0
+UNKNOWN_TIME_S = 0.02
+TIME_WEIGHT = 0.15
 # Small differences must not send all nodes to the same endpoint.
 JITTER_S = 0.01
 UNREACHABLE_S = 0.4
 
 
+class Distance(IntEnum):
+    """Where an endpoint is, as seen from this node."""
+
+    SAME_DOMAIN = 0
+    SAME_REGION = 1
+    OTHER_REGION = 2
+
+
+# Assumed one-way delays in seconds.
+DELAY_S = {
+    Distance.SAME_DOMAIN: 0.0005,
+    Distance.SAME_REGION: 0.002,
+    Distance.OTHER_REGION: 0.02,
+}
+
+
+@dataclass(slots=True)
+class RouteTime:
+    """The mean time of requests of one route at an endpoint, as seen from here."""
+
+    mean_s: float
+    seen_at: float
+
+
 @dataclass(slots=True)
 class EndpointLoad:
     """The newest hint of one endpoint and what this node did since."""
@@ -33,6 +63,7 @@
     failures: float = 0.0
     failed_at: float = 0.0
     unreachable_until: float = 0.0
+    times: dict[str, RouteTime] = field(default_factory=dict)
 
     def failure_share(self, now: float) -> float:
         """Return the share of recent failures, which fades with time."""
@@ -50,9 +81,24 @@
             return float("inf")
         return max(0, ahead + 1 - slots) * mean_s / slots
 
-    def mean_s(self) -> float:
-        """Return the mean time of a request at the endpoint."""
-        return DEFAULT_MEAN_S if self.hint is None else self.hint.mean_ms / 1000
+    def time_of(self, route: str, now: float) -> float:
+        """Return the probable time of a request, without the wait in the queue.
+
+        What was seen long ago is forgotten, so that a slow endpoint is tried again.
+        """
+        seen = self.times.get(route)
+        if seen is None or now - seen.seen_at > TIME_LIFE_S:
+            return UNKNOWN_TIME_S
+        return seen.mean_s
+
+    def note_time(self, route: str, time_s: float, now: float) -> None:
+        """Count the time of one request that was answered."""
+        seen = self.times.get(route)
+        if seen is None or now - seen.seen_at > TIME_LIFE_S:
+            self.times[route] = RouteTime(time_s, now)
+            return
+        seen.mean_s += TIME_WEIGHT * (time_s - seen.mean_s)
+        seen.seen_at = now
 
 
 class LoadBook:
@@ -87,6 +133,10 @@
         load.sent_since += 1
         load.outstanding += 1
 
+    def note_time(self, vm: str, route: str, time_s: float, now: float) -> None:
+        """Count the time of a request that was answered."""
+        self.of(vm).note_time(route, time_s, now)
+
     def note_done(self, vm: str, failed: bool, now: float) -> None:
         """Count the end of a request."""
         load = self.of(vm)
@@ -120,14 +170,22 @@
         return now >= self.of(vm).unreachable_until
 
     def pick(
-        self, candidates: Iterable[NodeEntry], now: float, max_wait_s: float
+        self,
+        candidates: Iterable[NodeEntry],
+        route: str,
+        now: float,
+        aim_s: float,
+        max_wait_s: float,
     ) -> NodeEntry | None:
-        """Return the endpoint at which a request will probably end first.
+        """Return the endpoint for a request that should be answered within ``aim_s``.
 
-        None if each one would let it wait longer than ``max_wait_s``.
+        That is the best one of the nearest failure domain that is good enough: bytes
+        between failure domains are billed, and an answer in time is worth no more for
+        being faster. Where none is good enough, it is the one that is probably fastest.
+        None if each would let the request wait longer than ``max_wait_s``.
         """
         best = None
-        best_cost = float("inf")
+        best_rank = (len(Distance), float("inf"))
         for node in candidates:
             load = self.of(node.vm)
             if now < load.unreachable_until:
@@ -135,15 +193,16 @@
             wait_s = load.expected_wait_s(node.endpoint.slots, now)
             if wait_s > max_wait_s:
                 continue
-            cost = (
-                wait_s
-                + load.mean_s()
-                + self._distance_s(node)
-                + load.failure_share(now) * FAILURE_COST_S
-                + random.random() * JITTER_S
+            distance = self._distance(node)
+            time_s = wait_s + load.time_of(route, now) + 2 * DELAY_S[distance]
+            time_s += load.failure_share(now) * FAILURE_COST_S
+            is_good = time_s <= aim_s * GOOD_SHARE
+            rank = (
+                distance if is_good else len(Distance) - 1,
+                time_s + random.random() * JITTER_S + (0.0 if is_good else NOT_GOOD_S),
             )
-            if cost < best_cost:
-                best, best_cost = node, cost
+            if rank < best_rank:
+                best, best_rank = node, rank
         return best
 
     def shortest_wait_s(self, candidates: Iterable[NodeEntry], now: float) -> float:
@@ -154,9 +213,9 @@
         ]
         return min(waits, default=0.0)
 
-    def _distance_s(self, node: NodeEntry) -> float:
+    def _distance(self, node: NodeEntry) -> Distance:
         if node.failure_domain == self.failure_domain:
-            return 0.0
+            return Distance.SAME_DOMAIN
         if node.region == self.region:
-            return SAME_REGION_COST_S
-        return OTHER_REGION_COST_S
+            return Distance.SAME_REGION
+        return Distance.OTHER_REGION
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -8,7 +8,6 @@
 
 import structlog
 
-from sesamepost.errors import RouterError
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.messages import ItemPush, LifeEnded
 from sesamepost.internal.coordination.mirror import Mirror
@@ -29,7 +28,8 @@
     Write,
 )
 from sesamepost.internal.forwarding.endpoint import LocalEndpoint
-from sesamepost.internal.forwarding.endpoint_pool import EndpointPool, Listening
+from sesamepost.internal.forwarding.endpoint_pool import EndpointPool
+from sesamepost.internal.forwarding.endpoint_watch import EndpointWatch
 from sesamepost.internal.forwarding.forwarder import Forwarder
 from sesamepost.internal.forwarding.ingress import Ingress
 from sesamepost.internal.forwarding.loads import LoadBook
@@ -39,8 +39,9 @@
 from sesamepost.internal.forwarding.serving import PeerService
 from sesamepost.internal.identity import new_node_id
 from sesamepost.internal.ranges.balancing import Balancing
-from sesamepost.internal.ranges.keeper import EndpointOrders, RangeKeeper, TableStore
+from sesamepost.internal.ranges.keeper import EndpointOrders, RangeKeeper
 from sesamepost.internal.ranges.table import LAST_KEY, TABLE_PREFIX, Owner
+from sesamepost.internal.ranges.table_store import TableStore
 from sesamepost.internal.ranges.takeover import Takeover
 from sesamepost.internal.telemetry.metrics import Metrics
 from sesamepost.internal.wire.pool import Address, PeerPool
@@ -49,11 +50,7 @@
 PEER_KEY = "sesamepost/peer-key"
 PEER_KEY_BYTES = 32
 STORE_RETRY_S = 0.15
-HEALTH_TIMEOUT_S = 0.5
 DEFAULT_HEALTH_PATH = "/health"
-# An endpoint without heartbeats for this long is probed.
-MISSING_HEARTBEATS_S = 3.0
-SUSPICION_INTERVAL_S = 0.5
 # Two readiness checks, a second apart, must fail before callers go elsewhere.
 UNREADY_S = 2.3
 STOP_RESERVE_S = 0.7
@@ -87,12 +84,7 @@
         self.index: RouteIndex | None = None
         self.is_stopping = False
         self.is_closing = False
-        self.endpoint: EndpointInfo | None = None
-        self.is_confirmed = True
-        self.last_sequence = -1
-        self.last_heartbeat = 0.0
-        self.is_suspect = False
-        self._has_left = False
+        self.announced: EndpointInfo | None = None
         self.tables: dict[str, TableStore] = {}
         self.keepers: dict[str, RangeKeeper] = {}
         self.takeovers: list[Takeover] = []
@@ -124,7 +116,8 @@
             EndpointPool(settings.endpoint_address, self.names)
         )
         self.local = await enter(LocalEndpoint(self.endpoint_pool, self.names))
-        self.local.on_suspicion = self._suspect
+        self.watch = EndpointWatch(self.endpoint_pool, self.names, self._on_endpoint)
+        self.local.on_suspicion = self.watch.suspect
         self.loads = LoadBook(settings.failure_domain, settings.region)
         self.nodes.listeners.append(self._on_node)
         self.forwarder = Forwarder(
@@ -145,8 +138,8 @@
         self._export_counters()
         self.mirror.changes.subscribe(self._on_change)
         await enter(self.mirror)
-        for work in (self._watch_endpoint(), self._join()):
-            self.stack.callback(asyncio.create_task(work).cancel)
+        await enter(self.watch)
+        self.stack.callback(asyncio.create_task(self._join()).cancel)
         await self.ingress.listen(settings.callers_address)
         log.info("started", node=str(self.id), name=settings.name)
         return self
@@ -168,37 +161,6 @@
                 self.tables[service] = TableStore(self.store, self.mirror, service)
         return self.tables.get(service)
 
-    def on_heartbeat(self, info: EndpointInfo, sequence: int) -> None:
-        """Take a heartbeat of the endpoint beside this node.
-
-        Late heartbeats of an earlier life, or earlier ones of this life, are ignored.
-        """
-        present = self.endpoint
-        if present is not None:
-            if info.born < present.born:
-                return
-            if info.life == present.life and sequence <= self.last_sequence:
-                return
-            if info.life == present.life and not present.is_ready and info.is_ready:
-                # A life that has announced its end does not come back from it.
-                info = present if self._has_left else info
-        if present is None or info.life != present.life:
-            self._has_left = False
-        if not info.is_ready:
-            self._has_left = True
-        self.last_sequence = sequence
-        self.last_heartbeat = boottime()
-        self.is_suspect = False
-        self._set_endpoint(info, is_gone=False)
-
-    def on_leave(self, endpoint_id: str) -> None:
-        """Take the endpoint's word that it ends."""
-        present = self.endpoint
-        if present is None or present.id != endpoint_id:
-            return
-        self._has_left = True
-        self._set_endpoint(_unready(present), is_gone=False)
-
     async def stop(self) -> None:
         """Hand the keys over, let callers go elsewhere and finish what is in flight."""
         self.is_stopping = True
@@ -249,12 +211,11 @@
 
         They deal its keys without a wait, also if the store is down until later.
         """
-        info = self.endpoint
+        info = self.watch.endpoint
         if info is None or info.service not in self.keepers:
             return
-        if await self.endpoint_pool.probe() is not Listening.NO:
+        if not await self.watch.check_ended():
             return
-        self._set_endpoint(_unready(info), is_gone=True)
         message = LifeEnded(self.settings.vm, info.id, info.born)
         await asyncio.gather(*(self._tell(peer, message) for peer in self._helpers()))
 
@@ -265,14 +226,12 @@
         except StreamClosedError as error:
             log.info("peer_not_told", peer=peer.vm, error=str(error))
 
-    def _push_table(self, service: str, first: int, last: int) -> None:
-        """Tell the new owners of a range before their watch does."""
-        tables = self.tables[service]
-        item = self.mirror.get(tables.key)
-        message = ItemPush(item.key, item.value, item.revision)
+    def _tell_owners(self, service: str, first: int, last: int) -> None:
+        """Send the range table to the owners of these keys before their watch does."""
+        message = self._table_push(service)
         owners = {
             r.owner.vm
-            for r in tables.table.ranges
+            for r in self.tables[service].table.ranges
             if r.owner is not None and r.first <= last and first <= r.last
         }
         for vm in owners - {self.settings.vm}:
@@ -304,7 +263,8 @@
             takeover.note_ended(owner)
 
     def _own_service(self) -> str:
-        return self.endpoint.service if self.endpoint else self.settings.service
+        info = self.watch.endpoint
+        return info.service if info else self.settings.service
 
     def _helpers(self) -> list[NodeEntry]:
         return [n for n in self.nodes.nodes.values() if n.vm != self.settings.vm]
@@ -326,33 +286,16 @@
                 log.info("peer_key_unknown", error=str(error))
                 await asyncio.sleep(STORE_RETRY_S)
 
-    async def _ask_predecessors_endpoint(self, info: EndpointInfo) -> None:
-        """Use the endpoint that the process before this one knew, if it is still there.
-
-        Its next heartbeat may be more than a second away.
-        """
-        service = self.index and self.index.settings.services.get(info.service)
-        path = service.health_path if service else DEFAULT_HEALTH_PATH
-        address = self.settings.endpoint_address
-        headers = [("Host", f"{address.host}:{address.port}")]
-        try:
-            async with asyncio.timeout(HEALTH_TIMEOUT_S):
-                answer = await self.endpoint_pool.send("GET", path, headers, b"", "")
-        except (RouterError, TimeoutError) as error:
-            log.info("predecessors_endpoint_silent", error=repr(error))
-            return
-        if self.endpoint is not None or answer.status != 200:
-            return
-        if answer.header(self.names.endpoint_id) == info.id:
-            log.info("predecessors_endpoint_used", endpoint=info.id, born=info.born)
-            self._set_endpoint(info, is_gone=False, is_confirmed=False)
-
     def _on_own_entry(self, event: Item) -> None:
         entry = decode_node(event)
         if entry is None or entry.incarnation == self.id.incarnation:
             return
-        if entry.endpoint is not None and entry.endpoint.is_ready:
-            self._spawn(self._ask_predecessors_endpoint(entry.endpoint))
+        info = entry.endpoint
+        if info is None or not info.is_ready or self.watch.endpoint is not None:
+            return
+        service = self.index and self.index.settings.services.get(info.service)
+        path = service.health_path if service else DEFAULT_HEALTH_PATH
+        self._spawn(self.watch.use_predecessors(info, path))
 
     def _on_change(self, event) -> None:
         if event.key == self.registration.key and isinstance(event, Item):
@@ -388,10 +331,10 @@
             self.orders,
             self.settings.max_hold_s,
         )
-        keeper.on_moved = partial(self._push_table, service)
+        keeper.on_moved = partial(self._tell_owners, service)
         self.keepers[service] = keeper
         takeover = Takeover(self.settings.vm, tables, self.nodes, self.mirror)
-        takeover.on_dealt = partial(self._push_table, service, 0, LAST_KEY)
+        takeover.on_dealt = partial(self._tell_owners, service, 0, LAST_KEY)
         self.takeovers.append(takeover)
         balancing = Balancing(keeper, self.local, self.loads)
         for part in (keeper, takeover, balancing):
@@ -403,28 +346,16 @@
         if node is None or node.endpoint is None:
             self.loads.forget(vm)
 
-    def _set_endpoint(
-        self, info: EndpointInfo, is_gone: bool, is_confirmed: bool = True
-    ) -> None:
-        if info != self.endpoint:
-            log.info(
-                "endpoint_changed",
-                endpoint=info.id,
-                service=info.service,
-                born=info.born,
-                ready=info.is_ready,
-                slots=info.slots,
-                is_gone=is_gone,
-                is_confirmed=is_confirmed,
-            )
-            self.endpoint = info
+    def _on_endpoint(self, is_gone: bool) -> None:
+        info = self.watch.endpoint
+        if info != self.announced:
+            self.announced = info
             self.local.set_info(info)
             self.registration.update(endpoint=info)
-        self.is_confirmed = is_confirmed
         self._tell_keepers(is_gone)
 
     def _tell_keepers(self, is_gone: bool) -> None:
-        info = self.endpoint
+        info = self.watch.endpoint
         self.local.keeper = self.keepers.get(info.service) if info else None
         self.registration.is_owner = self.local.keeper is not None
         for service, keeper in self.keepers.items():
@@ -432,37 +363,11 @@
             # Another endpoint at the address proves that the earlier one has ended.
             is_replaced = info is not None and not is_mine
             keeper.set_endpoint(
-                info if is_mine else None, is_gone or is_replaced, self.is_confirmed
+                info if is_mine else None,
+                is_gone or is_replaced,
+                self.watch.is_confirmed,
             )
 
-    async def _watch_endpoint(self) -> None:
-        """Find out whether an endpoint without heartbeats still listens."""
-        while True:
-            await asyncio.sleep(SUSPICION_INTERVAL_S)
-            info = self.endpoint
-            if info is None or not info.is_ready:
-                continue
-            silent_s = boottime() - self.last_heartbeat
-            if silent_s < MISSING_HEARTBEATS_S and not self.is_suspect:
-                continue
-            listening = await self.endpoint_pool.probe()
-            if listening is Listening.YES:
-                self.is_suspect = False
-                self.last_heartbeat = boottime()
-                continue
-            if self.endpoint is not info:
-                continue
-            log.warning(
-                "endpoint_not_listening",
-                endpoint=info.id,
-                listening=listening.value,
-                silent_s=round(silent_s, 2),
-            )
-            self._set_endpoint(_unready(info), is_gone=listening is Listening.NO)
-
-    def _suspect(self) -> None:
-        self.is_suspect = True
-
     def _export_counters(self) -> None:
         parts = {
             "peers": self.pool.counters,
@@ -478,11 +383,5 @@
             self.metrics.add_counters(name, counters)
 
 
-def _unready(info: EndpointInfo) -> EndpointInfo:
-    return EndpointInfo(
-        info.service, info.id, info.born, info.slots, info.version, False
-    )
-
-
 def _loop_time(at: float) -> float:
     return asyncio.get_running_loop().time() + at - boottime()
--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -14,7 +14,6 @@
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import LEASE_COUNT_PREFIX, NodeTable
 from sesamepost.internal.ranges.holds import HOLD_S, TAKEOVER_SLACK_S
-from sesamepost.internal.ranges.keeper import TableStore
 from sesamepost.internal.ranges.table import (
     KeyRange,
     Owner,
@@ -22,6 +21,7 @@
     deal,
     new_table,
 )
+from sesamepost.internal.ranges.table_store import TableStore
 
 CHECK_INTERVAL_S = 0.2
 # Nodes that start together should be there when the first table is made.
--- a/src/sesamepost/platform/control_plane.py
+++ b/src/sesamepost/platform/control_plane.py
@@ -115,11 +115,11 @@
             self.unreadable += 1
             log.warning("check_in_unreadable", error=str(error))
             return web.json_response({"error": str(error)}, status=400)
-        self.node.on_heartbeat(endpoint, sequence)
+        self.node.watch.note_heartbeat(endpoint, sequence)
         return web.json_response({})
 
     async def _leave(self, request: web.Request) -> web.Response:
-        self.node.on_leave(request.match_info["id"])
+        self.node.watch.note_leave(request.match_info["id"])
         return web.json_response({})
 
     async def _ready(self, request: web.Request) -> web.Response:
--- /dev/null
+++ b/tests/forwarding/test_endpoint_watch.py
@@ -0,0 +1,100 @@
+"""Which life of the endpoint is believed, and when it counts as gone."""
+
+import asyncio
+
+import pytest
+
+from sesamepost.internal.coordination.nodes import EndpointInfo
+from sesamepost.internal.forwarding import endpoint_watch
+from sesamepost.internal.forwarding.endpoint_pool import EndpointPool, Listening
+from sesamepost.internal.forwarding.endpoint_watch import EndpointWatch
+from sesamepost.internal.wire.pool import Address
+from tests.forwarding.test_endpoint_connection import NAMES
+from tests.waiting import until
+
+
+def info(born: int, ready: bool = True, name: str = "i-1") -> EndpointInfo:
+    return EndpointInfo("desk", name, born, 6, "v1", ready)
+
+
+@pytest.fixture
+def watch(monkeypatch):
+    now = [100.0]
+    monkeypatch.setattr(endpoint_watch, "boottime", lambda: now[0])
+    changes = []
+    found = EndpointWatch(
+        EndpointPool(Address("127.0.0.1", 1), NAMES), NAMES, changes.append
+    )
+    found.now = now
+    found.changes = changes
+    return found
+
+
+def test_a_delayed_heartbeat_of_an_earlier_life_changes_nothing(watch):
+    watch.note_heartbeat(info(20, name="i-2"), 5)
+    watch.note_heartbeat(info(10), 99)
+    assert watch.endpoint == info(20, name="i-2")
+
+
+def test_an_earlier_start_is_believed_once_the_later_one_is_silent(watch):
+    # The time of day of a VM may step back, so a new life may look older.
+    watch.note_heartbeat(info(20, name="i-2"), 5)
+    watch.now[0] += 3.0
+    watch.note_heartbeat(info(10), 1)
+    assert watch.endpoint == info(10)
+
+
+def test_a_life_that_left_does_not_come_back_by_a_late_heartbeat(watch):
+    # Guards against work for an endpoint whose leaving was acknowledged.
+    watch.note_heartbeat(info(10), 1)
+    watch.note_leave("i-1")
+    watch.note_heartbeat(info(10), 2)
+    assert not watch.endpoint.is_ready
+    watch.note_heartbeat(info(30), 1)
+    assert watch.endpoint.is_ready
+
+
+def test_an_older_sequence_of_the_same_life_is_ignored(watch):
+    watch.note_heartbeat(info(10, ready=False), 7)
+    watch.note_heartbeat(info(10), 6)
+    assert not watch.endpoint.is_ready
+
+
+def test_the_leave_of_another_endpoint_changes_nothing(watch):
+    watch.note_heartbeat(info(10), 1)
+    watch.note_leave("i-other")
+    assert watch.endpoint.is_ready
+
+
+@pytest.mark.parametrize(
+    ("listening", "gone"), [(Listening.NO, True), (Listening.UNKNOWN, False)]
+)
+async def test_only_a_closed_port_proves_the_end(watch, monkeypatch, listening, gone):
+    # A silent endpoint may still hold keys and come back.
+    async def probe() -> Listening:
+        return listening
+
+    monkeypatch.setattr(watch.pool, "probe", probe)
+    monkeypatch.setattr(endpoint_watch, "CHECK_INTERVAL_S", 0.01)
+    watch.note_heartbeat(info(10), 1)
+    watch.suspect()
+    async with watch:
+        await until(lambda: not watch.endpoint.is_ready)
+    assert watch.changes[-1] is gone
+
+
+async def test_an_endpoint_that_listens_stays_ready(watch, monkeypatch):
+    # An endpoint may be cut off from the control port and still take requests.
+    asked = asyncio.Event()
+
+    async def probe() -> Listening:
+        asked.set()
+        return Listening.YES
+
+    monkeypatch.setattr(watch.pool, "probe", probe)
+    monkeypatch.setattr(endpoint_watch, "CHECK_INTERVAL_S", 0.01)
+    watch.note_heartbeat(info(10), 1)
+    watch.now[0] += 60.0
+    async with watch:
+        await asked.wait()
+    assert watch.endpoint.is_ready
--- a/tests/ranges/test_takeover.py
+++ b/tests/ranges/test_takeover.py
@@ -13,8 +13,8 @@
 )
 from sesamepost.internal.coordination.store import Deletion, Item, Transaction, Write
 from sesamepost.internal.ranges.holds import HOLD_S, TAKEOVER_SLACK_S
-from sesamepost.internal.ranges.keeper import TableStore
 from sesamepost.internal.ranges.table import Owner, new_table
+from sesamepost.internal.ranges.table_store import TableStore
 from sesamepost.internal.ranges.takeover import Takeover, lost_owners
 from tests.coordination.memory_store import MemoryStore
 
