Explain failed requests from the logs; reload settings; log the basis of each choice

Cause: the users' engineers have only logs and metrics.

Not measured: log lines only; the decisions are those of the commit before.

--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -54,11 +54,16 @@
 
 @dataclass(slots=True)
 class Progress:
-    """What became of the attempts to run one call."""
+    """What became of the attempts to run one call.
+
+    ``basis`` tells on what the last choice of a node rests: the revision of the range
+    table, or the age of the load that the endpoint reported.
+    """
 
     tried: set[str] = field(default_factory=set)
     reached: set[str] = field(default_factory=set)
     steps: list[str] = field(default_factory=list)
+    basis: str = ""
     repeats: int = 0
     held_s: float = 0.0
     may_have_run: bool = False
@@ -66,6 +71,10 @@
     retry_after_s: float = MIN_RETRY_AFTER_S
     failed_answer: Answer | None = None
 
+    def note(self, node: NodeEntry, outcome: str) -> None:
+        """Keep one attempt for the log."""
+        self.steps.append(f"{node.name}:{outcome}@{self.basis}")
+
     def error(self, kind: ErrorKind, detail: str = "") -> RouterError:
         """Return the final error, true for all attempts together."""
         if self.may_have_run and ANSWERS[kind].outcome is Outcome.NOT_RUN:
@@ -119,10 +128,10 @@
             try:
                 answer = await self._attempt(node, call, progress)
             except RouterError as error:
-                progress.steps.append(f"{node.name}:{error.kind}")
+                progress.note(node, error.kind)
                 await self._after_failure(node, call, progress, error)
                 continue
-            progress.steps.append(f"{node.name}:{answer.status}")
+            progress.note(node, str(answer.status))
             if answer.status < 500 or not self._may_repeat(call, progress):
                 return answer
             # The endpoint's own failure is the answer if no other endpoint has one.
@@ -138,14 +147,16 @@
         while True:
             if tables is not None:
                 node, reason = self._owner(call, tables)
+                progress.basis = f"r{tables.revision}"
                 if node is not None:
                     return node
             else:
                 candidates = self._candidates(call, progress)
                 node = self._pick(candidates, call)
+                now = boottime()
                 if node is not None:
+                    progress.basis = self.loads.of(node.vm).age_text(now)
                     return node
-                now = boottime()
                 reachable = [
                     n for n in candidates if self.loads.is_reachable(n.vm, now)
                 ]
--- a/src/sesamepost/internal/forwarding/loads.py
+++ b/src/sesamepost/internal/forwarding/loads.py
@@ -65,6 +65,12 @@
     unreachable_until: float = 0.0
     times: dict[str, RouteTime] = field(default_factory=dict)
 
+    def age_text(self, now: float) -> str:
+        """Return the age of the hint for the log."""
+        if self.hint is None:
+            return "no hint"
+        return f"{int((now - self.hint_at) * 1000)}ms"
+
     def failure_share(self, now: float) -> float:
         """Return the share of recent failures, which fades with time."""
         return self.failures * 0.5 ** ((now - self.failed_at) / FAILURE_HALF_LIFE_S)
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -4,6 +4,7 @@
 import secrets
 from collections.abc import Callable, Coroutine
 from contextlib import AsyncExitStack, suppress
+from dataclasses import fields, replace
 from functools import partial
 
 import structlog
@@ -51,6 +52,8 @@
 PEER_KEY_BYTES = 32
 STORE_RETRY_S = 0.15
 DEFAULT_HEALTH_PATH = "/health"
+# Fields of the settings that may change in a running process.
+LIVE = frozenset({"service", "stop_timeout_s"})
 # Two readiness checks, a second apart, must fail before callers go elsewhere.
 UNREADY_S = 2.3
 STOP_RESERVE_S = 0.7
@@ -161,6 +164,18 @@
                 self.tables[service] = TableStore(self.store, self.mirror, service)
         return self.tables.get(service)
 
+    def reload(self, settings: NodeSettings) -> None:
+        """Take the fields of a changed settings file that need no restart."""
+        changed = [
+            field.name
+            for field in fields(NodeSettings)
+            if getattr(settings, field.name) != getattr(self.settings, field.name)
+        ]
+        live = {name: getattr(settings, name) for name in changed if name in LIVE}
+        self.settings = replace(self.settings, **live)
+        rest = [name for name in changed if name not in LIVE]
+        log.info("reload", in_force=sorted(live), needs_restart=rest)
+
     async def stop(self) -> None:
         """Hand the keys over, let callers go elsewhere and finish what is in flight."""
         self.is_stopping = True
--- a/src/sesamepost/internal/forwarding/serving.py
+++ b/src/sesamepost/internal/forwarding/serving.py
@@ -75,6 +75,9 @@
         self.loads.note_hint(stream.peer.vm, hint, boottime())
 
     def _on_closed(self, stream: PeerStream) -> None:
+        if stream.peer is not None:
+            reason = stream.closed_reason
+            log.info("peer_stream_closed", peer=str(stream.peer), reason=reason)
         self.hinted_at.pop(stream, None)
         self.pushed.pop(stream, None)
         for (owner, _), task in list(self.tasks.items()):
--- a/src/sesamepost/platform/main.py
+++ b/src/sesamepost/platform/main.py
@@ -31,13 +31,12 @@
 log = structlog.get_logger()
 
 
-async def serve(settings: NodeSettings) -> None:
-    """Run until SIGTERM, then stop in order."""
+async def serve(settings: NodeSettings, path: Path) -> None:
+    """Run until SIGTERM, then stop in order. SIGHUP reads the settings at ``path``."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _note_reload)
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(PlatformStore(settings.store_url))
         orders = await stack.enter_async_context(
@@ -45,6 +44,7 @@
         )
         node = Node(settings, store, orders, HEADERS, OPERATOR_KEY, decode_routing)
         await stack.enter_async_context(node)
+        loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
         await stack.enter_async_context(ControlPlane(node))
         await stop.wait()
         await node.stop()
@@ -64,11 +64,14 @@
     configure_logs(settings.name, NonBlockingOutput(sys.stdout.fileno()))
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
-    uvloop.run(serve(settings))
+    uvloop.run(serve(settings, Path(path)))
 
 
-def _note_reload() -> None:
-    log.info("reload")
+def _reload(node: Node, path: Path) -> None:
+    try:
+        node.reload(read_settings(path))
+    except SettingsError as error:
+        log.error("reload_failed", error=str(error))
 
 
 if __name__ == "__main__":
