--- a/deploy/node.py
+++ b/deploy/node.py
@@ -4,10 +4,15 @@
 import sys
 from pathlib import Path
 
-# The imports take a while, and a reload must not end a process that is starting.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "src"))
 
-from sesamepost.platform.main import main
+def start() -> None:
+    """Make the package importable and run it."""
+    # The imports take a while, and a reload must not end a process that is starting.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "src"))
+    from sesamepost.platform.main import main
 
-main()
+    main()
+
+
+start()
--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -17,6 +17,7 @@
     Item,
     StoreError,
 )
+from sesamepost.internal.tasks import TaskOwner
 
 WATCH_WAIT_S = 25.0
 FIRST_WATCH_WAIT_S = 0.2
@@ -28,7 +29,7 @@
 log = structlog.get_logger()
 
 
-class Mirror:
+class Mirror(TaskOwner):
     """Holds the newest known item of every key under a prefix.
 
     ``changes`` is an observable of ``Item`` and ``Deletion``. An item older than the
@@ -48,16 +49,6 @@
         self.in_contact = False
         self.changed = asyncio.Event()
         self.on_contact: Callable[[bool], None] = lambda in_contact: None
-        self.task: asyncio.Task | None = None
-
-    async def __aenter__(self) -> "Mirror":
-        self.task = asyncio.create_task(self._run())
-        return self
-
-    async def __aexit__(self, *error) -> None:
-        self.task.cancel()
-        with suppress(asyncio.CancelledError):
-            await self.task
 
     def get(self, key: str) -> Item | None:
         """Return the item held for ``key``."""
@@ -83,7 +74,8 @@
             async with asyncio.timeout(timeout_s):
                 await event.wait()
 
-    async def _run(self) -> None:
+    async def run(self) -> None:
+        """Follow the store."""
         retry_s = RETRY_MIN_S
         listed = False
         while True:
--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -21,6 +21,7 @@
     Write,
 )
 from sesamepost.internal.identity import ANY_INCARNATION, NodeId
+from sesamepost.internal.tasks import TaskOwner
 from sesamepost.internal.wire.pool import Address
 
 NODE_PREFIX = "sesamepost/nodes/"
@@ -150,7 +151,7 @@
             listener(vm, node)
 
 
-class Registration:
+class Registration(TaskOwner):
     """Keeps this node's entry in the store and counts its right to grant holds.
 
     ``renewed_at`` is the time at which the newest successful renewal was sent. Whoever
@@ -173,18 +174,8 @@
         self.wake = asyncio.Event()
         self.counters: Counter[str] = Counter()
         self.on_renewed: Callable[[], None] = lambda: None
-        self.task: asyncio.Task | None = None
         mirror.changes.subscribe(self._on_change)
 
-    async def __aenter__(self) -> "Registration":
-        self.task = asyncio.create_task(self._run())
-        return self
-
-    async def __aexit__(self, *error) -> None:
-        self.task.cancel()
-        with suppress(asyncio.CancelledError):
-            await self.task
-
     def update(self, **changes) -> None:
         """Change fields of the entry and write it soon."""
         self.entry = replace(self.entry, **changes)
@@ -207,7 +198,8 @@
             self.written = None
             self.wake.set()
 
-    async def _run(self) -> None:
+    async def run(self) -> None:
+        """Write the entry and renew its lease."""
         if self.entry.endpoint is None:
             # The first heartbeat usually comes soon, and saves a second write.
             with suppress(TimeoutError):
--- a/src/sesamepost/internal/forwarding/endpoint_watch.py
+++ b/src/sesamepost/internal/forwarding/endpoint_watch.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import replace
 
 import structlog
@@ -12,6 +11,7 @@
 from sesamepost.internal.coordination.nodes import EndpointInfo
 from sesamepost.internal.forwarding.endpoint_pool import EndpointPool, Listening
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
+from sesamepost.internal.tasks import PeriodicTask
 
 HEALTH_TIMEOUT_S = 0.5
 # An endpoint without heartbeats for this long is probed.
@@ -23,7 +23,7 @@
 log = structlog.get_logger()
 
 
-class EndpointWatch:
+class EndpointWatch(PeriodicTask):
     """Follows the endpoint by its heartbeats and probes it when they stop.
 
     ``on_change(is_gone)`` is called after each change of ``endpoint``; ``is_gone`` says
@@ -31,6 +31,8 @@
     process before this one, and has sent no heartbeat yet.
     """
 
+    interval_s = CHECK_INTERVAL_S
+
     def __init__(
         self,
         pool: EndpointPool,
@@ -46,16 +48,6 @@
         self.last_sequence = -1
         self.last_heartbeat = 0.0
         self.is_suspect = False
-        self.task: asyncio.Task | None = None
-
-    async def __aenter__(self) -> "EndpointWatch":
-        self.task = asyncio.create_task(self._run())
-        return self
-
-    async def __aexit__(self, *error) -> None:
-        self.task.cancel()
-        with suppress(asyncio.CancelledError):
-            await self.task
 
     def suspect(self) -> None:
         """Have the endpoint probed soon, as a request to it broke off."""
@@ -136,26 +128,25 @@
         self.is_confirmed = is_confirmed
         self.on_change(is_gone)
 
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            info = self.endpoint
-            if info is None or not info.is_ready:
-                continue
-            silent_s = boottime() - self.last_heartbeat
-            if silent_s < MISSING_HEARTBEATS_S and not self.is_suspect:
-                continue
-            listening = await self.pool.probe()
-            if self.endpoint is not info:
-                continue
-            if listening is Listening.YES:
-                self.is_suspect = False
-                self.last_heartbeat = boottime()
-                continue
-            log.warning(
-                "endpoint_not_listening",
-                endpoint=info.id,
-                listening=listening.value,
-                silent_s=round(silent_s, 2),
-            )
-            self._set(replace(info, is_ready=False), listening is Listening.NO)
+    async def step(self) -> None:
+        """Probe an endpoint that is suspected or whose heartbeats are missing."""
+        info = self.endpoint
+        if info is None or not info.is_ready:
+            return
+        silent_s = boottime() - self.last_heartbeat
+        if silent_s < MISSING_HEARTBEATS_S and not self.is_suspect:
+            return
+        listening = await self.pool.probe()
+        if self.endpoint is not info:
+            return
+        if listening is Listening.YES:
+            self.is_suspect = False
+            self.last_heartbeat = boottime()
+            return
+        log.warning(
+            "endpoint_not_listening",
+            endpoint=info.id,
+            listening=listening.value,
+            silent_s=round(silent_s, 2),
+        )
+        self._set(replace(info, is_ready=False), listening is Listening.NO)
--- a/src/sesamepost/internal/forwarding/ingress.py
+++ b/src/sesamepost/internal/forwarding/ingress.py
@@ -4,7 +4,6 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from functools import partial
 
 import structlog
 from aiohttp import web
@@ -28,6 +27,7 @@
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
 from sesamepost.internal.forwarding.routes import RouteIndex, SplitDraw
 from sesamepost.internal.ranges.table import LAST_KEY
+from sesamepost.internal.routing.server import bounded_request_factory
 from sesamepost.internal.wire.messages import Answer
 from sesamepost.internal.wire.pool import Address
 
@@ -88,11 +88,10 @@
 
     async def listen(self, address: Address) -> None:
         """Accept callers at ``address``."""
-        loop = asyncio.get_running_loop()
         server = PipelinedServer(
             self.handle,
             self._start_early,
-            request_factory=partial(_make_request, loop),
+            request_factory=bounded_request_factory(MAX_BODY_BYTES),
             access_log=None,
             auto_decompress=False,
             handler_cancellation=True,
@@ -260,12 +259,6 @@
         )
 
 
-def _make_request(loop, message, payload, protocol, writer, task) -> BaseRequest:
-    return BaseRequest(
-        message, payload, protocol, writer, task, loop, client_max_size=MAX_BODY_BYTES
-    )
-
-
 def _host_and_path(message: RawRequestMessage) -> tuple[str, str]:
     host = message.headers.get("Host", "")
     return host.partition(":")[0], message.path.partition("?")[0]
--- a/src/sesamepost/internal/ranges/balancing.py
+++ b/src/sesamepost/internal/ranges/balancing.py
@@ -1,7 +1,5 @@
 """Carries out the moves that ``balance`` decides on."""
 
-import asyncio
-from contextlib import suppress
 from typing import Protocol
 
 import structlog
@@ -17,6 +15,7 @@
 )
 from sesamepost.internal.ranges.keeper import RangeKeeper
 from sesamepost.internal.ranges.table import Owner
+from sesamepost.internal.tasks import PeriodicTask
 
 CHECK_INTERVAL_S = 0.25
 # A target that just got keys has not shown their load yet.
@@ -49,40 +48,20 @@
         """Return the mean time of a request, None if it is not known."""
 
 
-class Balancing:
+class Balancing(PeriodicTask):
     """Moves keys from the local endpoint to others when it is the busier one."""
 
+    interval_s = CHECK_INTERVAL_S
+
     def __init__(self, keeper: RangeKeeper, local: LocalLoad, loads: PeerLoads) -> None:
         self.keeper = keeper
         self.local = local
         self.loads = loads
         self.moved_at = 0.0
         self.settling: dict[Owner, float] = {}
-        self.task: asyncio.Task | None = None
-
-    def start(self) -> None:
-        """Begin to check the load."""
-        self.task = asyncio.create_task(self._run())
-
-    async def __aenter__(self) -> "Balancing":
-        self.start()
-        return self
-
-    async def __aexit__(self, *error) -> None:
-        self.task.cancel()
-        with suppress(asyncio.CancelledError):
-            await self.task
-
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            try:
-                self._step()
-            except Exception:
-                # A failed check must not end the later ones.
-                log.exception("balancing_failed")
-
-    def _step(self) -> None:
+
+    async def step(self) -> None:
+        """Start a move if one is due."""
         keeper = self.keeper
         now = boottime()
         table = keeper.tables.table
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -24,6 +24,7 @@
     reassign,
 )
 from sesamepost.internal.ranges.table_store import TableStore
+from sesamepost.internal.tasks import TaskOwner
 
 CHECK_INTERVAL_S = 0.25
 # A process that has just started gives no ranges away before this.
@@ -58,7 +59,7 @@
         """End a hold once its work has ended; return the handover token."""
 
 
-class RangeKeeper:
+class RangeKeeper(TaskOwner):
     """Owns the holds of the local endpoint of a partitioned service.
 
     It sends grants, takes its ranges for a new life of the endpoint with a higher
@@ -95,21 +96,13 @@
         self.grants: dict[tuple[int, int, int], asyncio.Task] = {}
         self.counters: Counter[str] = Counter()
         self.on_moved: Callable[[int, int], None] = lambda first, last: None
-        self.task: asyncio.Task | None = None
         tables.mirror.changes.subscribe(self._on_change)
         registration.on_renewed = self.wake.set
 
-    def start(self) -> None:
-        """Begin the checks."""
-        self.task = asyncio.create_task(self._run())
-
-    async def __aenter__(self) -> "RangeKeeper":
-        self.start()
-        return self
-
     async def __aexit__(self, *error) -> None:
+        await super().__aexit__(*error)
         tasks = [*self.moves.values(), *self.writes.values(), *self.grants.values()]
-        for task in [self.task, *tasks]:
+        for task in tasks:
             task.cancel()
             with suppress(asyncio.CancelledError):
                 await task
@@ -220,7 +213,8 @@
         if event.key == self.tables.key:
             self.wake.set()
 
-    async def _run(self) -> None:
+    async def run(self) -> None:
+        """Keep the holds as the table and the endpoint demand."""
         while True:
             self.wake.clear()
             try:
--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -4,9 +4,7 @@
 one before, so that usually one writes; a race is decided by the store.
 """
 
-import asyncio
 from collections.abc import Callable, Collection
-from contextlib import suppress
 
 import structlog
 
@@ -22,6 +20,7 @@
     new_table,
 )
 from sesamepost.internal.ranges.table_store import TableStore
+from sesamepost.internal.tasks import PeriodicTask
 
 CHECK_INTERVAL_S = 0.2
 # Nodes that start together should be there when the first table is made.
@@ -56,9 +55,11 @@
     return lost
 
 
-class Takeover:
+class Takeover(PeriodicTask):
     """Watches one partitioned service for ranges that nobody can serve."""
 
+    interval_s = CHECK_INTERVAL_S
+
     def __init__(
         self, vm: str, tables: TableStore, nodes: NodeTable, mirror: Mirror
     ) -> None:
@@ -72,36 +73,14 @@
         self.ended: set[Owner] = set()
         self.due_since: float | None = None
         self.on_dealt: Callable[[], None] = lambda: None
-        self.task: asyncio.Task | None = None
-
-    def start(self) -> None:
-        """Begin the checks."""
-        self.task = asyncio.create_task(self._run())
-
-    async def __aenter__(self) -> "Takeover":
-        self.start()
-        return self
-
-    async def __aexit__(self, *error) -> None:
-        self.task.cancel()
-        with suppress(asyncio.CancelledError):
-            await self.task
 
     def note_ended(self, owner: Owner) -> None:
         """Take the word of the node beside an endpoint that it holds nothing."""
         log.info("endpoint_ended", vm=owner.vm, endpoint=owner.endpoint_id)
         self.ended.add(owner)
 
-    async def _run(self) -> None:
-        while True:
-            try:
-                await self._step()
-            except Exception:
-                # The next round must not depend on this one.
-                log.exception("takeover_failed")
-            await asyncio.sleep(CHECK_INTERVAL_S)
-
-    async def _step(self) -> None:
+    async def step(self) -> None:
+        """Deal ranges without a living owner if it is this node's turn."""
         now = boottime()
         owners = [owner for owner in self._owners() if owner not in self.ended]
         if not self.mirror.in_contact or not owners or not self._is_due(now):
--- a/src/sesamepost/internal/routing/server.py
+++ b/src/sesamepost/internal/routing/server.py
@@ -57,7 +57,7 @@
         """Accept callers at ``address`` and return the bound address."""
         server = web.Server(
             self.handle,
-            request_factory=_request_factory(),
+            request_factory=bounded_request_factory(MAX_BODY_BYTES),
             access_log=None,
             # A body is passed on as it came, with its Content-Encoding.
             auto_decompress=False,
@@ -164,7 +164,7 @@
         )
 
 
-def _request_factory() -> Callable[..., BaseRequest]:
+def bounded_request_factory(max_body_bytes: int) -> Callable[..., BaseRequest]:
     """Return a factory of requests on this loop, whose bodies are bounded."""
     loop = asyncio.get_running_loop()
 
@@ -176,7 +176,7 @@
             writer,
             task,
             loop,
-            client_max_size=MAX_BODY_BYTES,
+            client_max_size=max_body_bytes,
         )
 
     return make_request
--- a/tests/forwarding/test_endpoint_watch.py
+++ b/tests/forwarding/test_endpoint_watch.py
@@ -75,7 +75,7 @@
         return listening
 
     monkeypatch.setattr(watch.pool, "probe", probe)
-    monkeypatch.setattr(endpoint_watch, "CHECK_INTERVAL_S", 0.01)
+    monkeypatch.setattr(watch, "interval_s", 0.01)
     watch.note_heartbeat(info(10), 1)
     watch.suspect()
     async with watch:
@@ -92,7 +92,7 @@
         return Listening.YES
 
     monkeypatch.setattr(watch.pool, "probe", probe)
-    monkeypatch.setattr(endpoint_watch, "CHECK_INTERVAL_S", 0.01)
+    monkeypatch.setattr(watch, "interval_s", 0.01)
     watch.note_heartbeat(info(10), 1)
     watch.now[0] += 60.0
     async with watch:
--- a/tests/ranges/test_takeover.py
+++ b/tests/ranges/test_takeover.py
@@ -72,7 +72,7 @@
     key = nodes.node_key(A.vm)
     vanish(store, mirror, key, 0.0)
     mirror.missing[key] = asyncio.get_running_loop().time() - 1e6
-    await takeover._step()
+    await takeover.step()
     assert set(tables.table.keys_by_owner()) == {B}
 
 
@@ -87,7 +87,7 @@
     count_key = LEASE_COUNT_PREFIX + A.vm
     store.revision += 1
     store.items[count_key] = Item(count_key, b"2", store.revision)
-    await takeover._step()
+    await takeover.step()
     assert set(tables.table.keys_by_owner()) == {A, B}
 
 
@@ -98,7 +98,7 @@
     vanish(store, mirror, key, 0.0)
     mirror.missing[key] = asyncio.get_running_loop().time() - 1e6
     mirror.in_contact = False
-    await takeover._step()
+    await takeover.step()
     assert set(tables.table.keys_by_owner()) == {A, B}
 
 
@@ -119,5 +119,5 @@
     takeover = await prepare(*parts)
     takeover.note_ended(A)
     takeover.due_since = 0.0
-    await takeover._step()
+    await takeover.step()
     assert set(tables.table.keys_by_owner()) == {B}
