--- a/src/sesamepost/internal/forwarding/ingress.py
+++ b/src/sesamepost/internal/forwarding/ingress.py
@@ -26,8 +26,8 @@
 from sesamepost.internal.forwarding.pipelining import PipelinedServer
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
 from sesamepost.internal.forwarding.routes import RouteIndex, SplitDraw
+from sesamepost.internal.http_requests import bounded_request_factory
 from sesamepost.internal.ranges.table import LAST_KEY
-from sesamepost.internal.routing.server import bounded_request_factory
 from sesamepost.internal.wire.messages import Answer
 from sesamepost.internal.wire.pool import Address
 
--- a/src/sesamepost/internal/routing/server.py
+++ b/src/sesamepost/internal/routing/server.py
@@ -18,6 +18,7 @@
     Outcome,
     RouterError,
 )
+from sesamepost.internal.http_requests import bounded_request_factory
 from sesamepost.internal.routing.call import BORN_HEADER, Call, parse_call
 from sesamepost.internal.routing.router import Router
 from sesamepost.internal.wire.messages import Answer
@@ -162,21 +163,3 @@
             text=token + "\n",
             headers={BORN_HEADER: token, OUTCOME_HEADER: Outcome.RAN},
         )
-
-
-def bounded_request_factory(max_body_bytes: int) -> Callable[..., BaseRequest]:
-    """Return a factory of requests on this loop, whose bodies are bounded."""
-    loop = asyncio.get_running_loop()
-
-    def make_request(message, payload, protocol, writer, task) -> BaseRequest:
-        return BaseRequest(
-            message,
-            payload,
-            protocol,
-            writer,
-            task,
-            loop,
-            client_max_size=max_body_bytes,
-        )
-
-    return make_request
