Decide on moves by three seconds of load unless an endpoint is overloaded

The use of the slots in one second is mostly noise with two or three requests a second on an endpoint. Watches pause 0.8 s.

--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -24,7 +24,7 @@
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
 # Changes that follow each other within this time share one call of the store.
-PAUSE_S = 0.6
+PAUSE_S = 0.8
 
 log = structlog.get_logger()
 
--- a/src/sesamepost/internal/forwarding/endpoint.py
+++ b/src/sesamepost/internal/forwarding/endpoint.py
@@ -12,7 +12,12 @@
 from sesamepost.internal.coordination.nodes import EndpointInfo
 from sesamepost.internal.forwarding.endpoint_connection import EndpointAnswer
 from sesamepost.internal.forwarding.endpoint_pool import EndpointPool
-from sesamepost.internal.forwarding.gate import EndpointGate, Released, Waiting
+from sesamepost.internal.forwarding.gate import (
+    BUSY_WINDOWS_S,
+    EndpointGate,
+    Released,
+    Waiting,
+)
 from sesamepost.internal.forwarding.messages import NO_KEY, Forward, LoadHint
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
 from sesamepost.internal.ranges.balance import KeyCounts
@@ -31,8 +36,8 @@
 MIN_REPEATS_PER_S = 1.0
 # A request must start this many mean times before its deadline.
 START_RESERVE = 1.1
-# Arrivals of this time make up the demand.
-DEMAND_WINDOW_S = 1.0
+# Above this part of the slots keys are moved away at once.
+OVERLOAD = 1.1
 
 log = structlog.get_logger()
 
@@ -70,7 +75,7 @@
         self.gate = EndpointGate(0)
         self.keeper: RangeKeeper | None = None
         self.key_counts = KeyCounts()
-        self.demand = DecayingCount(DEMAND_WINDOW_S)
+        self.demand = {w: DecayingCount(w) for w in BUSY_WINDOWS_S}
         self.starts: dict[int, asyncio.Future] = {}
         self.next_ticket = 0
         self.failures = 0.0
@@ -113,13 +118,18 @@
     def busy(self) -> float:
         """Return the recent use of the slots, or the demand for them if it is higher.
 
-        The demand also counts requests that were refused.
+        The demand also counts requests that were refused. A short time decides only
+        where the endpoint is overloaded: the few requests of a second vary so much
+        that keys would be moved to and fro.
         """
         now = boottime()
-        slots = max(1, self.gate.slots)
-        arrivals_per_s = self.demand.at(now) / DEMAND_WINDOW_S
-        demand = arrivals_per_s * self.gate.recent_mean_s / slots
-        return max(self.gate.busy_share(now), demand)
+        short, long = (self._load(window_s, now) for window_s in BUSY_WINDOWS_S)
+        return short if short >= OVERLOAD else long
+
+    def _load(self, window_s: float, now: float) -> float:
+        arrivals_per_s = self.demand[window_s].at(now) / window_s
+        demand = arrivals_per_s * self.gate.recent_mean_s / max(1, self.gate.slots)
+        return max(self.gate.busy_share(window_s, now), demand)
 
     def mean_s(self) -> float:
         """Return the recent mean time of a request at the endpoint."""
@@ -133,7 +143,8 @@
         received = boottime()
         deadline = received + request.timeout_ms / 1000
         self._check_service(request)
-        self.demand.add(received)
+        for count in self.demand.values():
+            count.add(received)
         if request.repeats:
             if not self.budget.take(received):
                 raise RouterError(ErrorKind.OVERLOADED, "no retry budget is left")
--- a/src/sesamepost/internal/forwarding/gate.py
+++ b/src/sesamepost/internal/forwarding/gate.py
@@ -10,7 +10,7 @@
 # Weight of the newest request in the mean time of its kind.
 MEAN_WEIGHT = 0.08
 INITIAL_TIME_S = 0.1
-BUSY_WINDOW_S = 1.0
+BUSY_WINDOWS_S = (1.0, 3.0)
 # A request that will be late is queued for this part of the time that it has.
 LATE_WAIT_SHARE = 0.5
 # The operator may add hundreds of routes.
@@ -68,7 +68,7 @@
         self.queued: dict[Ticket, Waiting] = {}
         self.mean_s: dict[str, float] = {}
         self.recent_mean_s = INITIAL_TIME_S
-        self.busy = 0.0
+        self.busy = {window_s: 0.0 for window_s in BUSY_WINDOWS_S}
         self.busy_at = 0.0
 
     def expected_time(self, kind: str) -> float:
@@ -141,10 +141,13 @@
             released.started.append(waiting.ticket)
         return released
 
-    def busy_share(self, now: float) -> float:
-        """Return the recent use of the slots, above 1 while requests wait."""
+    def busy_share(self, window_s: float, now: float) -> float:
+        """Return the use of the slots in one of ``BUSY_WINDOWS_S``.
+
+        It is above 1 while requests wait.
+        """
         self._note_busy(now)
-        return self.busy
+        return self.busy[window_s]
 
     def _measure(self, kind: str, time_s: float) -> None:
         if kind not in self.mean_s and len(self.mean_s) >= MAX_KINDS:
@@ -161,5 +164,6 @@
         elapsed = now - self.busy_at
         self.busy_at = now
         load = (len(self.running) + len(self.queued)) / max(1, self.slots)
-        weight = min(1.0, elapsed / BUSY_WINDOW_S)
-        self.busy += weight * (load - self.busy)
+        for window_s, busy in self.busy.items():
+            weight = min(1.0, elapsed / window_s)
+            self.busy[window_s] = busy + weight * (load - busy)
--- a/src/sesamepost/internal/ranges/balancing.py
+++ b/src/sesamepost/internal/ranges/balancing.py
@@ -19,9 +19,9 @@
 
 CHECK_INTERVAL_S = 0.25
 # A target that just got keys has not shown their load yet.
-SETTLE_S = 1.5
+SETTLE_S = 2.0
 # Moves that only make answers faster are worth a call of each node's watch this often.
-MIN_SPEED_INTERVAL_S = 3.0
+MIN_SPEED_INTERVAL_S = 4.0
 
 log = structlog.get_logger()
 
--- a/tests/forwarding/test_gate.py
+++ b/tests/forwarding/test_gate.py
@@ -1,7 +1,11 @@
 """Who waits and who is refused at one endpoint."""
 
 from sesamepost.errors import ErrorKind
-from sesamepost.internal.forwarding.gate import EndpointGate, Waiting
+from sesamepost.internal.forwarding.gate import (
+    BUSY_WINDOWS_S,
+    EndpointGate,
+    Waiting,
+)
 
 
 def request(ticket, rank=1, good=9.0, latest=9.0, kind="") -> Waiting:
@@ -101,3 +105,13 @@
     gate.submit(request("a"), 0.0)
     gate.submit(request("b"), 0.0)
     assert gate.set_slots(2, 0.1).started == ["b"]
+
+
+def test_the_use_of_the_slots_follows_a_burst_quickly_and_noise_slowly():
+    # Guards against keys that are moved to and fro for the requests of one second.
+    gate = EndpointGate(2)
+    short, long = BUSY_WINDOWS_S
+    for i in range(4):
+        gate.submit(request(i), 0.0)
+    assert gate.busy_share(short, 1.0) == 2.0
+    assert 0.5 < gate.busy_share(long, 1.0) < 1.0
