--- a/src/sesamepost/internal/forwarding/ingress.py
+++ b/src/sesamepost/internal/forwarding/ingress.py
@@ -25,7 +25,7 @@
 from sesamepost.internal.forwarding.messages import NO_KEY
 from sesamepost.internal.forwarding.pipelining import PipelinedServer
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
-from sesamepost.internal.forwarding.routes import RouteIndex, SplitDraw
+from sesamepost.internal.forwarding.routes import Limits, RouteIndex, SplitDraw
 from sesamepost.internal.http_requests import bounded_request_factory
 from sesamepost.internal.ranges.table import LAST_KEY
 from sesamepost.internal.wire.messages import Answer
@@ -191,8 +191,9 @@
         route = index.find(host, path)
         if route is None:
             raise RouterError(ErrorKind.UNKNOWN_ROUTE, f"{host}{path}")
-        service = self.splits.draw(route)
         settings = index.settings
+        _check_size(message, body, settings.limits)
+        service = self.splits.draw(route)
         key = NO_KEY
         if service in settings.services and settings.services[service].is_partitioned:
             key = _key(message.headers.get(names.key, ""))
@@ -264,6 +265,14 @@
     return host.partition(":")[0], message.path.partition("?")[0]
 
 
+def _check_size(message: RawRequestMessage, body: bytes, limits: Limits) -> None:
+    if len(body) > limits.body_bytes:
+        raise RouterError(ErrorKind.BODY_TOO_LARGE, f"{len(body)} bytes")
+    size = sum(len(name) + len(value) for name, value in message.raw_headers)
+    if size > limits.header_bytes:
+        raise RouterError(ErrorKind.HEADERS_TOO_LARGE, f"{size} bytes")
+
+
 def _response(answer: Answer) -> web.Response:
     headers = CIMultiDict(answer.headers)
     return web.Response(status=answer.status, body=answer.body, headers=headers)
--- a/src/sesamepost/internal/forwarding/protocol_names.py
+++ b/src/sesamepost/internal/forwarding/protocol_names.py
@@ -7,14 +7,13 @@
 class HeaderNames:
     """The header fields that callers and endpoints use.
 
-    ``answer_seal`` marks an answer of an endpoint. ``not_run`` marks a refusal of an
+    ``not_run`` marks a refusal of an
     endpoint that did not run the request. ``caller_service`` names the service beside
     which a request began, and ``expected_endpoint`` the only endpoint that may run it.
     """
 
     request_id: str
     timeout_ms: str
-    answer_seal: str
     not_run: str
     caller_service: str
     expected_endpoint: str
--- a/src/sesamepost/platform/names.py
+++ b/src/sesamepost/platform/names.py
@@ -5,7 +5,6 @@
 HEADERS = HeaderNames(
     request_id="Request-Id",
     timeout_ms="Deadline-Milliseconds",
-    answer_seal="Response-Seal",
     not_run="Not-Executed",
     caller_service="Caller-Service",
     expected_endpoint="Expected-Instance",
--- /dev/null
+++ b/tests/forwarding/test_forwarder.py
@@ -0,0 +1,137 @@
+"""What may be sent to an endpoint again, and what a caller is told."""
+
+import asyncio
+
+import pytest
+
+from sesamepost.errors import ErrorKind, RouterError
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.mirror import Mirror
+from sesamepost.internal.coordination.nodes import (
+    NODE_PREFIX,
+    EndpointInfo,
+    NodeEntry,
+    NodeTable,
+)
+from sesamepost.internal.coordination.store import Item
+from sesamepost.internal.forwarding.forwarder import Call, Forwarder, Progress
+from sesamepost.internal.forwarding.loads import LoadBook
+from sesamepost.internal.forwarding.messages import NO_KEY, Forward
+from sesamepost.internal.forwarding.routes import Route, Share
+from sesamepost.internal.ranges.table import Owner, new_table
+from sesamepost.internal.ranges.table_store import TableStore
+from sesamepost.internal.wire.messages import Answer
+from tests.coordination.memory_store import MemoryStore
+
+VMS = ("10.0.0.2", "10.0.0.3")
+
+
+class ScriptedForwarder(Forwarder):
+    """Takes the results of attempts from a list instead of other nodes."""
+
+    def __init__(self, partitioned: bool, script: list) -> None:
+        self.script = script
+        self.sent: list[tuple[str, Forward]] = []
+        mirror = Mirror(MemoryStore())
+        nodes = NodeTable(mirror)
+        for index, vm in enumerate(VMS):
+            endpoint = EndpointInfo("s", f"i-{vm}", 1, 2, "v1", True)
+            entry = NodeEntry(vm, vm, 1, 7600, f"a{index}", "r", endpoint)
+            mirror.offer(Item(NODE_PREFIX + vm, entry.encode(), index + 1))
+        tables = TableStore(mirror.store, mirror, "s") if partitioned else None
+        if tables:
+            owners = [Owner(vm, f"i-{vm}", 1) for vm in VMS]
+            mirror.offer(Item(tables.key, new_table(owners).encode(), 9))
+        loads = LoadBook("a0", "r")
+        super().__init__("10.0.0.1", None, nodes, None, loads, lambda service: tables)
+
+    async def _run_at(self, node: NodeEntry, request: Forward) -> Answer:
+        self.sent.append((node.vm, request))
+        result = self.script.pop(0)
+        if isinstance(result, int):
+            return Answer(0, result, [], b"", False)
+        if result == "hang":
+            await asyncio.Event().wait()
+        raise RouterError(result)
+
+
+def call(repeatable: bool, key: int = NO_KEY, timeout_s: float = 2.0) -> Call:
+    route = Route("r", "h", "/", repeatable, 0, 0.8, 2, 1, (Share("s", 1.0),))
+    now = boottime()
+    return Call(
+        "id", route, "s", key, "POST", "/", [], b"", now + timeout_s, now + 0.8, 1, 7
+    )
+
+
+async def outcome(forwarder: Forwarder, request: Call) -> int | ErrorKind:
+    try:
+        return (await forwarder.run(request, Progress())).status
+    except RouterError as error:
+        return error.kind
+
+
+@pytest.mark.parametrize("key", [NO_KEY, 5])
+@pytest.mark.parametrize(
+    "failure",
+    [ErrorKind.OUTCOME_UNKNOWN, ErrorKind.ANSWER_CUT_OFF, ErrorKind.INTERNAL],
+)
+async def test_a_request_that_may_have_run_is_sent_again_only_if_it_may_be(
+    failure, key
+):
+    # Guards against a booking that is made twice.
+    forwarder = ScriptedForwarder(key != NO_KEY, [failure, 200])
+    assert await outcome(forwarder, call(False, key)) is failure
+    assert len(forwarder.sent) == 1
+    forwarder = ScriptedForwarder(key != NO_KEY, [failure, 200])
+    assert await outcome(forwarder, call(True, key)) == 200
+    assert [request.repeats for _, request in forwarder.sent] == [0, 1]
+
+
+async def test_a_request_that_was_refused_goes_to_the_other_endpoint():
+    forwarder = ScriptedForwarder(False, [ErrorKind.OVERLOADED, 200])
+    assert await outcome(forwarder, call(False)) == 200
+    assert [vm for vm, _ in forwarder.sent] == list(VMS)
+
+
+async def test_a_refusal_after_an_unknown_outcome_does_not_say_not_run():
+    # The first attempt may have run, whatever the second endpoint says.
+    script = [ErrorKind.OUTCOME_UNKNOWN, ErrorKind.OVERLOADED]
+    forwarder = ScriptedForwarder(False, script)
+    assert await outcome(forwarder, call(True)) is ErrorKind.OUTCOME_UNKNOWN
+
+
+async def test_a_failure_of_an_endpoint_is_the_answer_if_no_other_does_better():
+    forwarder = ScriptedForwarder(False, [500, ErrorKind.OUTCOME_UNKNOWN])
+    assert await outcome(forwarder, call(False)) == 500
+    forwarder = ScriptedForwarder(False, [500, 200])
+    assert await outcome(forwarder, call(True)) == 200
+
+
+async def test_a_request_reaches_no_more_endpoints_than_its_route_allows():
+    script = [ErrorKind.OUTCOME_UNKNOWN] * 3
+    forwarder = ScriptedForwarder(False, script)
+    await outcome(forwarder, call(True))
+    assert len(forwarder.sent) == 2
+
+
+async def test_a_key_goes_to_its_owner_only():
+    forwarder = ScriptedForwarder(True, [200, 200])
+    assert await outcome(forwarder, call(True, 5)) == 200
+    assert await outcome(forwarder, call(True, 65535)) == 200
+    assert [vm for vm, _ in forwarder.sent] == list(VMS)
+
+
+async def test_at_the_deadline_the_caller_learns_what_is_known():
+    forwarder = ScriptedForwarder(False, ["hang"])
+    assert await outcome(forwarder, call(False, timeout_s=0.1)) is (
+        ErrorKind.OUTCOME_UNKNOWN
+    )
+
+
+async def test_a_request_without_an_owner_is_refused_before_its_deadline():
+    # Guards against callers that wait for keys that nobody serves.
+    forwarder = ScriptedForwarder(True, [])
+    forwarder.nodes.nodes.clear()
+    request = call(True, 5)
+    assert await outcome(forwarder, request) is ErrorKind.OWNER_UNREACHABLE
+    assert request.deadline - boottime() > 1.0
--- /dev/null
+++ b/tests/forwarding/test_ingress.py
@@ -0,0 +1,142 @@
+"""The port of the callers: what is refused at once, and what is sent on."""
+
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+
+from sesamepost.errors import ErrorKind, RouterError
+from sesamepost.internal.forwarding.forwarder import Call, Progress
+from sesamepost.internal.forwarding.ingress import Ingress
+from sesamepost.internal.forwarding.messages import NO_KEY
+from sesamepost.internal.forwarding.routes import (
+    Limits,
+    Route,
+    RoutingSettings,
+    Service,
+    Share,
+)
+from sesamepost.internal.wire.messages import Answer
+from sesamepost.internal.wire.pool import Address
+from tests.forwarding.test_endpoint_connection import NAMES
+
+ROUTES = (
+    Route("k", "h", "/k/", True, 1.5, 0.8, 2, 1, (Share("keyed", 1.0),)),
+    Route("p", "h", "/p/", False, 0.0, 0.5, 2, 0, (Share("plain", 1.0),)),
+)
+SERVICES = {
+    "keyed": Service("keyed", True, 10, "/health"),
+    "plain": Service("plain", False, 10, "/health"),
+}
+SETTINGS = RoutingSettings(7, ROUTES, SERVICES, Limits(1000, 100))
+
+
+class RecordingForwarder:
+    """Answers every call, or fails with ``error``."""
+
+    def __init__(self) -> None:
+        self.vm = "127.0.0.1"
+        self.calls: list[Call] = []
+        self.error: RouterError | None = None
+        self.retry_after_s = 0.3
+
+    async def run(self, call: Call, progress: Progress) -> Answer:
+        self.calls.append(call)
+        progress.retry_after_s = self.retry_after_s
+        if self.error is not None:
+            raise self.error
+        return Answer(0, 201, [("X-Seal", "s")], b"body", False)
+
+
+@asynccontextmanager
+async def served(settings: RoutingSettings | None = SETTINGS):
+    forwarder = RecordingForwarder()
+    index = settings.index() if settings else None
+    ingress = Ingress(
+        forwarder, NAMES, lambda: index, lambda: "beside", lambda *seen: None
+    )
+    async with ingress, aiohttp.ClientSession() as session:
+        await ingress.listen(Address("127.0.0.1", 0))
+        host, port = ingress.runner.addresses[0][:2]
+
+        async def ask(path: str, method: str = "GET", body: bytes = b"", **fields):
+            headers = {"Host": "h", "Id": "r-1", "Timeout": "3000"}
+            headers |= {name.replace("_", "-"): text for name, text in fields.items()}
+            url = f"http://{host}:{port}{path}"
+            async with session.request(
+                method, url, headers=headers, data=body or None
+            ) as answer:
+                return answer.status, answer.headers, await answer.read()
+
+        yield ask, forwarder
+
+
+async def test_an_answer_comes_back_as_the_endpoint_gave_it():
+    async with served() as (ask, forwarder):
+        status, headers, body = await ask("/k/x?y=1", Key="9")
+        assert (status, headers["X-Seal"], body) == (201, "s", b"body")
+        (call,) = forwarder.calls
+        assert (call.key, call.target, call.service) == (9, "/k/x?y=1", "keyed")
+        assert (call.rank, call.settings_version) == (1, 7)
+
+
+async def test_fields_that_the_router_sets_cannot_be_given_by_a_caller():
+    # Guards against a request that names its own origin or endpoint.
+    async with served() as (ask, forwarder):
+        await ask("/p/x", "POST", b"b", From="forged", Only="i-1", Other="kept")
+        names = [name for name, _ in forwarder.calls[0].headers]
+        assert names.count("From") == 1
+        assert ("From", "beside") in forwarder.calls[0].headers
+        assert "Only" not in names
+        assert ("Other", "kept") in forwarder.calls[0].headers
+        assert forwarder.calls[0].key == NO_KEY
+
+
+async def test_the_shorter_of_the_two_timeouts_holds():
+    async with served() as (ask, forwarder):
+        await ask("/k/x", Key="9")
+        await ask("/p/x", "POST", b"b")
+        by_route, by_caller = forwarder.calls
+        assert by_route.deadline - by_route.aim_at == pytest.approx(0.7, abs=0.01)
+        assert by_caller.deadline - by_caller.aim_at == pytest.approx(2.5, abs=0.01)
+
+
+@pytest.mark.parametrize(
+    ("path", "fields", "body", "status"),
+    [
+        ("/unknown/", {}, b"", 404),
+        ("/k/x", {}, b"", 400),
+        ("/k/x", {"Key": "65536"}, b"", 400),
+        ("/k/x", {"Key": "-1"}, b"", 400),
+        ("/p/x", {"Timeout": "soon"}, b"", 400),
+        ("/p/x", {}, b"x" * 101, 413),
+        ("/p/x", {"Large": "x" * 1000}, b"", 431),
+    ],
+)
+async def test_what_is_not_allowed_is_refused_without_an_endpoint(
+    path, fields, body, status
+):
+    async with served() as (ask, forwarder):
+        assert (await ask(path, "POST", body, **fields))[0] == status
+        assert forwarder.calls == []
+
+
+async def test_before_the_settings_are_known_callers_are_told_to_come_back():
+    # A 404 would say that the path does not exist.
+    async with served(None) as (ask, _):
+        status, headers, _ = await ask("/k/x", Key="9")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+
+
+async def test_a_refusal_says_when_to_come_back_and_an_unknown_outcome_does_not():
+    async with served() as (ask, forwarder):
+        forwarder.error = RouterError(ErrorKind.OVERLOADED)
+        forwarder.retry_after_s = 2.0
+        status, headers, _ = await ask("/k/x", Key="9")
+        assert status == 503
+        assert 2.0 <= float(headers["Retry-After"]) <= 2.7
+        forwarder.error = RouterError(ErrorKind.OUTCOME_UNKNOWN)
+        status, headers, _ = await ask("/k/x", Key="9")
+        assert status == 504
+        assert "Retry-After" not in headers
