Close idle connections of a stopping node, answer all pipelined requests before a close

The removal of its entry could also wait for the store. The first answer of a pipelined connection closed it in front of the others.

Ruled out: the wait for moves, which ends 2.8 s after the signal.

Tests failed first: the idle connection stayed open for 5 s.

--- a/src/sesamepost/internal/forwarding/endpoint.py
+++ b/src/sesamepost/internal/forwarding/endpoint.py
@@ -65,7 +65,7 @@
 class LocalEndpoint:
     """Admits requests to the endpoint beside this node and sends them.
 
-    ``keepers`` maps a partitioned service to the keeper of its holds.
+    ``keeper`` keeps the holds of an endpoint of a partitioned service, None for others.
     """
 
     def __init__(self, pool: EndpointPool, names: HeaderNames) -> None:
--- a/src/sesamepost/internal/forwarding/ingress.py
+++ b/src/sesamepost/internal/forwarding/ingress.py
@@ -105,9 +105,14 @@
         await self.site.start()
 
     async def stop_accepting(self) -> None:
-        """Accept no new connection and close each open one after its next answer."""
+        """Accept no new connection, and close each open one once it is idle.
+
+        A request that crosses the close was not read, so its caller sends it again.
+        """
         self.is_stopping = True
         await self.site.stop()
+        for connection in self.runner.server.connections:
+            connection.close_if_idle()
 
     async def handle(self, request: BaseRequest) -> web.Response:
         """Answer one request, which may have been started early."""
@@ -118,7 +123,7 @@
         else:
             body = await self._read_body(request)
             response = await self._process(message, body)
-        if self.is_stopping:
+        if self.is_stopping and not request.protocol.has_waiting:
             response.force_close()
         return response
 
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -56,7 +56,9 @@
 LIVE = frozenset({"service", "stop_timeout_s"})
 # Two readiness checks, a second apart, must fail before callers go elsewhere.
 UNREADY_S = 2.3
-STOP_RESERVE_S = 0.7
+STOP_RESERVE_S = 1.0
+# An entry that cannot be removed vanishes with its lease.
+WITHDRAW_TIMEOUT_S = 0.3
 
 log = structlog.get_logger()
 
@@ -195,7 +197,9 @@
             async with asyncio.timeout_at(_loop_time(end)):
                 await self.ingress.idle.wait()
                 await self.peers.wait_until_idle()
-        await self.registration.withdraw()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(WITHDRAW_TIMEOUT_S):
+                await self.registration.withdraw()
         log.info("drained", in_flight=self.ingress.in_flight)
 
     def _is_refusing(self, service: str) -> bool:
--- a/src/sesamepost/internal/forwarding/pipelining.py
+++ b/src/sesamepost/internal/forwarding/pipelining.py
@@ -45,6 +45,19 @@
                 task.cancel()
         self.early.clear()
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether requests wait behind the one that is being answered.
+
+        Some may be at an endpoint already, so the connection must not end before them.
+        """
+        return bool(self._messages)
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no request has been read on it."""
+        if self._waiter is not None and not self._messages:
+            self.force_close()
+
     def take_early(self, message: RawRequestMessage) -> asyncio.Task | None:
         """Return the task of a request that was started early."""
         _, task = self.early.pop(id(message), (message, None))
--- a/tests/forwarding/test_ingress.py
+++ b/tests/forwarding/test_ingress.py
@@ -1,5 +1,6 @@
 """The port of the callers: what is refused at once, and what is sent on."""
 
+import asyncio
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -68,6 +69,7 @@
             ) as answer:
                 return answer.status, answer.headers, await answer.read()
 
+        ask.ingress = ingress
         yield ask, forwarder
 
 
@@ -140,3 +142,17 @@
         status, headers, _ = await ask("/k/x", Key="9")
         assert status == 504
         assert "Retry-After" not in headers
+
+
+async def test_a_stopping_port_closes_idle_connections():
+    # A kept connection took a request just before the process ended.
+    async with served() as (ask, _):
+        host, port = ask.ingress.runner.addresses[0][:2]
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b"GET /p/x HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 201")
+        await reader.readexactly(len("body"))
+        await ask.ingress.stop_accepting()
+        async with asyncio.timeout(5):
+            assert await reader.read() == b""
+        writer.close()
--- a/tests/forwarding/test_pipelining.py
+++ b/tests/forwarding/test_pipelining.py
@@ -46,6 +46,7 @@
     server = PipelinedServer(
         handler.handle, handler.start_early, handler_cancellation=True
     )
+    handler.server = server
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
@@ -82,3 +83,23 @@
         await wait_for(handler, lambda: len(handler.started) == 3)
         writer.transport.abort()
         await wait_for(handler, lambda: len(handler.cancelled) == 3)
+
+
+async def test_only_an_idle_connection_is_closed_at_once():
+    # Guards against answers that are lost when a process stops.
+    async with served() as (handler, reader, writer):
+        writer.write(PIPELINED)
+        await wait_for(handler, lambda: len(handler.started) == 3)
+        (connection,) = handler.server.connections
+        connection.close_if_idle()
+        assert connection.has_waiting
+        handler.release.set()
+        seen = b""
+        async with asyncio.timeout(5):
+            while not seen.endswith(b"/c"):
+                seen += await reader.read(4096)
+        assert seen.count(b"HTTP/1.1 200") == 3
+        assert not connection.has_waiting
+        connection.close_if_idle()
+        async with asyncio.timeout(5):
+            assert await reader.read() == b""
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -8,13 +8,15 @@
 from aiohttp import web
 
 HISTORY = 500
+SILENCE_S = 60.0
 
 
 class StoreStandin:
     """Keeps items, leases and events in memory.
 
-    ``is_down`` makes every call fail, ``rejected`` those of the addresses in it. Leases
-    end after their time unless the store is down.
+    ``is_down`` makes every call fail, ``rejected`` those of the addresses in it, and
+    ``is_silent`` leaves calls unanswered. Leases end after their time unless the store
+    is down.
     """
 
     def __init__(self) -> None:
@@ -25,6 +27,7 @@
         self.lease_ids = itertools.count(1000)
         self.changed = asyncio.Condition()
         self.is_down = False
+        self.is_silent = False
         self.rejected: set[str] = set()
         self.calls = 0
         self.runner: web.AppRunner | None = None
@@ -62,6 +65,8 @@
     @web.middleware
     async def _check(self, request: web.Request, handler):
         self.calls += 1
+        if self.is_silent:
+            await asyncio.sleep(SILENCE_S)
         if self.is_down or request.remote in self.rejected:
             return web.json_response({"error": "busy"}, status=503)
         return await handler(request)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -11,6 +11,8 @@
 # The users' target for a loss, beside the longest hold of the lost owner.
 LOSS_TARGET_S = 4.0
 CONFIG_TARGET_S = 2.5
+# The platform kills a process this long after SIGTERM.
+STOP_TARGET_S = 6.0
 
 
 @pytest.fixture
@@ -79,7 +81,7 @@
     fleet.terminate(1)
     answers = await asyncio.gather(*asked)
     assert [status for status, _, _ in answers] == [200] * 6
-    async with asyncio.timeout(6.0):
+    async with asyncio.timeout(STOP_TARGET_S):
         assert await fleet.processes[1].wait() == 0
 
 
@@ -107,3 +109,12 @@
     await asyncio.sleep(HOLD_S + 1)
     assert await fleet.is_served(0, 0)
     assert await fleet.is_served(0, 65535)
+
+
+async def test_a_planned_stop_ends_in_time_while_the_store_is_silent(fleet):
+    # The process was killed at the end of its time, with requests that it had taken.
+    fleet.store.is_silent = True
+    await asyncio.sleep(1.5)
+    fleet.terminate(0)
+    async with asyncio.timeout(STOP_TARGET_S):
+        assert await fleet.processes[0].wait() == 0
