--- a/src/sesamepost/internal/forwarding/ingress.py
+++ b/src/sesamepost/internal/forwarding/ingress.py
@@ -112,7 +112,7 @@
         self.is_stopping = True
         await self.site.stop()
         for connection in self.runner.server.connections:
-            connection.close_if_idle()
+            connection.close_when_answered()
 
     async def handle(self, request: BaseRequest) -> web.Response:
         """Answer one request, which may have been started early."""
--- a/src/sesamepost/internal/forwarding/pipelining.py
+++ b/src/sesamepost/internal/forwarding/pipelining.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 from aiohttp.http_parser import RawRequestMessage
+from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler
 
 StartEarly = Callable[[RawRequestMessage], asyncio.Task | None]
@@ -18,17 +19,24 @@
 class PipelinedHandler(RequestHandler):
     """One connection; ``start_early`` is offered each request that has to wait."""
 
-    __slots__ = ("early", "start_early")
+    __slots__ = ("early", "is_closing", "last_payload", "start_early")
 
     def __init__(self, manager, start_early: StartEarly, **options) -> None:
         super().__init__(manager, **options)
         self.start_early = start_early
+        self.is_closing = False
+        self.last_payload = EMPTY_PAYLOAD
         # The message is kept beside its task, so that no other one gets its id.
         self.early: dict[int, tuple[RawRequestMessage, asyncio.Task | None]] = {}
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrived and offer requests that are behind another one."""
+        if self.is_closing and self.last_payload.is_eof():
+            # Requests behind the answer that closes a connection count as not read.
+            return
         super().data_received(data)
+        if self._messages:
+            self.last_payload = self._messages[-1][1]
         is_idle = self._waiter is not None
         waiting = list(self._messages)[1 if is_idle else 0 :]
         for message, payload in waiting:
@@ -53,10 +61,14 @@
         """
         return bool(self._messages)
 
-    def close_if_idle(self) -> None:
-        """Close the connection if no request has been read on it."""
+    def close_when_answered(self) -> None:
+        """Read no more requests, and close once those that were read are answered.
+
+        A caller that goes on pipelining would otherwise keep the connection busy.
+        """
         if self._waiter is not None and not self._messages:
             self.force_close()
+        self.is_closing = True
 
     def take_early(self, message: RawRequestMessage) -> asyncio.Task | None:
         """Return the task of a request that was started early."""
