Tell a node that resigned of its fencing also when its witnesses are replaced

Cause: a planned stop waits up to 2 s to hear that the node is fenced. The controller pushes documents to its neighbours and to nodes that are not in the fleet yet. Once the witnesses of a resigned node have been replaced, nobody is its neighbour, so it waited in vain.

Ruled out: a wait that is too short for a busy machine.

--- a/src/sesamepost/internal/daemon/daemon.py
+++ b/src/sesamepost/internal/daemon/daemon.py
@@ -268,9 +268,10 @@
             if record.address in seeds and record.node != self.node:
                 targets[record.node] = record.address
         if self.leadership.leads:
-            # Nodes that joined a moment ago have no neighbours that know them yet.
+            # Nodes that joined a moment ago have no neighbours that know them yet, and
+            # a node that resigned has none any more.
             for node, stream in self.pool.streams.items():
-                if node not in targets and fleet.get(node) is None and stream.is_open:
+                if node not in targets and fleet.live(node) is None and stream.is_open:
                     targets[node] = Address("", 0)
         return list(targets.items())
 
