Repeat a cut watch at once, find the store again, and watch once for a failure domain

Change: a cut watch is repeated once before the store counts as lost; where no peer helps the store is tried again after 0.25 s; the pause follows changes only; a relayed watch waits 0.5 s.

Cause 2, found in the code: a watch that began after a failure saw the flag of that failure and gave up at once, each second anew, so a node could work through its peers until the end. Tests of both fail before the change.

Smaller failure domains work as before: polls would cost more than they save.

Ruled out: a feed for all; a reader a region, whose bytes between failure domains are billed.

--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -4,6 +4,8 @@
 from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
+from typing import Protocol
 
 import structlog
 from reactivex.subject import Subject
@@ -19,16 +21,42 @@
 )
 from sesamepost.internal.tasks import TaskOwner
 
-WATCH_WAIT_S = 25.0
 FIRST_WATCH_WAIT_S = 0.2
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
-# Changes that follow each other within this time share one call of the store.
-PAUSE_S = 0.8
+# The entries of more VMs than a fleet ever has.
+MAX_DELETIONS = 4096
 
 log = structlog.get_logger()
 
 
+@dataclass(frozen=True, slots=True)
+class WatchPace:
+    """How a node watches: changes within ``pause_s`` seconds share one call.
+
+    A call without a change ends after ``wait_s`` seconds.
+    """
+
+    pause_s: float
+    wait_s: float
+
+
+WATCH_PACE = WatchPace(pause_s=0.8, wait_s=25.0)
+
+
+class ChangeFeed(Protocol):
+    """Another source of changes than the store."""
+
+    async def follow(self, revision: int) -> tuple[Batch, float] | None:
+        """Return the changes after a revision and their age in seconds.
+
+        None means that the store is to be asked. Raises ``HistoryGoneError``.
+        """
+
+    def pace(self) -> WatchPace:
+        """Return how the store is to be watched."""
+
+
 class Mirror(TaskOwner):
     """Holds the newest known item of every key under a prefix.
 
@@ -44,6 +72,14 @@
         self.items: dict[str, Item] = {}
         self.revision = 0
         self.missing: dict[str, float] = {}
+        # Revisions of deletions; those before ``complete_since`` may be unknown.
+        self.deleted: dict[str, int] = {}
+        self.complete_since = 0
+        # Whether the last watch brought changes, after which more may follow.
+        self.has_just_changed = False
+        # The state of the store is known as of this time.
+        self.confirmed_at = float("-inf")
+        self.feed: ChangeFeed | None = None
         self.changes: Subject = Subject()
         self.counters: Counter[str] = Counter()
         self.in_contact = False
@@ -74,6 +110,29 @@
             async with asyncio.timeout(timeout_s):
                 await event.wait()
 
+    def changes_after(self, revision: int) -> Batch:
+        """Return what changed after a revision, as a watch of the store would.
+
+        Only the newest change of a key is told. Raises ``HistoryGoneError`` if some
+        deletions may be unknown.
+        """
+        if revision < self.complete_since:
+            raise HistoryGoneError(f"complete since revision {self.complete_since}")
+        if revision >= self.revision:
+            return Batch(self.revision, ())
+        found: list[Item | Deletion] = [
+            item
+            for item in self.items.values()
+            if revision < item.revision <= self.revision
+        ]
+        found += [
+            Deletion(key, deleted)
+            for key, deleted in self.deleted.items()
+            if revision < deleted <= self.revision
+        ]
+        found.sort(key=lambda event: event.revision)
+        return Batch(self.revision, tuple(found))
+
     async def run(self) -> None:
         """Follow the store."""
         retry_s = RETRY_MIN_S
@@ -81,10 +140,17 @@
         while True:
             try:
                 if not listed:
+                    sent_at = boottime()
                     self._replace(await self.store.list(self.prefix))
+                    self.confirmed_at = sent_at
                     listed = True
+                elif (batch := await self._follow()) is not None:
+                    self._take(batch)
                 else:
-                    self._take(await self._watch())
+                    batch = await self._watch()
+                    self.has_just_changed = bool(batch.events)
+                    self._take(batch)
+                    self.confirmed_at = boottime()
                 retry_s = RETRY_MIN_S
                 self._set_contact(True, "")
             except HistoryGoneError:
@@ -96,12 +162,32 @@
                 self._set_contact(False, str(error))
                 await asyncio.sleep(retry_s)
                 retry_s = min(retry_s * 2, RETRY_MAX_S)
+            except Exception:
+                # A node whose mirror has ended would work with old settings for good.
+                log.exception("mirror_failed", revision=self.revision)
+                listed = False
+                await asyncio.sleep(RETRY_MAX_S)
+
+    async def _follow(self) -> Batch | None:
+        """Return what a peer knows, or None if the store is to be asked."""
+        if self.feed is None:
+            return None
+        followed = await self.feed.follow(self.revision)
+        if followed is None:
+            return None
+        batch, age_s = followed
+        self.counters["follows"] += 1
+        self.confirmed_at = max(self.confirmed_at, boottime() - age_s)
+        return batch
 
     async def _watch(self) -> Batch:
-        await asyncio.sleep(PAUSE_S)
+        pace = WATCH_PACE if self.feed is None else self.feed.pace()
+        if self.has_just_changed:
+            await asyncio.sleep(pace.pause_s)
+        self.has_just_changed = False
         self.counters["watches"] += 1
         # Contact is known again when a watch ends, so the first one is short.
-        wait_s = WATCH_WAIT_S if self.in_contact else FIRST_WATCH_WAIT_S
+        wait_s = pace.wait_s if self.in_contact else FIRST_WATCH_WAIT_S
         return await self.store.watch(self.prefix, self.revision, wait_s)
 
     def _set_contact(self, in_contact: bool, reason: str) -> None:
@@ -122,13 +208,16 @@
             # An own write may be newer than the listing.
             if key not in present and item.revision <= batch.revision:
                 self._apply(Deletion(key, batch.revision), now)
+        self.complete_since = batch.revision
         self._take(batch)
 
     def _take(self, batch: Batch) -> None:
         now = boottime()
         for event in batch.events:
             self._apply(event, now)
-        self.revision = max(self.revision, batch.revision)
+        if batch.revision > self.revision:
+            self.revision = batch.revision
+            self.note_change()
 
     def _apply(self, event: Item | Deletion, now: float) -> None:
         held = self.items.get(event.key)
@@ -138,9 +227,22 @@
             case Item():
                 self.items[event.key] = event
                 self.missing.pop(event.key, None)
+                self.deleted.pop(event.key, None)
             case Deletion():
                 self.items.pop(event.key, None)
                 self.missing[event.key] = now
+                self._note_deleted(event)
+        self.note_change()
+        self.changes.on_next(event)
+
+    def _note_deleted(self, event: Deletion) -> None:
+        self.deleted.pop(event.key, None)
+        self.deleted[event.key] = event.revision
+        if len(self.deleted) > MAX_DELETIONS:
+            oldest = next(iter(self.deleted))
+            self.complete_since = max(self.complete_since, self.deleted.pop(oldest))
+
+    def note_change(self) -> None:
+        """Wake those who wait for a change."""
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
-        self.changes.on_next(event)
--- a/src/sesamepost/internal/coordination/relay.py
+++ b/src/sesamepost/internal/coordination/relay.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
 import msgpack
@@ -32,8 +32,11 @@
 
 # After a failure, calls go through a peer for this long before the store is tried.
 RETRY_DIRECT_S = 1.0
+RETRY_WITHOUT_HELP_S = 0.25
 RELAY_TIMEOUT_S = 0.8
-RELAYED_WATCH_WAIT_S = 3.0
+# A peer that is cut off in the middle of a watch must not hold settings up for long.
+RELAYED_WATCH_WAIT_S = 0.5
+RELAYED_WATCH_TIMEOUT_S = 0.9
 MAX_PEERS_TRIED = 3
 
 # These say that the store was reached and what it found.
@@ -76,10 +79,15 @@
         self.pool = pool
         self.peers = peers
         self.direct_again_at = 0.0
-        self.direct_lost = asyncio.Event()
+        self.is_lost = False
+        # Set and replaced whenever a call finds the store out of reach.
+        self.lost = asyncio.Event()
         self.replies: dict[int, tuple[PeerStream, asyncio.Future]] = {}
         self.next_id = 0
+        self.helper = ""
         self.tasks: set[asyncio.Task] = set()
+        # Operations for peers that need no call of the store.
+        self.operations: dict[str, Callable[..., Awaitable]] = {}
         self.counters: Counter[str] = Counter()
         pool.on(StoreCall, self._serve)
         pool.on(StoreReply, self._on_reply)
@@ -88,7 +96,7 @@
     @property
     def is_direct(self) -> bool:
         """Whether the store answered this node itself the last time."""
-        return boottime() >= self.direct_again_at and not self.direct_lost.is_set()
+        return not self.is_lost
 
     async def get(self, key: str) -> tuple[Item | None, int]:
         """Return the newest item at ``key``, or None, and the store's revision."""
@@ -98,11 +106,11 @@
 
     async def list(self, prefix: str) -> Batch:
         """Return all items whose key begins with ``prefix``."""
-        return _decode_batch(await self._call("list", [prefix]))
+        return decode_batch(await self._call("list", [prefix]))
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Batch:
         """Return the changes after a revision, waiting for the first one."""
-        return _decode_batch(await self._call("watch", [prefix, after, wait_s]))
+        return decode_batch(await self._call("watch", [prefix, after, wait_s]))
 
     async def commit(self, transaction: Transaction) -> int:
         """Apply a transaction and return the revision of the change."""
@@ -140,11 +148,18 @@
 
     async def _direct_or_lost(self, operation: str, arguments: list):
         """Call the store; give a watch up when another call finds the store lost."""
-        call = perform(self.direct, operation, arguments)
         if operation != "watch":
-            return await call
-        watch = asyncio.ensure_future(call)
-        lost = asyncio.ensure_future(self.direct_lost.wait())
+            return await perform(self.direct, operation, arguments)
+        try:
+            return await self._watch_or_lost(arguments)
+        except StoreSilentError as error:
+            # A watch may be cut although the store is well; a lost store fails again.
+            log.info("watch_cut", reason=str(error))
+            return await self._watch_or_lost(arguments)
+
+    async def _watch_or_lost(self, arguments: list):
+        watch = asyncio.ensure_future(perform(self.direct, "watch", arguments))
+        lost = asyncio.ensure_future(self.lost.wait())
         try:
             await asyncio.wait((watch, lost), return_when=asyncio.FIRST_COMPLETED)
             if watch.done():
@@ -158,20 +173,24 @@
 
     def _note_direct(self, works: bool, reason: str) -> None:
         if works:
-            if self.direct_lost.is_set():
+            if self.is_lost:
                 log.info("store_direct_regained")
-            self.direct_lost.clear()
+            self.is_lost = False
             return
         self.direct_again_at = boottime() + RETRY_DIRECT_S
-        if not self.direct_lost.is_set():
+        if not self.is_lost:
             log.info("store_direct_lost", reason=reason)
-            self.direct_lost.set()
+        self.is_lost = True
+        lost, self.lost = self.lost, asyncio.Event()
+        lost.set()
 
     async def _through_peers(
         self, operation: str, arguments: list, failure: StoreError
     ):
         peers = self.peers()
         random.shuffle(peers)
+        # The one that helped last probably still can.
+        peers.sort(key=lambda peer: peer.vm != self.helper)
         for peer in peers[:MAX_PEERS_TRIED]:
             try:
                 return await self._through(peer, operation, arguments)
@@ -179,15 +198,28 @@
                 raise
             except StoreError as error:
                 failure = error
+                self.helper = ""
+        # Nobody helps, so the store itself is the only hope.
+        self.direct_again_at = min(
+            self.direct_again_at, boottime() + RETRY_WITHOUT_HELP_S
+        )
         raise failure
 
     async def _through(self, peer: NodeEntry, operation: str, arguments: list):
         timeout_s = RELAY_TIMEOUT_S
         if operation == "watch":
             prefix, after, wait_s = arguments
-            wait_s = min(wait_s, RELAYED_WATCH_WAIT_S)
-            arguments = [prefix, after, wait_s]
-            timeout_s += wait_s
+            arguments = [prefix, after, min(wait_s, RELAYED_WATCH_WAIT_S)]
+            timeout_s = RELAYED_WATCH_TIMEOUT_S
+        result = await self.ask(peer, operation, arguments, timeout_s)
+        self.counters["relayed"] += 1
+        self.helper = peer.vm
+        return result
+
+    async def ask(
+        self, peer: NodeEntry, operation: str, arguments: list, timeout_s: float
+    ):
+        """Have a peer perform an operation; raise ``StoreError``."""
         self.next_id += 1
         call_id = self.next_id
         future = asyncio.get_running_loop().create_future()
@@ -198,10 +230,9 @@
                 stream.send(StoreCall(call_id, operation, msgpack.packb(arguments)))
                 reply = await future
         except (TimeoutError, StreamClosedError) as error:
-            raise StoreSilentError(f"{peer.vm} did not relay: {error!r}") from None
+            raise StoreSilentError(f"{peer.vm} did not answer: {error!r}") from None
         finally:
             self.replies.pop(call_id, None)
-        self.counters["relayed"] += 1
         if reply.error:
             raise _error(reply)
         return msgpack.unpackb(reply.result, strict_map_key=False)
@@ -225,17 +256,23 @@
         error = detail = ""
         result = b""
         try:
-            if not self.is_direct:
-                raise StoreRejectedError("this node has no contact either")
             arguments = msgpack.unpackb(call.arguments, strict_map_key=False)
-            value = await self._direct_or_lost(call.operation, arguments)
-            result = msgpack.packb(value)
+            result = msgpack.packb(await self._perform(call.operation, arguments))
             self.counters["served"] += 1
         except StoreError as failure:
             error, detail = type(failure).__name__, str(failure)
         with suppress(StreamClosedError):
             stream.send(StoreReply(call.id, error, detail, result))
 
+    async def _perform(self, operation: str, arguments: list):
+        """Do for a peer what it asks for."""
+        own = self.operations.get(operation)
+        if own is not None:
+            return await own(*arguments)
+        if not self.is_direct:
+            raise StoreRejectedError("this node has no contact either")
+        return await self._direct_or_lost(operation, arguments)
+
 
 async def perform(store: CoordinationStore, operation: str, arguments: list):
     """Make one call of the store; arguments and result can be written as msgpack."""
@@ -244,9 +281,9 @@
             item, revision = await store.get(key)
             return [None if item is None else encode_event(item), revision]
         case "list", [prefix]:
-            return _encode_batch(await store.list(prefix))
+            return encode_batch(await store.list(prefix))
         case "watch", [prefix, after, wait_s]:
-            return _encode_batch(await store.watch(prefix, after, wait_s))
+            return encode_batch(await store.watch(prefix, after, wait_s))
         case "commit", [conditions, writes, deletes]:
             values = tuple(Write(*write) for write in writes)
             return await store.commit(Transaction(conditions, values, tuple(deletes)))
@@ -260,11 +297,13 @@
             raise StoreRejectedError(f"unknown operation {operation!r}")
 
 
-def _encode_batch(batch: Batch) -> list:
+def encode_batch(batch: Batch) -> list:
+    """Return a batch as a msgpack array."""
     return [batch.revision, [encode_event(event) for event in batch.events]]
 
 
-def _decode_batch(array: list) -> Batch:
+def decode_batch(array: list) -> Batch:
+    """Return the batch in a msgpack array."""
     revision, events = array
     return Batch(revision, tuple(decode_event(event) for event in events))
 
--- a/src/sesamepost/internal/coordination/store.py
+++ b/src/sesamepost/internal/coordination/store.py
@@ -29,7 +29,14 @@
 
 
 class ConditionFailedError(StoreError):
-    """A condition of a transaction did not hold, so nothing was written."""
+    """A condition of a transaction did not hold, so nothing was written.
+
+    ``items`` are those keys of the conditions that exist, if the store told them.
+    """
+
+    def __init__(self, detail: str, items: "tuple[Item, ...]" = ()) -> None:
+        super().__init__(detail)
+        self.items = items
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesamepost/platform/store.py
+++ b/src/sesamepost/platform/store.py
@@ -114,7 +114,8 @@
         }
         status, fields = await self._call("POST", "/kv-txn", body=body)
         if status == 412:
-            raise ConditionFailedError(", ".join(transaction.conditions))
+            items = tuple(_item(entry) for entry in fields.get("items", ()))
+            raise ConditionFailedError(", ".join(transaction.conditions), items)
         if status == 404:
             raise LeaseEndedError("the lease of a write has ended")
         return int(fields["revision"])
--- /dev/null
+++ b/tests/coordination/test_feed.py
@@ -0,0 +1,169 @@
+"""One node of a large failure domain watches the store for the others."""
+
+import asyncio
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+
+from sesamepost.internal.coordination import feed as feed_module
+from sesamepost.internal.coordination.feed import MIN_GROUP, ReaderFeed
+from sesamepost.internal.coordination.mirror import Mirror
+from sesamepost.internal.coordination.nodes import NODE_PREFIX, NodeEntry, NodeTable
+from sesamepost.internal.coordination.relay import RelayedStore
+from sesamepost.internal.coordination.store import (
+    Item,
+    StoreRejectedError,
+    Transaction,
+    Write,
+)
+from sesamepost.internal.identity import new_node_id
+from sesamepost.internal.wire.pool import Address, PeerPool
+from tests.coordination.memory_store import MemoryStore
+from tests.waiting import until
+
+KEY = b"k" * 32
+
+
+class CountedStore(MemoryStore):
+    """Counts the watches, and can be silent to one node."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.watches = 0
+
+    async def watch(self, prefix, after, wait_s):
+        self.watches += 1
+        return await super().watch(prefix, after, wait_s)
+
+
+class View(CountedStore):
+    """The same store as one node sees it, which may be cut off from it."""
+
+    def __init__(self, store: CountedStore) -> None:
+        self.store = store
+        self.is_cut = asyncio.Event()
+
+    async def list(self, prefix):
+        return await self.store.list(prefix)
+
+    async def watch(self, prefix, after, wait_s):
+        call = asyncio.ensure_future(self.store.watch(prefix, after, wait_s))
+        cut = asyncio.ensure_future(self.is_cut.wait())
+        try:
+            await asyncio.wait((call, cut), return_when=asyncio.FIRST_COMPLETED)
+            if cut.done():
+                await asyncio.sleep(30)
+            return call.result()
+        finally:
+            call.cancel()
+            cut.cancel()
+
+
+@dataclass(slots=True)
+class Node:
+    """What a test looks at in one member of the group."""
+
+    mirror: Mirror
+    feed: ReaderFeed
+    view: View
+
+
+@asynccontextmanager
+async def group(store: CountedStore, count: int):
+    """Run the mirrors of one failure domain, on loopback addresses of their own."""
+    async with AsyncExitStack() as stack:
+        pools, entries = [], []
+        for index in range(count):
+            vm = f"127.0.0.{index + 1}"
+            pool = await stack.enter_async_context(PeerPool(new_node_id(vm), KEY))
+            address = await pool.listen(Address(vm, 0))
+            pools.append(pool)
+            entries.append(NodeEntry(vm, vm, 1, address.port, "a", "r", None))
+        for entry in entries:
+            await put(store, NODE_PREFIX + entry.vm, entry.encode())
+        nodes = []
+        for pool, entry in zip(pools, entries, strict=True):
+            view = View(store)
+            relayed = RelayedStore(view, pool, list)
+            mirror = Mirror(relayed)
+            mirror.feed = ReaderFeed(entry, NodeTable(mirror), mirror, relayed)
+            await stack.enter_async_context(mirror)
+            nodes.append(Node(mirror, mirror.feed, view))
+        await until(lambda: all(node.mirror.in_contact for node in nodes))
+        yield nodes
+
+
+async def put(store: MemoryStore, key: str, value: bytes) -> None:
+    revision = store.items[key].revision if key in store.items else 0
+    await store.commit(Transaction({key: revision}, (Write(key, value),)))
+
+
+def all_have(nodes, key: str, value: bytes) -> bool:
+    held = [node.mirror.get(key) for node in nodes]
+    return all(item is not None and item.value == value for item in held)
+
+
+async def test_only_the_reader_watches_and_all_learn_of_changes():
+    # Each node had a watch of its own: 83 calls of the store for every change.
+    store = CountedStore()
+    async with group(store, MIN_GROUP) as nodes:
+        await asyncio.sleep(0.3)
+        before = store.watches
+        for value in (b"1", b"2", b"3"):
+            await put(store, "settings", value)
+            await until(lambda value=value: all_have(nodes, "settings", value))
+        assert nodes[1].mirror.counters["follows"] > 0
+        assert store.watches - before <= 6
+
+
+async def test_deletions_reach_the_followers():
+    store = CountedStore()
+    async with group(store, MIN_GROUP) as nodes:
+        lease = await store.open_lease(5.0)
+        await store.commit(Transaction({"x": 0}, (Write("x", b"1", lease),)))
+        await until(lambda: all_have(nodes, "x", b"1"))
+        await store.end_lease(lease)
+        await until(lambda: all(node.mirror.get("x") is None for node in nodes))
+
+
+async def test_a_reader_that_loses_the_store_without_a_word_holds_nobody_up():
+    # Settings must be in force within the operators' bound on nodes in contact.
+    store = CountedStore()
+    async with group(store, MIN_GROUP) as nodes:
+        await until(lambda: nodes[1].mirror.counters["follows"] > 0)
+        nodes[0].view.is_cut.set()
+        await put(store, "settings", b"new")
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await until(lambda: all_have(nodes[1:], "settings", b"new"))
+        assert loop.time() - began < 2.5
+
+
+async def test_a_follower_whose_reader_does_not_know_all_changes_lists_again():
+    # Guards against keys that stay in a mirror although they were deleted.
+    store = CountedStore()
+    async with group(store, MIN_GROUP) as nodes:
+        reader, follower = nodes[0].mirror, nodes[1].mirror
+        await until(lambda: follower.counters["follows"] > 0)
+        follower.offer(Item("ghost", b"1", 1))
+        reader.complete_since = store.revision + 1
+        await put(store, "a", b"1")
+        await until(lambda: all_have([nodes[1]], "a", b"1"))
+        await until(lambda: follower.get("ghost") is None)
+
+
+async def test_a_small_failure_domain_has_no_reader():
+    store = CountedStore()
+    async with group(store, MIN_GROUP - 1) as nodes:
+        assert all(node.feed.reader() is None for node in nodes)
+
+
+async def test_a_reader_with_old_knowledge_refuses():
+    store = CountedStore()
+    async with group(store, MIN_GROUP) as nodes:
+        nodes[0].mirror.confirmed_at -= feed_module.MAX_AGE_S + 5
+        nodes[0].mirror.task.cancel()
+        try:
+            await nodes[0].feed.serve(nodes[0].mirror.revision, 0.01)
+        except StoreRejectedError:
+            return
+        raise AssertionError("the reader answered without contact")
--- a/tests/coordination/test_relay.py
+++ b/tests/coordination/test_relay.py
@@ -11,6 +11,7 @@
     ConditionFailedError,
     StoreError,
     StoreRejectedError,
+    StoreSilentError,
     Transaction,
     Write,
 )
@@ -83,3 +84,72 @@
     async with two_nodes(Rejecting(), Rejecting()) as (relayed, _, _):
         with pytest.raises(StoreError, match=r"contact|busy"):
             await relayed.get("a")
+
+
+async def test_a_silent_peer_holds_a_watch_up_for_less_than_a_second():
+    # Settings came 4.7 s late at a node whose watch went through a peer that was cut.
+    async with two_nodes(Rejecting(), MemoryStore()) as (relayed, _, second):
+        second.handlers.clear()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        with pytest.raises(StoreError):
+            await relayed.watch("", 5, 20.0)
+        assert loop.time() - began < 1.2
+
+
+async def test_the_peer_that_helped_is_asked_again():
+    # Guards against calls that wait for a peer which was found dead a moment ago.
+    store = MemoryStore()
+    async with two_nodes(Rejecting(), store) as (relayed, _, _):
+        dead = NodeEntry("127.0.0.3", "c", 1, 1, "a", "r", None)
+        alive = relayed.peers()
+        await relayed.get("a")
+        relayed.peers = lambda: [dead, dead, dead, *alive]
+        for _ in range(20):
+            await relayed.get("a")
+        assert relayed.counters["relayed"] == 21
+
+
+class CuttingStore(MemoryStore):
+    """Cuts a number of watches, as a store may do at any time."""
+
+    cuts = 0
+
+    async def watch(self, prefix, after, wait_s):
+        if self.cuts > 0:
+            self.cuts -= 1
+            raise StoreSilentError("reset")
+        return await super().watch(prefix, after, wait_s)
+
+
+async def test_a_watch_that_is_cut_is_repeated_at_once():
+    # One cut watch kept the node from its settings for two seconds.
+    store = CuttingStore()
+    async with two_nodes(store, Rejecting()) as (relayed, _, _):
+        store.cuts = 1
+        assert (await relayed.watch("", 0, 0.05)).events == ()
+        assert relayed.is_direct
+
+
+async def test_a_watch_alone_finds_the_store_again():
+    # After an outage the watch gave up at once each second, and kept other calls from
+    # the store: the node worked through its peers until the end.
+    store = CuttingStore()
+    async with two_nodes(store, Rejecting()) as (relayed, _, _):
+        store.cuts = 2
+        with pytest.raises(StoreError):
+            await relayed.watch("", 0, 0.05)
+        assert not relayed.is_direct
+        relayed.direct_again_at = 0.0
+        await relayed.watch("", 0, 0.05)
+        assert relayed.is_direct
+
+
+async def test_without_help_the_store_is_tried_again_soon():
+    store = CuttingStore()
+    async with two_nodes(store, Rejecting()) as (relayed, _, _):
+        store.cuts = 2
+        with pytest.raises(StoreError):
+            await relayed.watch("", 0, 0.05)
+        await asyncio.sleep(0.3)
+        assert (await relayed.watch("", 0, 0.05)).events == ()
