Add a randomized soak of real processes under faults from outside

Processes are killed, stopped, paused and reloaded; connections to the store and to workers are delayed, reset, cut one way or silenced by a loopback proxy; the store is down, silent, forgetful, turns nodes away or loses answers; workers leave, end and start lives that seem older. Callers and workers check that nothing runs twice, that a refusal is true, that answers belong to their request and that no key has two holders.

--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -79,6 +79,15 @@
 """
 
 
+def routing_with(version: int) -> dict:
+    """Return the routing settings with a route that only this version has."""
+    host = ROUTING["virtualHosts"][0]
+    plain = host["paths"][1]
+    path = {**plain, "name": f"v{version}", "prefix": f"/v{version}/"}
+    hosts = [{**host, "paths": [*host["paths"], path]}]
+    return {**ROUTING, "version": version, "virtualHosts": hosts}
+
+
 def free_ports() -> dict[str, int]:
     """Return one free port for each name; peer and metrics follow each other."""
     while True:
@@ -131,11 +140,24 @@
         """Return the service of the worker beside a node."""
         return "keyed" if index % 2 == 0 else "plain"
 
+    async def put_routing(self, version: int) -> None:
+        """Write a version of the routing settings as the operator."""
+        await self.store.put("op/config", routing_with(version))
+
+    def store_address(self, index: int) -> str:
+        """Return where a node finds the store."""
+        return self.store.address
+
+    def listening_port(self) -> int:
+        """Return the port on which workers listen."""
+        return self.ports["worker"]
+
     async def start_worker(self, index: int) -> None:
         """Start a new life of the worker beside a node."""
         worker = WorkerStandin(
             self.ip(index), self.ports, self.service(index), self.record
         )
+        worker.listening_port = self.listening_port()
         self.workers[index] = await worker.__aenter__()
 
     async def stop_worker(self, index: int) -> None:
@@ -153,7 +175,7 @@
                 ip=self.ip(index),
                 zone=index // 2,
                 service=self.service(index),
-                store=self.store.address,
+                store=self.store_address(index),
                 **self.ports,
             )
         )
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import random
 from base64 import b64encode
 
 from aiohttp import web
@@ -15,8 +16,8 @@
     """Keeps items, leases and events in memory.
 
     ``is_down`` makes every call fail, ``rejected`` those of the addresses in it, and
-    ``is_silent`` leaves calls unanswered. Leases end after their time unless the store
-    is down.
+    ``is_silent`` leaves calls unanswered, and ``lost_share`` is the share of calls that
+    take effect and get no answer. Leases end after their time unless the store is down.
     """
 
     def __init__(self) -> None:
@@ -29,6 +30,8 @@
         self.is_down = False
         self.is_silent = False
         self.rejected: set[str] = set()
+        self.lost_share = 0.0
+        self.oldest_revision = 0
         self.calls = 0
         self.runner: web.AppRunner | None = None
         self.sweeper: asyncio.Task | None = None
@@ -62,6 +65,11 @@
         """Write a value as the operator."""
         await self._set(key, json.dumps(value).encode(), 0)
 
+    def forget_history(self) -> None:
+        """Drop all events, so that watches from before must list anew."""
+        self.events.clear()
+        self.oldest_revision = self.revision
+
     @web.middleware
     async def _check(self, request: web.Request, handler):
         self.calls += 1
@@ -69,7 +77,10 @@
             await asyncio.sleep(SILENCE_S)
         if self.is_down or request.remote in self.rejected:
             return web.json_response({"error": "busy"}, status=503)
-        return await handler(request)
+        response = await handler(request)
+        if self.lost_share and random.random() < self.lost_share:
+            request.transport.abort()
+        return response
 
     async def _key(self, request: web.Request) -> web.Response:
         item = self.items.get(request.query["key"])
@@ -93,6 +104,8 @@
         prefix = request.query["prefix"]
         after = int(request.query["after"])
         wait_s = int(request.query["waitMs"]) / 1000
+        if after < self.oldest_revision:
+            return web.json_response({}, status=410)
 
         def found() -> list[dict]:
             return [
@@ -113,10 +126,11 @@
 
     async def _txn(self, request: web.Request) -> web.Response:
         body = await request.json()
-        for row in body["expectedRevision"]:
-            item = self.items.get(row["key"])
-            if (item["revision"] if item else 0) != row["revision"]:
-                return web.json_response({"items": []}, status=412)
+        expected = {row["key"]: row["revision"] for row in body["expectedRevision"]}
+        present = [self.items[key] for key in expected if key in self.items]
+        revisions = {item["key"]: item["revision"] for item in present}
+        if any(revisions.get(key, 0) != revision for key, revision in expected.items()):
+            return web.json_response({"items": present}, status=412)
         for write in body["setKeys"]:
             if write["lease"] and write["lease"] not in self.leases:
                 return web.json_response({}, status=404)
--- a/tests/platform/worker_standin.py
+++ b/tests/platform/worker_standin.py
@@ -49,6 +49,7 @@
     def __init__(self, ip: str, ports: dict, service: str, record: Record) -> None:
         self.ip = ip
         self.ports = ports
+        self.listening_port = ports["worker"]
         self.service = service
         self.record = record
         self.id = f"i-{ip}-{next(BORN)}"
@@ -69,7 +70,7 @@
         app.router.add_route("*", "/{path:.*}", self._request)
         self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self.runner.setup()
-        await web.TCPSite(self.runner, self.ip, self.ports["worker"]).start()
+        await web.TCPSite(self.runner, self.ip, self.listening_port).start()
         self.beater = asyncio.create_task(self._beat())
         return self
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes under faults from outside."""
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,116 @@
+"""A loopback proxy that harms the connections which pass through it."""
+
+import asyncio
+import socket
+from contextlib import suppress
+from enum import Enum
+
+CHUNK_BYTES = 64 << 10
+POLL_S = 0.02
+
+
+class Harm(Enum):
+    """What happens to bytes on their way."""
+
+    NONE = "none"
+    DELAY = "delay"
+    NO_REQUESTS = "no_requests"
+    NO_ANSWERS = "no_answers"
+    SILENT = "silent"
+
+
+class Link:
+    """One proxied connection; a silenced one carries nothing any more."""
+
+    def __init__(self, proxy: "FaultProxy", client, server) -> None:
+        self.proxy = proxy
+        self.client = client
+        self.server = server
+        self.is_silenced = False
+
+    async def run(self) -> None:
+        """Carry bytes both ways until one side ends."""
+        ways = (
+            (self.client[0], self.server[1], Harm.NO_REQUESTS),
+            (self.server[0], self.client[1], Harm.NO_ANSWERS),
+        )
+        tasks = [asyncio.ensure_future(self._carry(*way)) for way in ways]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            self.reset()
+
+    def reset(self) -> None:
+        """End both connections with a reset."""
+        for _, writer in (self.client, self.server):
+            connection = writer.get_extra_info("socket")
+            with suppress(OSError):
+                linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.close()
+
+    async def _carry(self, reader, writer, stopped_by: Harm) -> None:
+        with suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                if self.proxy.harm is Harm.DELAY:
+                    await asyncio.sleep(self.proxy.delay_s)
+                await self._wait_while_held(stopped_by)
+                writer.write(data)
+                await writer.drain()
+
+    async def _wait_while_held(self, stopped_by: Harm) -> None:
+        # Harm and silence are plain fields that any fault may change.
+        while self.is_silenced or self.proxy.harm in (  # noqa: ASYNC110
+            stopped_by,
+            Harm.SILENT,
+        ):
+            await asyncio.sleep(POLL_S)
+
+
+class FaultProxy:
+    """Passes connections on to ``target`` and harms them as ``harm`` says."""
+
+    def __init__(self, address: tuple[str, int], target: tuple[str, int]) -> None:
+        self.address = address
+        self.target = target
+        self.harm = Harm.NONE
+        self.delay_s = 0.0
+        self.links: set[Link] = set()
+        self.server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> "FaultProxy":
+        self.server = await asyncio.start_server(self._accept, *self.address)
+        self.address = self.server.sockets[0].getsockname()[:2]
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        self.server.close()
+        self.reset_all()
+
+    def reset_all(self) -> None:
+        """Reset every open connection."""
+        for link in list(self.links):
+            link.reset()
+
+    def silence_all(self) -> None:
+        """Let open connections go silent for good; new ones work."""
+        for link in self.links:
+            link.is_silenced = True
+
+    async def _accept(self, reader, writer) -> None:
+        try:
+            server = await asyncio.open_connection(*self.target)
+        except OSError:
+            # A closed port behind the proxy must look closed in front of it.
+            writer.transport.abort()
+            return
+        link = Link(self, (reader, writer), server)
+        self.links.add(link)
+        try:
+            # The loop that ends cancels this handler, which nobody awaits.
+            with suppress(asyncio.CancelledError):
+                await link.run()
+        finally:
+            self.links.discard(link)
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,189 @@
+"""Runs a fleet of real processes under random faults and checks the promises.
+
+``python -m tests.soak.soak --seeds 50`` plays the seeds from 1 on; ``--first`` chooses
+another first one, and ``--nodes`` and ``--seconds`` the size. A seed decides the
+faults, their times and targets; how the processes run differs from run to run.
+"""
+
+import asyncio
+import random
+import sys
+import tempfile
+import traceback
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from pathlib import Path
+
+import defopt
+
+from tests.platform.fleet import Fleet
+from tests.soak.faults import FAULTS, Fault, Target
+from tests.soak.proxy import FaultProxy
+from tests.soak.traffic import Outcome, Traffic, broken_promises
+
+MAX_FAULT_S = 4.0
+CALLERS_PER_NODE = 2
+# The operators' bound on recovery after the last fault.
+RECOVERY_S = 15.0
+CONFIG_S = 2.5
+UNREAD_ERRORS = ("ClientConnectorError", "ConnectionTimeoutError", "TimeoutError")
+
+
+@dataclass(slots=True)
+class Planned:
+    """One fault of a schedule, in seconds from the start of the faults."""
+
+    at: float
+    for_s: float
+    fault: Fault
+
+
+def schedule(seed: int, seconds: float) -> list[Planned]:
+    """Return the faults of a seed; they come in series and overlap."""
+    rng = random.Random(seed)
+    planned = []
+    at = 0.0
+    while at < seconds:
+        at += rng.choice([0.1, 0.5, 1.0, 2.0, 3.0])
+        for_s = rng.uniform(0.2, MAX_FAULT_S)
+        planned.append(Planned(at, for_s, rng.choice(FAULTS)))
+    return planned
+
+
+async def play(seed: int, path: Path, nodes: int = 4, seconds: float = 12.0):
+    """Play one seed and return the broken promises and the outcomes."""
+    async with AsyncExitStack() as stack:
+        fleet = SoakFleet(path, nodes)
+        target = Target(fleet, random.Random(seed))
+        fleet.target, fleet.proxies = target, stack
+        await stack.enter_async_context(fleet)
+        traffic = Traffic(fleet, seed, nodes * CALLERS_PER_NODE)
+        traffic.start()
+        stack.push_async_callback(traffic.stop)
+        await _inject(target, schedule(seed, seconds))
+        problems = await _recovery(target)
+        await traffic.stop()
+        problems += broken_promises(fleet, traffic.outcomes)
+        problems += cut_requests(target, traffic.outcomes)
+        return problems + target.problems, traffic.outcomes
+
+
+async def _inject(target: Target, planned: list[Planned]) -> None:
+    began = asyncio.get_running_loop().time()
+
+    async def run(item: Planned) -> None:
+        left_s = began + item.at - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, left_s))
+        await item.fault(target, item.for_s)
+
+    await asyncio.gather(*(run(item) for item in planned))
+
+
+async def _recovery(target: Target) -> list[str]:
+    """Check that all is served again after the faults, with the newest settings."""
+    fleet = target.fleet
+    problems = []
+    for index, process in fleet.processes.items():
+        if process.returncode is not None:
+            problems.append(f"node {index} ended by itself: {process.returncode}")
+    for via in range(fleet.count):
+        try:
+            await fleet.wait_until_served(via, RECOVERY_S)
+        except TimeoutError:
+            problems.append(f"keys are not served through node {via} after the faults")
+    target.version += 1
+    await fleet.put_routing(target.version)
+    path = f"/v{target.version}/"
+    for via in range(fleet.count):
+
+        async def is_in_force(via: int = via) -> bool:
+            return (await fleet.ask(via, path, body="b"))[0] == 200
+
+        try:
+            await fleet.wait_until(is_in_force, CONFIG_S)
+        except TimeoutError:
+            problems.append(f"version {target.version} is not in force at node {via}")
+    return problems
+
+
+def cut_requests(target: Target, outcomes: list[Outcome]) -> list[str]:
+    """Return requests that ended without an answer at nodes that nobody disturbed."""
+    found = []
+    for outcome in outcomes:
+        # A connection that was refused or timed out says nothing of a read request.
+        if outcome.status or outcome.error.startswith(UNREAD_ERRORS):
+            continue
+        disturbed = any(
+            node == outcome.node and began <= outcome.ended and outcome.began <= ended
+            for node, began, ended in target.killed
+        )
+        if not disturbed and outcome.node not in target.restarting:
+            found.append(f"{outcome.request_id}: {outcome.error}")
+    return found
+
+
+class SoakFleet(Fleet):
+    """A fleet whose connections to the store and to workers pass through proxies."""
+
+    target: Target
+    proxies: AsyncExitStack
+
+    async def start_worker(self, index: int) -> None:
+        """Start a worker behind its proxy."""
+        if index not in self.target.worker_links:
+            port = self.ports["worker"]
+            address = (self.ip(index), port)
+            proxy = FaultProxy(address, (self.ip(index), self.hidden_port))
+            self.target.worker_links[index] = proxy
+            await self.proxies.enter_async_context(proxy)
+        await super().start_worker(index)
+
+    async def start(self, index: int) -> None:
+        """Start a node that reaches the store through its proxy."""
+        if index not in self.target.store_links:
+            host, port = self.store.address.split(":")
+            proxy = FaultProxy((self.ip(index), 0), (host, int(port)))
+            self.target.store_links[index] = proxy
+            await self.proxies.enter_async_context(proxy)
+        await super().start(index)
+
+    def store_address(self, index: int) -> str:
+        """Return where a node finds the store."""
+        return "{}:{}".format(*self.target.store_links[index].address)
+
+    def listening_port(self) -> int:
+        """Return where workers listen behind their proxies."""
+        return self.hidden_port
+
+    @property
+    def hidden_port(self) -> int:
+        """A port that nobody else of the fleet uses."""
+        return self.ports["worker"] + len(self.ports)
+
+
+def main(*, seeds: int = 10, first: int = 1, nodes: int = 4, seconds: float = 12):
+    """Play seeds one after the other.
+
+    :param seeds: how many seeds
+    :param first: the first seed
+    :param nodes: the number of nodes, each a process
+    :param seconds: how long faults are injected
+    """
+    failed = 0
+    for seed in range(first, first + seeds):
+        path = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        try:
+            problems, outcomes = asyncio.run(play(seed, path, nodes, seconds))
+        except Exception:
+            problems, outcomes = [traceback.format_exc()], []
+        served = sum(outcome.status == 200 for outcome in outcomes)
+        print(f"seed {seed}: {len(outcomes)} requests, {served} served, {path}")
+        for problem in problems[:10]:
+            print(f"  {problem}")
+        failed += bool(problems)
+    print(f"{seeds} seeds, {failed} with a broken promise")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/tests/soak/traffic.py
@@ -0,0 +1,119 @@
+"""Callers that repeat nothing and remember what they were told."""
+
+import asyncio
+import itertools
+import random
+from dataclasses import dataclass
+
+import aiohttp
+
+from tests.platform.fleet import Fleet
+
+PAUSE_S = 0.04
+ANSWER_TIMEOUT_S = 4.0
+TIME_LIMIT_MS = 1500
+# Statuses that promise that a request has not run and never will.
+NOT_RUN = frozenset({408, 421, 429, 503})
+IDS = itertools.count(1)
+
+
+@dataclass(slots=True)
+class Outcome:
+    """One request: what was asked, when, and what came back (status 0: no answer)."""
+
+    request_id: str
+    node: int
+    method: str
+    path: str
+    body: str
+    began: float
+    ended: float = 0.0
+    status: int = 0
+    seal: str = ""
+    text: str = ""
+    error: str = ""
+
+    def expected_text(self, caller: str) -> str:
+        """Return what the worker answers to this request."""
+        return f"{self.method} {self.path} {caller} {self.body}"
+
+
+class Traffic:
+    """Sends requests of both kinds to all nodes until it is cancelled."""
+
+    def __init__(self, fleet: Fleet, seed: int, callers: int) -> None:
+        self.fleet = fleet
+        self.random = random.Random(seed)
+        self.callers = callers
+        self.outcomes: list[Outcome] = []
+        self.tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Start the callers."""
+        for index in range(self.callers):
+            self.tasks.append(asyncio.create_task(self._call(index % self.fleet.count)))
+
+    async def stop(self) -> None:
+        """Let every caller finish its last request."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _call(self, node: int) -> None:
+        loop = asyncio.get_running_loop()
+        timeout = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            # The soak judges each attempt, so the client may repeat none by itself.
+            session._retry_connection = False
+            while True:
+                outcome = self._next(node, loop.time())
+                try:
+                    await self._send(session, outcome)
+                except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                    outcome.error = repr(error)
+                outcome.ended = loop.time()
+                self.outcomes.append(outcome)
+                await asyncio.sleep(PAUSE_S * (0.5 + self.random.random()))
+
+    def _next(self, node: int, now: float) -> Outcome:
+        request_id = f"s-{next(IDS)}"
+        if self.random.random() < 0.5:
+            return Outcome(request_id, node, "GET", f"/k/{request_id}", "", now)
+        return Outcome(request_id, node, "POST", f"/p/{request_id}", request_id, now)
+
+    async def _send(self, session: aiohttp.ClientSession, outcome: Outcome) -> None:
+        fleet = self.fleet
+        headers = {
+            "Host": "app.example",
+            "Request-Id": outcome.request_id,
+            "Deadline-Milliseconds": str(TIME_LIMIT_MS),
+        }
+        if outcome.method == "GET":
+            key = self.random.choice(fleet.record.probed_keys)
+            headers["Shard-Key"] = str(key)
+        url = f"http://{fleet.ip(outcome.node)}:{fleet.ports['callers']}{outcome.path}"
+        async with session.request(
+            outcome.method, url, headers=headers, data=outcome.body or None
+        ) as answer:
+            outcome.status = answer.status
+            outcome.seal = answer.headers.get("Response-Seal", "")
+            outcome.text = await answer.text()
+
+
+def broken_promises(fleet: Fleet, outcomes: list[Outcome]) -> list[str]:
+    """Return what callers and workers saw that must never happen."""
+    found = list(fleet.record.problems)
+    for outcome in outcomes:
+        runs = fleet.record.runs.get(outcome.request_id, [])
+        name = f"{outcome.request_id} at node {outcome.node}"
+        if outcome.method == "POST" and len(runs) > 1:
+            found.append(f"{name} ran {len(runs)} times: {runs}")
+        if outcome.method == "POST" and runs and outcome.status in NOT_RUN:
+            found.append(f"{name} was answered {outcome.status} and ran")
+        if outcome.status != 200:
+            continue
+        if outcome.seal != f"seal-{outcome.request_id}":
+            found.append(f"{name} got the seal {outcome.seal!r}")
+        if outcome.text != outcome.expected_text(fleet.service(outcome.node)):
+            found.append(f"{name} got the answer {outcome.text!r}")
+    return found
