Take moved load out at once, bound cuts by owner and losses by transaction

The loss of 16 VMs at once needs more than the 32 entries of a transaction, so it would have been refused again and again (found in the code). A watch whose answer is lost waited up to 26 s; settings must be in force 3 s after such trouble.

Change: load and counts of moved keys are dropped when the move starts; an owner with 16 ranges gives whole ones away unless one has half of its load; 12 lost VMs at a time; watches end after 2 s.

--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -41,7 +41,9 @@
     wait_s: float
 
 
-WATCH_PACE = WatchPace(pause_s=0.8, wait_s=25.0)
+# The answer of a watch may be lost without a word. Settings must be in force again 3 s
+# after such a disturbance, so a watch and its grace end within that time.
+WATCH_PACE = WatchPace(pause_s=0.8, wait_s=2.0)
 
 
 class ChangeFeed(Protocol):
--- a/src/sesamepost/internal/coordination/relay.py
+++ b/src/sesamepost/internal/coordination/relay.py
@@ -148,6 +148,7 @@
 
     async def _direct_or_lost(self, operation: str, arguments: list):
         """Call the store; give a watch up when another call finds the store lost."""
+        self.counters[f"direct_{operation}"] += 1
         if operation != "watch":
             return await perform(self.direct, operation, arguments)
         try:
--- a/src/sesamepost/internal/forwarding/endpoint.py
+++ b/src/sesamepost/internal/forwarding/endpoint.py
@@ -139,6 +139,16 @@
             for window_s, count in self.arrivals.items()
         )
 
+    def note_moved(self, first: int, last: int) -> None:
+        """Take the load of keys that are given away out of the recent load.
+
+        It would otherwise count for seconds, and more keys would follow than needed.
+        """
+        kept = 1.0 - self.key_counts.forget(first, last)
+        for window_s in BUSY_WINDOWS_S:
+            self.demand_s[window_s].value *= kept
+            self.gate.busy[window_s] *= kept
+
     def _load(self, window_s: float, now: float) -> float:
         demand = self.demand_s[window_s].at(now) / window_s / max(1, self.gate.slots)
         return max(self.gate.busy_share(window_s, now), demand)
--- a/src/sesamepost/internal/ranges/balance.py
+++ b/src/sesamepost/internal/ranges/balance.py
@@ -35,8 +35,11 @@
 MIN_TIME_RATIO = 0.33
 MAX_TIME_RATIO = 3.0
 LEVEL_STEPS = 30
-# Cuts in the middle of ranges stop long before the largest table.
-MAX_RANGES_TO_CUT = MAX_RANGES // 4
+# An owner with this many ranges gives whole ones away, as each cut adds ranges to the
+# table for good. Hot spots are cut until the table is half full.
+MAX_OWN_RANGES = 16
+MAX_RANGES_TO_CUT = MAX_RANGES // 2
+HOT_RANGE_SHARE = 0.5
 
 
 class KeyCounts:
@@ -54,6 +57,13 @@
         if key in self.counts or len(self.counts) < MAX_COUNTED_KEYS:
             self.counts[key] = self.counts.get(key, 0.0) + time_s
 
+    def forget(self, first: int, last: int) -> float:
+        """Drop the keys of a move; return their part of all slot time."""
+        total = sum(self.counts.values())
+        kept = {k: c for k, c in self.counts.items() if not first <= k <= last}
+        self.counts = kept
+        return 1.0 - sum(kept.values()) / total if total > 0 else 0.0
+
     def within(self, key_range: KeyRange) -> list[tuple[int, float]]:
         """Return the counted keys of a range in ascending order with their counts."""
         found = [
@@ -124,6 +134,31 @@
     return max(0.0, level - target.busy) / ratio
 
 
+def relief_moves(
+    pieces: Sequence[Piece],
+    ranges: Sequence[KeyRange],
+    counts: KeyCounts,
+    table_ranges: int,
+) -> list[Move]:
+    """Return the moves for pieces, which cut my ranges while there are not too many.
+
+    ``table_ranges`` is the number of ranges of all owners.
+    """
+    loads = {r: sum(c for _, c in counts.within(r)) for r in ranges}
+    total = sum(loads.values())
+    if total <= 0 or not pieces:
+        return []
+    is_hot = max(loads.values()) >= total * HOT_RANGE_SHARE
+    may_cut = table_ranges < MAX_RANGES_TO_CUT
+    if may_cut and (is_hot or len(ranges) < MAX_OWN_RANGES):
+        return cut_pieces(pieces, ranges, counts)
+    wanted = pieces[0].share * total
+    nearest = min(ranges, key=lambda r: abs(loads[r] - wanted))
+    if not 0 < loads[nearest] <= wanted * MAX_PIECE_EXCESS:
+        return []
+    return [Move(nearest.first, nearest.last, pieces[0].target)]
+
+
 def cut_pieces(
     pieces: Sequence[Piece], ranges: Sequence[KeyRange], counts: KeyCounts
 ) -> list[Move]:
--- a/src/sesamepost/internal/ranges/balancing.py
+++ b/src/sesamepost/internal/ranges/balancing.py
@@ -7,7 +7,6 @@
 
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.ranges.balance import (
-    MAX_RANGES_TO_CUT,
     MAX_TARGETS,
     MIN_BUSY,
     MIN_MOVE_INTERVAL_S,
@@ -17,7 +16,7 @@
     choose_move,
     choose_relief,
     choose_target,
-    cut_pieces,
+    relief_moves,
 )
 from sesamepost.internal.ranges.keeper import RangeKeeper
 from sesamepost.internal.ranges.table import KeyRange, Owner, RangeTable
@@ -45,6 +44,9 @@
     def mean_s(self) -> float:
         """Return the recent mean time of a request."""
 
+    def note_moved(self, first: int, last: int) -> None:
+        """Count the keys that are given away no more."""
+
 
 class PeerLoads(Protocol):
     """The loads that other nodes have reported."""
@@ -97,6 +99,7 @@
         self.moved_at = now
         for move in moves:
             self.settling[move.target] = now + SETTLE_S
+            self.local.note_moved(move.first, move.last)
         keeper.move(moves, "balance")
 
     def _choose(
@@ -111,12 +114,11 @@
             unknown = {owner.vm for owner in sizes if owner} - known - {mine.vm}
             if unknown and self.ask(unknown):
                 return []
-        if len(table.ranges) < MAX_RANGES_TO_CUT:
-            pieces = choose_relief(load, others)
-            moves = cut_pieces(pieces, ranges, local.key_counts)
-            if moves:
-                _log_moves(moves, load, others)
-                return moves
+        pieces = choose_relief(load, others)
+        moves = relief_moves(pieces, ranges, local.key_counts, len(table.ranges))
+        if moves:
+            _log_moves(moves, load, others)
+            return moves
         target = choose_target(load, others)
         if target is None:
             return []
--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -27,6 +27,8 @@
 SETTLE_S = 0.8
 SETTLE_MAX_S = 4.0
 TURN_S = 0.5
+# A transaction of the store has 32 entries; a lost VM needs two conditions.
+MAX_LOST_AT_ONCE = 12
 
 log = structlog.get_logger()
 
@@ -94,7 +96,7 @@
                 lambda table: new_table(owners) if table is None else None,
             )
             return
-        lost = self._lost(now)
+        lost = self._some_of(self._lost(now))
         conditions = {}
         for vm in {owner.vm for owner in lost if owner not in self.ended}:
             conditions[self.nodes.node_key(vm)] = 0
@@ -108,6 +110,12 @@
         if await self.tables.change("owners are gone", decide, conditions):
             self.on_dealt()
 
+    def _some_of(self, lost: set[Owner]) -> set[Owner]:
+        """Return as many lost owners as one transaction can name; the rest follow."""
+        vms = sorted({owner.vm for owner in lost if owner not in self.ended})
+        named = set(vms[:MAX_LOST_AT_ONCE])
+        return {o for o in lost if o in self.ended or o.vm in named}
+
     def _is_due(self, now: float) -> bool:
         if self.tables.table is None:
             is_due = self._has_settled(now)
--- a/tests/coordination/memory_store.py
+++ b/tests/coordination/memory_store.py
@@ -14,6 +14,8 @@
     Transaction,
 )
 
+MAX_TRANSACTION_ENTRIES = 32
+
 
 class MemoryStore:
     """Implements ``CoordinationStore``.
@@ -65,6 +67,9 @@
 
     async def commit(self, transaction: Transaction) -> int:
         self._check()
+        parts = (transaction.conditions, transaction.writes, transaction.deletes)
+        if sum(map(len, parts)) > MAX_TRANSACTION_ENTRIES:
+            raise StoreSilentError("the store takes no transaction of that size")
         for key, revision in transaction.conditions.items():
             item = self.items.get(key)
             if (0 if item is None else item.revision) != revision:
--- a/tests/ranges/test_balance.py
+++ b/tests/ranges/test_balance.py
@@ -1,6 +1,7 @@
 """Load patterns and the moves that answer them."""
 
 from sesamepost.internal.ranges.balance import (
+    MAX_OWN_RANGES,
     KeyCounts,
     Move,
     OwnerLoad,
@@ -8,6 +9,7 @@
     choose_relief,
     choose_target,
     cut_pieces,
+    relief_moves,
 )
 from sesamepost.internal.ranges.table import KEYS, KeyRange, Owner
 
@@ -149,3 +151,29 @@
     pieces = choose_relief(OwnerLoad(A, 2.0, 10_000), [OwnerLoad(B, 0.2, 10_000)])
     (move,) = cut_pieces(pieces, [RANGE], counts)
     assert not move.first <= 5 <= move.last
+
+
+def test_an_owner_with_many_ranges_gives_whole_ones_away():
+    # The table grew by 25 ranges a second, until no hot spot could be cut any more.
+    count = MAX_OWN_RANGES + 1
+    ranges = [KeyRange(i * 100, i * 100 + 99, A, 1) for i in range(count)]
+    counts = counts_of({r.first + 50: 1.0 for r in ranges})
+    pieces = choose_relief(OwnerLoad(A, 1.0, 9), [OwnerLoad(B, 0.6, 9)])
+    (move,) = relief_moves(pieces, ranges, counts, 500)
+    assert (move.first, move.last) in {(r.first, r.last) for r in ranges}
+
+
+def test_a_hot_spot_is_cut_even_in_a_table_with_many_ranges():
+    ranges = [KeyRange(i * 100, i * 100 + 99, A, 1) for i in range(MAX_OWN_RANGES + 1)]
+    counts = counts_of({key: 1.0 for key in range(300, 360)} | {900: 1.0})
+    pieces = choose_relief(OwnerLoad(A, 2.0, 9), [OwnerLoad(B, 0.2, 9)])
+    (move,) = relief_moves(pieces, ranges, counts, 500)
+    assert move.first >= 300
+    assert move.last < 360
+
+
+def test_keys_that_were_given_away_count_no_more():
+    # Guards against a second move for load that has gone already.
+    counts = counts_of({1: 3.0, 50: 1.0})
+    assert counts.forget(0, 9) == 0.75
+    assert counts.within(RANGE) == [(50, 1.0)]
--- a/tests/ranges/test_takeover.py
+++ b/tests/ranges/test_takeover.py
@@ -51,11 +51,11 @@
     mirror.offer(store.items[key])
 
 
-async def prepare(store, mirror, nodes, tables) -> Takeover:
-    for owner in (A, B):
+async def prepare(store, mirror, nodes, tables, owners=(A, B)) -> Takeover:
+    for owner in owners:
         await put(store, mirror, nodes.node_key(owner.vm), entry(owner).encode())
         await put(store, mirror, LEASE_COUNT_PREFIX + owner.vm, b"1")
-    await put(store, mirror, tables.key, new_table([A, B]).encode())
+    await put(store, mirror, tables.key, new_table(list(owners)).encode())
     mirror.in_contact = True
     return Takeover(B.vm, tables, nodes, mirror)
 
@@ -121,3 +121,18 @@
     takeover.due_since = 0.0
     await takeover.step()
     assert set(tables.table.keys_by_owner()) == {B}
+
+
+async def test_many_vms_lost_at_once_are_replaced_a_few_at_a_time(parts):
+    # The store takes 32 entries in a transaction, so the loss of 16 VMs at once was
+    # refused as a whole, again and again.
+    store, mirror, nodes, tables = parts
+    lost = [Owner(f"10.0.1.{i}", f"j-{i}", i) for i in range(20)]
+    takeover = await prepare(*parts, owners=(B, *lost))
+    for owner in lost:
+        key = nodes.node_key(owner.vm)
+        vanish(store, mirror, key, 0.0)
+        mirror.missing[key] = asyncio.get_running_loop().time() - 1e6
+    for _ in range(3):
+        await takeover.step()
+    assert set(tables.table.keys_by_owner()) == {B}
