Send grants over a new connection only while the endpoint's life is sure

A renewal went out over a new connection between the start of the new life and its first heartbeat. The users' rule OWNER forbids an old fence on another worker. Connections that are open lead to the life that they were opened to, so the renewals over them were right.

Change: a grant opens a connection only right after a heartbeat, or while an idle connection that was opened right after one is still open. Other grants wait for the next heartbeat; renewals have 2 s for that. Releases are never refused by an endpoint and harm nobody. The test fails before the change.

--- a/src/sesamepost/internal/forwarding/endpoint_watch.py
+++ b/src/sesamepost/internal/forwarding/endpoint_watch.py
@@ -19,6 +19,9 @@
 CHECK_INTERVAL_S = 0.5
 # The clock of a VM may step back, so an earlier start counts once the later one rests.
 SILENT_LIFE_S = 2.0
+# An endpoint does not end and start another life between a heartbeat and what follows
+# within this time.
+JUST_HEARD_S = 0.25
 
 log = structlog.get_logger()
 
@@ -47,8 +50,13 @@
         self.has_left = False
         self.last_sequence = -1
         self.last_heartbeat = 0.0
+        self.heard_at = float("-inf")
         self.is_suspect = False
 
+    def was_just_heard(self) -> bool:
+        """Return whether a heartbeat of the life in use came a moment ago."""
+        return boottime() - self.heard_at < JUST_HEARD_S
+
     def suspect(self) -> None:
         """Have the endpoint probed soon, as a request to it broke off."""
         self.is_suspect = True
@@ -72,6 +80,7 @@
         self.has_left |= not info.is_ready
         self.last_sequence = sequence
         self.last_heartbeat = now
+        self.heard_at = now
         self.is_suspect = False
         self._set(info, is_gone=False)
 
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -31,6 +31,7 @@
 )
 from sesamepost.internal.forwarding.endpoint import LocalEndpoint
 from sesamepost.internal.forwarding.endpoint_pool import EndpointPool
+from sesamepost.internal.forwarding.endpoint_presence import EndpointPresence
 from sesamepost.internal.forwarding.endpoint_watch import EndpointWatch
 from sesamepost.internal.forwarding.forwarder import Forwarder
 from sesamepost.internal.forwarding.ingress import Ingress
@@ -128,6 +129,10 @@
         self.local = await enter(LocalEndpoint(self.endpoint_pool, self.names))
         self.watch = EndpointWatch(self.endpoint_pool, self.names, self._on_endpoint)
         self.local.on_suspicion = self.watch.suspect
+        self.presence = await enter(
+            EndpointPresence(settings.endpoint_address, self.watch)
+        )
+        self.orders.may_connect = self.presence.is_sure
         self.loads = LoadBook(settings.failure_domain, settings.region)
         self.nodes.listeners.append(self._on_node)
         self.forwarder = Forwarder(
@@ -376,11 +381,15 @@
 
     def _on_endpoint(self, is_gone: bool) -> None:
         info = self.watch.endpoint
+        if info is None or self.announced is None or info.life != self.announced.life:
+            self.presence.note_new_life()
         if info != self.announced:
             self.announced = info
             self.local.set_info(info)
             self.registration.update(endpoint=info)
         self._tell_keepers(is_gone)
+        if self.local.keeper is not None:
+            self.presence.note_heartbeat()
 
     def _tell_keepers(self, is_gone: bool) -> None:
         info = self.watch.endpoint
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -45,12 +45,20 @@
     """Nothing listens at the endpoint's address: its process has ended."""
 
 
+class EndpointUnsureError(Exception):
+    """A grant was not sent, as another life of the endpoint could take it."""
+
+
 class EndpointOrders(Protocol):
     """Orders to the endpoint beside this node.
 
-    Both raise ``EndpointSilentError`` or ``EndpointGoneError``.
+    Both raise ``EndpointSilentError`` or ``EndpointGoneError``, and a grant raises
+    ``EndpointUnsureError`` where it would need a connection and ``may_connect`` does
+    not allow one.
     """
 
+    may_connect: Callable[[], bool]
+
     async def grant(
         self, first: int, last: int, fence: int, hold_s: float, handover: str
     ) -> bool:
@@ -325,8 +333,9 @@
             book.note_silent(order, sent_at)
             log.info("grant_unanswered", first=r.first, fence=r.fence, error=str(error))
             return
-        except EndpointGoneError as error:
-            log.info("endpoint_gone", first=r.first, error=str(error))
+        except (EndpointGoneError, EndpointUnsureError) as error:
+            self.counters["grants_not_sent"] += 1
+            log.info("grant_not_sent", first=r.first, error=str(error))
             return
         finally:
             self.grants.pop(key, None)
--- a/src/sesamepost/platform/endpoint_orders.py
+++ b/src/sesamepost/platform/endpoint_orders.py
@@ -1,27 +1,41 @@
 """Orders to the worker on the same machine: grants and releases of keys."""
 
 import asyncio
+from collections.abc import Callable
 
 import aiohttp
 
-from sesamepost.internal.ranges.keeper import EndpointGoneError, EndpointSilentError
+from sesamepost.internal.ranges.keeper import (
+    EndpointGoneError,
+    EndpointSilentError,
+    EndpointUnsureError,
+)
 from sesamepost.internal.wire.pool import Address
 from sesamepost.platform.names import GRANT_PATH, HANDOVER_HEADER, RELEASE_PATH
 
 GRANT_TIMEOUT_S = 1.0
 RELEASE_TIMEOUT_S = 6.0
-KEEP_ALIVE_S = 4.0
+# Grants are renewed more often, so that a connection lasts as long as the worker.
+KEEP_ALIVE_S = 30.0
 
 
 class WorkerOrders:
-    """Sends orders over connections of their own, so that requests don't delay them."""
+    """Sends orders over connections of their own, so that requests don't delay them.
+
+    ``may_connect`` says whether a grant may open a connection. One that is open leads
+    to the life of the worker that it was opened to.
+    """
 
     def __init__(self, address: Address) -> None:
         self.base = f"http://{address.host}:{address.port}"
         self.session: aiohttp.ClientSession | None = None
+        self.may_connect: Callable[[], bool] = lambda: True
 
     async def __aenter__(self) -> "WorkerOrders":
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_create_start.append(self._on_connect)
         self.session = aiohttp.ClientSession(
+            trace_configs=[trace],
             connector=aiohttp.TCPConnector(limit=4, keepalive_timeout=KEEP_ALIVE_S),
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
@@ -59,10 +73,16 @@
             raise EndpointSilentError(f"the release was answered with status {status}")
         return handover
 
+    async def _on_connect(self, session, context, parameters) -> None:
+        if context.trace_request_ctx == GRANT_PATH and not self.may_connect():
+            raise EndpointUnsureError("nothing was heard of the worker just now")
+
     async def _order(self, path: str, body: dict, timeout_s: float) -> tuple[int, str]:
         try:
             async with asyncio.timeout(timeout_s):
-                async with self.session.post(self.base + path, json=body) as response:
+                async with self.session.post(
+                    self.base + path, json=body, trace_request_ctx=path
+                ) as response:
                     await response.read()
                     return response.status, response.headers.get(HANDOVER_HEADER, "")
         except aiohttp.ClientConnectorError as error:
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -218,6 +218,16 @@
         ) as answer:
             return answer.status, answer.headers, await answer.text()
 
+    async def is_ready(self, index: int) -> bool:
+        """Return whether a node answers that it is ready."""
+        url = f"http://{self.ip(index)}:{self.ports['ready']}/readiness"
+        timeout = aiohttp.ClientTimeout(total=0.5)
+        try:
+            async with self.session.get(url, timeout=timeout) as answer:
+                return answer.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
     async def is_served(self, via: int, key: int) -> bool:
         """Return whether a key is served through a node."""
         try:
--- /dev/null
+++ b/tests/platform/test_endpoint_orders.py
@@ -0,0 +1,85 @@
+"""Grants reach only the life of the worker that they are meant for."""
+
+import pytest
+from aiohttp import web
+
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.forwarding.endpoint_presence import EndpointPresence
+from sesamepost.internal.forwarding.endpoint_watch import JUST_HEARD_S, EndpointWatch
+from sesamepost.internal.ranges.keeper import EndpointUnsureError
+from sesamepost.internal.wire.pool import Address
+from sesamepost.platform.endpoint_orders import WorkerOrders
+from tests.forwarding.test_endpoint_watch import info
+from tests.waiting import until
+
+
+class Worker:
+    """Takes grants on a port of its own until it is stopped."""
+
+    def __init__(self, port: int = 0) -> None:
+        self.port = port
+        self.grants: list[dict] = []
+
+    async def __aenter__(self) -> "Worker":
+        app = web.Application()
+        app.router.add_post("/grant", self._grant)
+        app.router.add_post("/release", self._release)
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", self.port, reuse_address=True)
+        await site.start()
+        self.port = self.runner.addresses[0][1]
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        await self.runner.cleanup()
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        self.grants.append(await request.json())
+        return web.Response()
+
+    async def _release(self, request: web.Request) -> web.Response:
+        return web.Response(headers={"Handover": "t"})
+
+
+async def test_another_life_at_the_address_does_not_get_the_renewals_of_the_first():
+    # Soak seed 14: a worker that had just started got a range with the fence of the
+    # life before it, since its port answered before its first heartbeat came.
+    async with (
+        Worker() as first,
+        WorkerOrders(Address("127.0.0.1", first.port)) as orders,
+    ):
+        assert await orders.grant(0, 9, 1, 4.0, "")
+        orders.may_connect = lambda: False
+        assert await orders.grant(0, 9, 1, 4.0, "")
+        await first.runner.cleanup()
+        async with Worker(first.port) as second:
+            with pytest.raises(EndpointUnsureError):
+                await orders.grant(0, 9, 1, 4.0, "")
+            assert await orders.release(0, 9, 1) == "t"
+            assert second.grants == []
+            orders.may_connect = lambda: True
+            assert await orders.grant(0, 9, 2, 4.0, "")
+            assert [grant["fence"] for grant in second.grants] == [2]
+
+
+async def test_a_life_is_sure_from_its_heartbeat_until_its_connections_end():
+    # Guards against grants that wait for the next heartbeat although nothing happened.
+    async with Worker() as worker:
+        address = Address("127.0.0.1", worker.port)
+        watch = EndpointWatch(None, None, lambda is_gone: None)
+        async with EndpointPresence(address, watch) as presence:
+            assert not presence.is_sure()
+            watch.note_heartbeat(info(1), 1)
+            assert presence.is_sure()
+            presence.note_heartbeat()
+            await until(lambda: presence.connection is not None)
+            watch.heard_at = boottime() - JUST_HEARD_S
+            assert presence.is_sure()
+            await worker.runner.cleanup()
+            await until(lambda: not presence.is_sure())
+            watch.note_heartbeat(info(2), 1)
+            assert presence.is_sure()
+            presence.note_new_life()
+            watch.heard_at = boottime() - JUST_HEARD_S
+            assert not presence.is_sure()
