List the store anew after two silent calls

Once a node is far enough behind, the answer takes longer than a call may, and each later answer is larger.

Ruled out: a reader that is behind (only one node of its failure domain was), lost events. Change: after two silent calls a listing, which holds only the newest items, takes the place of the watch. The test plays a narrow link: before, settings never arrive; after, they do within 2.5 s. A follower that watches alone pauses 0.2 s between changes, as it made up to 20 calls a second.

--- a/src/sesamepost/internal/coordination/feed.py
+++ b/src/sesamepost/internal/coordination/feed.py
@@ -39,7 +39,7 @@
 FOLLOW_TIMEOUT_S = 0.9
 # How long a follower watches the store itself after its reader failed.
 ALONE_S = 3.0
-ALONE_PACE = WatchPace(pause_s=0.0, wait_s=1.0)
+ALONE_PACE = WatchPace(pause_s=0.2, wait_s=1.0)
 
 log = structlog.get_logger()
 
--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -18,12 +18,16 @@
     HistoryGoneError,
     Item,
     StoreError,
+    StoreSilentError,
 )
 from sesamepost.internal.tasks import TaskOwner
 
 FIRST_WATCH_WAIT_S = 0.2
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
+# An answer with all changes since the held revision may be too large for a narrow link.
+# A listing, which has only the newest items, follows this many silent calls.
+SILENT_CALLS_BEFORE_LISTING = 2
 # The entries of more VMs than a fleet ever has.
 MAX_DELETIONS = 4096
 
@@ -139,6 +143,7 @@
         """Follow the store."""
         retry_s = RETRY_MIN_S
         listed = False
+        silent_calls = 0
         while True:
             try:
                 if not listed:
@@ -154,6 +159,7 @@
                     self._take(batch)
                     self.confirmed_at = boottime()
                 retry_s = RETRY_MIN_S
+                silent_calls = 0
                 self._set_contact(True, "")
             except HistoryGoneError:
                 log.info("store_history_gone", revision=self.revision)
@@ -162,6 +168,9 @@
             except StoreError as error:
                 self.counters["failures"] += 1
                 self._set_contact(False, str(error))
+                silent_calls += isinstance(error, StoreSilentError)
+                if silent_calls >= SILENT_CALLS_BEFORE_LISTING:
+                    listed = False
                 await asyncio.sleep(retry_s)
                 retry_s = min(retry_s * 2, RETRY_MAX_S)
             except Exception:
--- /dev/null
+++ b/tests/coordination/test_narrow_link.py
@@ -0,0 +1,69 @@
+"""A node behind a narrow link does not fall behind the store for good."""
+
+import asyncio
+
+from sesamepost.internal.coordination.mirror import Mirror
+from sesamepost.internal.coordination.store import StoreSilentError, Transaction, Write
+from tests.coordination.memory_store import MemoryStore
+from tests.waiting import until
+
+EVENT_S = 0.02
+CALL_TIMEOUT_S = 0.4
+CHANGES_PER_S = 40
+# The operators' bound for settings to be in force.
+CONFIG_S = 2.5
+
+
+class NarrowStore(MemoryStore):
+    """Each event takes a while on the link, and slow answers are given up."""
+
+    is_down = False
+
+    async def watch(self, prefix, after, wait_s):
+        if self.is_down:
+            raise StoreSilentError("down")
+        batch = await super().watch(prefix, after, wait_s)
+        await self._carry(len(batch.events))
+        return batch
+
+    async def list(self, prefix):
+        batch = await super().list(prefix)
+        await self._carry(len(batch.events))
+        return batch
+
+    async def _carry(self, events: int) -> None:
+        await asyncio.sleep(min(events * EVENT_S, CALL_TIMEOUT_S))
+        if events * EVENT_S > CALL_TIMEOUT_S:
+            raise StoreSilentError("the answer took too long")
+
+
+async def put(store: MemoryStore, key: str, value: bytes) -> None:
+    revision = store.items[key].revision if key in store.items else 0
+    await store.commit(Transaction({key: revision}, (Write(key, value),)))
+
+
+async def test_a_node_that_fell_behind_catches_up_by_a_listing():
+    # Grown Valstock trouble-1: one node with a link of 5 Mbit/s kept settings that were
+    # seven seconds old. An answer with all versions of a table since its revision took
+    # longer than a call may, and each later one was larger.
+    store = NarrowStore()
+    await put(store, "settings", b"old")
+
+    async def change_table() -> None:
+        for number in range(1000):
+            await put(store, "table", str(number).encode())
+            await asyncio.sleep(1 / CHANGES_PER_S)
+
+    async with Mirror(store) as mirror:
+        await until(lambda: mirror.get("settings") is not None)
+        changes = asyncio.ensure_future(change_table())
+        store.is_down = True
+        await asyncio.sleep(1.5)
+        store.is_down = False
+        await put(store, "settings", b"new")
+        try:
+            async with asyncio.timeout(CONFIG_S):
+                while mirror.get("settings").value != b"new":
+                    await mirror.wait_for_change(CONFIG_S)
+        finally:
+            changes.cancel()
