Remember a leave of an endpoint that is not known yet

The log of the replay: sidecar-sdr-a-3 started at 21.01 s and confirmed the leave of its worker at 21.27 s. It had heard of no endpoint yet, so the leave was dropped; a heartbeat that came late made the worker ready at 23.88 s, and requests followed until 24.27 s, 2.7 s after the confirmation (bound 2.5 s).

Ruled out: the entry of the process before (withdrawn at 19.9 s), the store (it answered). Change: the id and the start of a life that leaves are kept, and heartbeats of that life or an earlier one are not ready. The test fails before.

--- a/src/sesamepost/internal/forwarding/endpoint_watch.py
+++ b/src/sesamepost/internal/forwarding/endpoint_watch.py
@@ -48,6 +48,9 @@
         self.endpoint: EndpointInfo | None = None
         self.is_confirmed = True
         self.has_left = False
+        # Ids of endpoints that have left before this process heard of them, with the
+        # start of the life that left.
+        self.left: dict[str, int] = {}
         self.last_sequence = -1
         self.last_heartbeat = 0.0
         self.heard_at = float("-inf")
@@ -76,7 +79,10 @@
             if not is_silent:
                 return
         if present is None or info.life != present.life:
-            self.has_left = False
+            self.has_left = info.born <= self.left.get(info.id, -1)
+            if self.has_left:
+                # A heartbeat from before the leave, which came late.
+                info = replace(info, is_ready=False)
         self.has_left |= not info.is_ready
         self.last_sequence = sequence
         self.last_heartbeat = now
@@ -84,10 +90,15 @@
         self.is_suspect = False
         self._set(info, is_gone=False)
 
-    def note_leave(self, endpoint_id: str) -> None:
-        """Take the endpoint's word that it ends."""
+    def note_leave(self, endpoint_id: str, born: int) -> None:
+        """Take the endpoint's word that the life which began at ``born`` ends.
+
+        The word binds also if this process has just started and has not heard of the
+        endpoint yet.
+        """
         present = self.endpoint
         if present is None or present.id != endpoint_id:
+            self.left[endpoint_id] = max(born, self.left.get(endpoint_id, -1))
             return
         self.has_left = True
         self._set(replace(present, is_ready=False), is_gone=False)
--- a/src/sesamepost/platform/control_plane.py
+++ b/src/sesamepost/platform/control_plane.py
@@ -18,6 +18,8 @@
 
 READY_STATE = "ready"
 DRAINING_STATE = "draining"
+# After every start, in milliseconds of Unix time.
+UNKNOWN_BORN = 1 << 62
 
 log = structlog.get_logger()
 
@@ -66,6 +68,19 @@
     return endpoint, numbers["sequence"]
 
 
+def decode_leave(data: bytes) -> int:
+    """Return when the life that leaves began; a distant future if that is not said.
+
+    The worker's id alone says who leaves, so other bytes are no reason to refuse.
+    """
+    try:
+        born = json.loads(data)["born"]
+    except (ValueError, KeyError, TypeError):
+        return UNKNOWN_BORN
+    is_number = isinstance(born, int) and not isinstance(born, bool)
+    return born if is_number else UNKNOWN_BORN
+
+
 class ControlPlane:
     """Serves the ports that the platform and the worker call."""
 
@@ -119,7 +134,8 @@
         return web.json_response({})
 
     async def _leave(self, request: web.Request) -> web.Response:
-        self.node.watch.note_leave(request.match_info["id"])
+        born = decode_leave(await request.read())
+        self.node.watch.note_leave(request.match_info["id"], born)
         return web.json_response({})
 
     async def _ready(self, request: web.Request) -> web.Response:
--- a/tests/forwarding/test_endpoint_watch.py
+++ b/tests/forwarding/test_endpoint_watch.py
@@ -47,7 +47,7 @@
 def test_a_life_that_left_does_not_come_back_by_a_late_heartbeat(watch):
     # Guards against work for an endpoint whose leaving was acknowledged.
     watch.note_heartbeat(info(10), 1)
-    watch.note_leave("i-1")
+    watch.note_leave("i-1", 10)
     watch.note_heartbeat(info(10), 2)
     assert not watch.endpoint.is_ready
     watch.note_heartbeat(info(30), 1)
@@ -62,7 +62,7 @@
 
 def test_the_leave_of_another_endpoint_changes_nothing(watch):
     watch.note_heartbeat(info(10), 1)
-    watch.note_leave("i-other")
+    watch.note_leave("i-other", 10)
     assert watch.endpoint.is_ready
 
 
@@ -98,3 +98,15 @@
     async with watch:
         await asked.wait()
     assert watch.endpoint.is_ready
+
+
+def test_a_leave_binds_a_process_that_has_heard_of_nothing_yet(watch):
+    # Hunt of Valstock, DRAIN 6: a process that had just started confirmed the leave of
+    # its endpoint, forgot it, and believed a heartbeat that came 2.6 s late.
+    watch.note_leave("i-1", 10)
+    watch.note_heartbeat(info(10), 4)
+    assert not watch.endpoint.is_ready
+    watch.note_heartbeat(info(10), 5)
+    assert not watch.endpoint.is_ready
+    watch.note_heartbeat(info(20), 1)
+    assert watch.endpoint.is_ready
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -5,7 +5,12 @@
 import pytest
 
 from sesamepost.internal.wire.pool import Address
-from sesamepost.platform.control_plane import CheckInError, decode_check_in
+from sesamepost.platform.control_plane import (
+    UNKNOWN_BORN,
+    CheckInError,
+    decode_check_in,
+    decode_leave,
+)
 from sesamepost.platform.routing import decode_routing
 from sesamepost.platform.settings import SettingsError, read_settings
 
@@ -149,3 +154,16 @@
 def test_bytes_that_are_no_check_in_are_refused(data):
     with pytest.raises(CheckInError):
         decode_check_in("i-1", data, "10.1.0.41:8628")
+
+
+@pytest.mark.parametrize(
+    ("data", "born"),
+    [
+        (b'{"born": 7}', 7),
+        (b"", UNKNOWN_BORN),
+        (b"[]", UNKNOWN_BORN),
+        (b'{"born": "7"}', UNKNOWN_BORN),
+    ],
+)
+def test_a_leave_names_the_life_that_ends_or_all_of_them(data, born):
+    assert decode_leave(data) == born
