Log late event loops, gaps in the knowledge of the store and tries of a write

The logs could not tell a store that is silent from a process that is short of processor time, nor a small answer that was lost from a large one that did not arrive in time.

LoopLag logs event_loop_late and counts late checks. The mirror logs store_knowledge_gap when it learns something after more than 2 s: how long the gap was, which way ended it, how many events came and how long the call took. A table write says its size and its tries; a change that is given up says so. routing_settings_in_force has the size of the settings.

No decision depends on any of these.

--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -30,6 +30,8 @@
 SILENT_CALLS_BEFORE_LISTING = 2
 # The entries of more VMs than a fleet ever has.
 MAX_DELETIONS = 4096
+# A longer gap between two answers may put settings in force late.
+LONG_GAP_S = 2.0
 
 log = structlog.get_logger()
 
@@ -146,18 +148,19 @@
         silent_calls = 0
         while True:
             try:
+                sent_at = boottime()
                 if not listed:
-                    sent_at = boottime()
-                    self._replace(await self.store.list(self.prefix))
-                    self.confirmed_at = sent_at
+                    batch = await self.store.list(self.prefix)
+                    self._replace(batch)
+                    self._note_known(sent_at, "listing", batch, sent_at)
                     listed = True
-                elif (batch := await self._follow()) is not None:
+                elif (batch := await self._follow(sent_at)) is not None:
                     self._take(batch)
                 else:
                     batch = await self._watch()
                     self.has_just_changed = bool(batch.events)
                     self._take(batch)
-                    self.confirmed_at = boottime()
+                    self._note_known(boottime(), "watch", batch, sent_at)
                 retry_s = RETRY_MIN_S
                 silent_calls = 0
                 self._set_contact(True, "")
@@ -179,7 +182,7 @@
                 listed = False
                 await asyncio.sleep(RETRY_MAX_S)
 
-    async def _follow(self) -> Batch | None:
+    async def _follow(self, sent_at: float) -> Batch | None:
         """Return what a peer knows, or None if the store is to be asked."""
         if self.feed is None:
             return None
@@ -188,7 +191,7 @@
             return None
         batch, age_s = followed
         self.counters["follows"] += 1
-        self.confirmed_at = max(self.confirmed_at, boottime() - age_s)
+        self._note_known(boottime() - age_s, "reader", batch, sent_at)
         return batch
 
     async def _watch(self) -> Batch:
@@ -201,6 +204,23 @@
         wait_s = pace.wait_s if self.in_contact else FIRST_WATCH_WAIT_S
         return await self.store.watch(self.prefix, self.revision, wait_s)
 
+    def _note_known(
+        self, known_at: float, source: str, batch: Batch, sent_at: float
+    ) -> None:
+        """Note that the state of the store is known as of ``known_at``."""
+        gap_s = known_at - self.confirmed_at
+        if LONG_GAP_S < gap_s < float("inf"):
+            self.counters["long_gaps"] += 1
+            log.info(
+                "store_knowledge_gap",
+                gap_s=round(gap_s, 2),
+                source=source,
+                events=len(batch.events),
+                took_s=round(boottime() - sent_at, 2),
+                revision=batch.revision,
+            )
+        self.confirmed_at = max(self.confirmed_at, known_at)
+
     def _set_contact(self, in_contact: bool, reason: str) -> None:
         if in_contact == self.in_contact:
             return
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -48,6 +48,7 @@
 from sesamepost.internal.ranges.table import LAST_KEY, Owner
 from sesamepost.internal.ranges.table_store import TableStore
 from sesamepost.internal.ranges.takeover import Takeover
+from sesamepost.internal.telemetry.loop_lag import LoopLag
 from sesamepost.internal.telemetry.metrics import Metrics
 from sesamepost.internal.wire.pool import Address, PeerPool
 from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
@@ -109,6 +110,7 @@
         self.pool.on(LifeEnded, self._on_life_ended)
         self.pool.on(RangeTold, self._on_range_told)
         self.store = RelayedStore(self.direct_store, self.pool, self._helpers)
+        self.loop_lag = await enter(LoopLag())
         self.mirror = Mirror(self.store)
         self.nodes = NodeTable(self.mirror)
         entry = NodeEntry(
@@ -349,6 +351,7 @@
             previous=held,
             routes=len(routing.routes),
             revision=event.revision,
+            bytes=len(event.value),
         )
         for service in routing.services.values():
             if service.is_partitioned and service.name not in self.keepers:
@@ -416,6 +419,7 @@
             "registration": self.registration.counters,
             "relay": self.store.counters,
             "feed": self.feed.counters,
+            "event_loop": self.loop_lag.counters,
         }
         for name, counters in parts.items():
             self.metrics.add_counters(name, counters)
--- a/src/sesamepost/internal/ranges/table_store.py
+++ b/src/sesamepost/internal/ranges/table_store.py
@@ -105,7 +105,7 @@
 
         ``decide`` returns None if nothing is to be changed any more.
         """
-        for _ in range(WRITE_TRIES):
+        for tries in range(1, WRITE_TRIES + 1):
             revision = self.mirror.revision_of(self.key)
             self._read()
             table = decide(self.written)
@@ -137,8 +137,11 @@
                 revision=written,
                 fence=table.fence,
                 ranges=len(table.ranges),
+                bytes=len(data),
+                tries=tries,
             )
             return True
+        log.info("range_table_contended", reason=reason, tries=WRITE_TRIES)
         return False
 
     def _conditions_changed(self, conditions: dict[str, int]) -> bool:
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -1,6 +1,8 @@
 """The mirror follows the store through lost history, failures and own writes."""
 
-from sesamepost.internal.coordination.mirror import Mirror
+from structlog.testing import capture_logs
+
+from sesamepost.internal.coordination.mirror import LONG_GAP_S, Mirror
 from sesamepost.internal.coordination.store import (
     HistoryGoneError,
     Item,
@@ -65,3 +67,18 @@
     mirror.offer(Item("a", b"new", 7))
     mirror.offer(Item("a", b"old", 5))
     assert value_of(mirror, "a") == b"new"
+
+
+async def test_a_gap_in_the_knowledge_of_the_store_is_logged_with_its_end():
+    # The logs could not tell late answers from large ones or from a reader that failed.
+    store = MemoryStore()
+    async with Mirror(store) as mirror:
+        await until(lambda: mirror.in_contact)
+        with capture_logs() as logs:
+            mirror.confirmed_at -= LONG_GAP_S + 1
+            await put(store, "a", b"1")
+            await until(lambda: value_of(mirror, "a") == b"1")
+    line = next(line for line in logs if line["event"] == "store_knowledge_gap")
+    assert line["source"] == "watch"
+    assert line["events"] == 1
+    assert line["gap_s"] > LONG_GAP_S
