--- /dev/null
+++ b/tests/coordination/test_settings_while_endpoints_leave.py
@@ -0,0 +1,121 @@
+"""Changes of the settings come into force in time while range tables change a lot."""
+
+import asyncio
+import itertools
+from contextlib import AsyncExitStack
+
+from sesamepost.internal.coordination.feed import MIN_GROUP, ReaderFeed
+from sesamepost.internal.coordination.mirror import Mirror
+from sesamepost.internal.coordination.nodes import NODE_PREFIX, NodeEntry, NodeTable
+from sesamepost.internal.coordination.relay import RelayedStore
+from sesamepost.internal.coordination.store import Transaction, Write
+from sesamepost.internal.identity import new_node_id
+from sesamepost.internal.ranges.table import KEYS, Owner, new_table, reassign
+from sesamepost.internal.ranges.table_store import TableStore
+from sesamepost.internal.wire.pool import Address, PeerPool
+from tests.coordination.memory_store import MemoryStore
+from tests.coordination.narrow_links import LinkedStore
+from tests.waiting import until
+
+KEY = b"k" * 32
+# The narrowest link, the way between two regions and back, and the operators' bound.
+LINK_BYTES_PER_S = 5e6 / 8
+RTT_S = 0.044
+CONFIG_S = 3.0
+SETTINGS_AFTER_S = 0.45
+OWNERS = [Owner(f"10.0.0.{i}", f"i-{i:010}", 1_770_000_000_000 + i) for i in range(41)]
+RANGES_OF_AN_OWNER = 16
+LEAVING_BESIDE_THE_READER = 8
+WRITES_PER_S = 16
+
+
+async def put(store: MemoryStore, key: str, value: bytes) -> None:
+    revision = store.items[key].revision if key in store.items else 0
+    await store.commit(Transaction({key: revision}, (Write(key, value),)))
+
+
+def dealt_table():
+    """Return a table in which each owner has ranges all over the keys."""
+    table = new_table([OWNERS[0]])
+    count = len(OWNERS) * RANGES_OF_AN_OWNER
+    for index in range(count):
+        first, last = index * KEYS // count, (index + 1) * KEYS // count - 1
+        owner = OWNERS[index % len(OWNERS)]
+        table = reassign(table, first, last, owner, f"{index:016}")
+    return table
+
+
+async def give_all_away(tables: TableStore, owner: Owner, target: Owner) -> None:
+    """Move each range of an owner, as its node does when the endpoint leaves."""
+    ranges = [r for r in tables.table.ranges if r.owner == owner]
+    moves = [
+        tables.change(
+            "the endpoint leaves",
+            lambda table, r=r: reassign(table, r.first, r.last, target, r.handover),
+        )
+        for r in ranges
+    ]
+    await asyncio.gather(*moves)
+
+
+async def balance(tables: TableStore) -> None:
+    """Move keys at the rate at which a fleet of this size does."""
+    for number in itertools.count():
+        first = number * 997 % KEYS
+        target = OWNERS[number % len(OWNERS)]
+        await tables.change(
+            "balance",
+            lambda table, r=first, o=target: reassign(table, r, r, o, "t" * 16),
+        )
+        await asyncio.sleep(1 / WRITES_PER_S)
+
+
+async def test_settings_are_in_force_in_time_while_endpoints_leave():
+    # Grown Paani, drawn day fresh-576e, CONFIG: the endpoint beside the reader of a
+    # failure domain left while others did. The writes and the versions of the range
+    # table filled its link, its calls had no answer in time, its watch was given up,
+    # and the followers' own watches asked for every version that they had missed.
+    store = MemoryStore()
+    await put(store, "settings", b"old")
+    seed = TableStore(store, Mirror(store), "s")
+    await seed.change("test", lambda table: dealt_table())
+    async with AsyncExitStack() as stack:
+        mirrors, tables = [], []
+        entries = []
+        pools = []
+        for index in range(MIN_GROUP):
+            vm = f"127.0.1.{index + 1}"
+            pool = await stack.enter_async_context(PeerPool(new_node_id(vm), KEY))
+            address = await pool.listen(Address(vm, 0))
+            pools.append(pool)
+            entries.append(NodeEntry(vm, vm, 1, address.port, "a", "r", None))
+            await put(store, NODE_PREFIX + vm, entries[-1].encode())
+        for pool, entry in zip(pools, entries, strict=True):
+            linked = LinkedStore(store, LINK_BYTES_PER_S, RTT_S)
+            relayed = RelayedStore(linked, pool, list)
+            mirror = Mirror(relayed)
+            mirror.feed = ReaderFeed(entry, NodeTable(mirror), mirror, relayed)
+            mirrors.append(await stack.enter_async_context(mirror))
+            tables.append(TableStore(relayed, mirror, "s"))
+        for _ in range(LEAVING_BESIDE_THE_READER):
+            linked = LinkedStore(store, LINK_BYTES_PER_S, RTT_S)
+            mirror = await stack.enter_async_context(Mirror(linked))
+            tables.append(TableStore(linked, mirror, "s"))
+        await until(lambda: all(t.table is not None for t in tables))
+        leaving = [tables[0], *tables[MIN_GROUP:]]
+        moves = [
+            asyncio.ensure_future(give_all_away(t, OWNERS[i], OWNERS[-1]))
+            for i, t in enumerate(leaving)
+        ]
+        moves.append(asyncio.ensure_future(balance(seed)))
+        await asyncio.sleep(SETTINGS_AFTER_S)
+        await put(store, "settings", b"new")
+        try:
+            async with asyncio.timeout(CONFIG_S):
+                for mirror in mirrors:
+                    while mirror.get("settings").value != b"new":
+                        await mirror.wait_for_change(CONFIG_S)
+        finally:
+            for task in moves:
+                task.cancel()
+            await asyncio.gather(*moves, return_exceptions=True)
