Write the changes of a range table that wait on one node in one transaction

Cause, second part: an endpoint that leaves with 16 ranges started 16 writes at once. They made each other void, each was tried up to ten times, and behind 10 Mbit/s their bodies and answers took longer than the 0.8 s that a call may take. The node took the store for lost, gave its watch up, and, as the reader of its failure domain, left its followers without news.

Changes now wait in the table store. Whoever writes next takes all that wait, so an endpoint leaves with one or two transactions. A change with conditions (a takeover) is written alone, as its failure must not give up others.

Ruled out: a longer time-out of calls. It hides the load and finds a lost store later.

The slow store of the keeper's test moves to memory_store for both tests.

--- a/src/sesamepost/internal/ranges/table_store.py
+++ b/src/sesamepost/internal/ranges/table_store.py
@@ -36,6 +36,26 @@
 log = structlog.get_logger()
 
 
+class TableChange:
+    """A change that waits for its write.
+
+    ``is_done`` is None until it is written (True) or given up (False).
+    """
+
+    __slots__ = ("conditions", "decide", "is_done", "reason")
+
+    def __init__(
+        self,
+        reason: str,
+        decide: Callable[[RangeTable | None], RangeTable | None],
+        conditions: dict[str, int],
+    ) -> None:
+        self.reason = reason
+        self.decide = decide
+        self.conditions = conditions
+        self.is_done: bool | None = None
+
+
 class TableStore:
     """The range table of one service: the newest known one, and changes of it.
 
@@ -57,6 +77,9 @@
         self.merged: RangeTable | None = None
         # Whether the mirror has sections that were not read yet.
         self.is_stale = True
+        # Changes in the order in which they were asked for, one write at a time.
+        self.pending: list[TableChange] = []
+        self.writing = asyncio.Lock()
         self.on_told: Callable[[], None] = lambda: None
         mirror.changes.subscribe(self._on_change)
 
@@ -139,46 +162,89 @@
     ) -> bool:
         """Write what ``decide`` makes of the newest table, trying again on a race.
 
-        ``decide`` returns None if nothing is to be changed any more.
+        ``decide`` returns None if nothing is to be changed any more. Changes that wait
+        for an earlier write share the next one, unless they have ``conditions``.
         """
+        change = TableChange(reason, decide, conditions or {})
+        self.pending.append(change)
+        try:
+            async with self.writing:
+                if change.is_done is None:
+                    await self._write(change)
+        finally:
+            self.pending.remove(change)
+        return bool(change.is_done)
+
+    async def _write(self, first: TableChange) -> None:
+        """Write a change, and those that wait with it."""
         for tries in range(1, WRITE_TRIES + 1):
             self._read()
-            table = decide(self.written)
-            if table is None:
-                return False
-            changes = self._changed_sections(table)
-            based_on = {key: self.mirror.revision_of(key) for key in changes}
-            writes = tuple(Write(key, value) for key, value in changes.items())
-            transaction = Transaction({**based_on, **(conditions or {})}, writes)
-            try:
-                written = await self.store.commit(transaction)
-            except ConditionFailedError as error:
-                await self._take_current(error, based_on)
-                if conditions and self._conditions_changed(conditions):
-                    return False
-                continue
-            except StoreError as error:
-                log.info("range_table_write_failed", reason=reason, error=str(error))
-                await asyncio.sleep(WRITE_RETRY_S)
-                with suppress(StoreError):
-                    await self._refresh(based_on)
+            table, decided = self._decide(first)
+            if not decided:
+                return
+            if await self._commit(table, decided, tries):
+                return
+            if self._conditions_changed(first.conditions):
+                break
+        else:
+            log.info("range_table_contended", reason=first.reason, tries=WRITE_TRIES)
+        first.is_done = False
+
+    def _decide(
+        self, first: TableChange
+    ) -> tuple[RangeTable | None, list[TableChange]]:
+        """Return the table after the changes of the next write, and these changes."""
+        batch = [first]
+        if not first.conditions:
+            batch = [c for c in self.pending if c.is_done is None and not c.conditions]
+        table = self.written
+        decided = []
+        for change in batch:
+            changed = change.decide(table)
+            if changed is None:
+                change.is_done = False
                 continue
-            for key, value in changes.items():
-                self.mirror.offer(Item(key, value, written))
-            log.info(
-                "range_table_written",
-                service=self.service,
-                reason=reason,
-                based_on=list(based_on.values()),
-                revision=written,
-                fence=table.fence,
-                ranges=len(table.ranges),
-                bytes=sum(map(len, changes.values())),
-                tries=tries,
-            )
-            return True
-        log.info("range_table_contended", reason=reason, tries=WRITE_TRIES)
-        return False
+            table = changed
+            decided.append(change)
+        return table, decided
+
+    async def _commit(
+        self, table: RangeTable, decided: list[TableChange], tries: int
+    ) -> bool:
+        """Try to write a table once; on a failure, learn the newest one."""
+        changes = self._changed_sections(table)
+        based_on = {key: self.mirror.revision_of(key) for key in changes}
+        writes = tuple(Write(key, value) for key, value in changes.items())
+        conditions = {**based_on, **decided[0].conditions}
+        reasons = sorted({change.reason for change in decided})
+        try:
+            written = await self.store.commit(Transaction(conditions, writes))
+        except ConditionFailedError as error:
+            await self._take_current(error, based_on)
+            return False
+        except StoreError as error:
+            log.info("range_table_write_failed", reasons=reasons, error=str(error))
+            await asyncio.sleep(WRITE_RETRY_S)
+            with suppress(StoreError):
+                await self._refresh(based_on)
+            return False
+        for key, value in changes.items():
+            self.mirror.offer(Item(key, value, written))
+        for change in decided:
+            change.is_done = True
+        log.info(
+            "range_table_written",
+            service=self.service,
+            reasons=reasons,
+            changes=len(decided),
+            based_on=list(based_on.values()),
+            revision=written,
+            fence=table.fence,
+            ranges=len(table.ranges),
+            bytes=sum(map(len, changes.values())),
+            tries=tries,
+        )
+        return True
 
     def _changed_sections(self, table: RangeTable) -> dict[str, bytes]:
         """Return the sections that differ from the stored ones by their key."""
--- a/tests/coordination/memory_store.py
+++ b/tests/coordination/memory_store.py
@@ -118,3 +118,11 @@
     async def _notify(self) -> None:
         async with self.changed:
             self.changed.notify_all()
+
+
+class SlowStore(MemoryStore):
+    """Takes a while for each transaction, so that writes meet."""
+
+    async def commit(self, transaction: Transaction) -> int:
+        await asyncio.sleep(0.01)
+        return await super().commit(transaction)
--- a/tests/ranges/test_keeper.py
+++ b/tests/ranges/test_keeper.py
@@ -1,6 +1,5 @@
 """The keeper hands keys over in one step, and owners that race all get through."""
 
-import asyncio
 from contextlib import AsyncExitStack, asynccontextmanager
 
 from sesamepost.internal.clock import boottime
@@ -15,7 +14,7 @@
 from sesamepost.internal.ranges.keeper import RangeKeeper
 from sesamepost.internal.ranges.table import LAST_KEY, Owner, new_table
 from sesamepost.internal.ranges.table_store import TableStore
-from tests.coordination.memory_store import MemoryStore
+from tests.coordination.memory_store import MemoryStore, SlowStore
 from tests.waiting import until
 
 SERVICE = "keyed"
@@ -42,14 +41,6 @@
         return f"token-{first}"
 
 
-class SlowStore(MemoryStore):
-    """Takes a while for each call, so that writes meet."""
-
-    async def commit(self, transaction):
-        await asyncio.sleep(0.01)
-        return await super().commit(transaction)
-
-
 @asynccontextmanager
 async def keepers(store: MemoryStore, owners: list[Owner]):
     async with AsyncExitStack() as stack:
--- a/tests/ranges/test_table_store.py
+++ b/tests/ranges/test_table_store.py
@@ -1,5 +1,7 @@
 """Ranges that are told early count until the mirror has caught up."""
 
+import asyncio
+
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.store import Item
 from sesamepost.internal.ranges.messages import told
@@ -13,7 +15,7 @@
 )
 from sesamepost.internal.ranges.table_store import MAX_TOLD, TableStore
 from sesamepost.internal.wire.messages import decode, encode
-from tests.coordination.memory_store import MemoryStore
+from tests.coordination.memory_store import MemoryStore, SlowStore
 
 A, B = Owner("10.0.0.1", "i-1", 1), Owner("10.0.0.2", "i-2", 2)
 
@@ -24,7 +26,7 @@
 
 
 def store_with(revision: int = 5) -> TableStore:
-    mirror = Mirror(MemoryStore())
+    mirror = Mirror(SlowStore())
     tables = TableStore(mirror.store, mirror, "s")
     offer_table(tables, new_table([A, B]), revision)
     return tables
@@ -126,3 +128,48 @@
     tables.mirror.offer(Item(tables.keys[-1], newer.section(7).encode(), 9))
     assert tables.revision == tables.revision_of(LAST_KEY) == 9
     assert tables.revision_of(100) == 5
+
+
+async def test_changes_that_wait_for_a_write_share_the_next_one():
+    # An endpoint that left with 16 ranges caused 16 writes that failed on each other.
+    tables = store_with()
+    store = tables.store
+    store.revision = 5
+    store.items.update(tables.mirror.items)
+    changes = [
+        tables.change("test", lambda t, k=key: reassign(t, k, k, B))
+        for key in range(0, 1600, 100)
+    ]
+    assert all(await asyncio.gather(*changes))
+    assert len(store.commits) <= 2
+    assert all(tables.table.find(key).owner == B for key in range(0, 1600, 100))
+
+
+async def test_a_change_with_conditions_is_written_alone():
+    # Guards against a takeover whose failed condition gives up other changes.
+    tables = store_with()
+    store = tables.store
+    store.revision = 5
+    store.items.update(tables.mirror.items)
+    failing = tables.change("test", lambda t: reassign(t, 1, 1, B), {"missing": 3})
+    others = [
+        tables.change("test", lambda t, k=key: reassign(t, k, k, B)) for key in (5, 7)
+    ]
+    assert await asyncio.gather(failing, *others) == [False, True, True]
+    assert tables.table.find(1).owner == A
+
+
+async def test_a_change_that_is_cancelled_does_not_hold_up_others():
+    # Guards against a stopped keeper whose change is written or blocks later ones.
+    tables = store_with()
+    store = tables.store
+    store.revision = 5
+    store.items.update(tables.mirror.items)
+    first = asyncio.ensure_future(tables.change("a", lambda t: reassign(t, 1, 1, B)))
+    second = asyncio.ensure_future(tables.change("b", lambda t: reassign(t, 5, 5, B)))
+    await asyncio.sleep(0)
+    second.cancel()
+    assert await first
+    assert await tables.change("c", lambda t: reassign(t, 7, 7, B))
+    assert tables.pending == []
+    assert tables.table.find(5).owner == A
