List the store after a watch that had no answer in its time

A node that had left its reader watched the store after an old revision. The answer had every version since then and did not arrive within 2 s; the same watch was sent again, then through three peers, each time for more versions, and only the second of such rounds led to a listing.

A watch that was cut early is still repeated at once. One that had its whole time raises WatchOverdueError: the store does not count as lost, and the mirror lists, which gives the newest items only.

Ruled out: a longer time for watches; the answer grows faster than a narrow link carries it.

Both new tests fail on the commit before (a second watch; over 3 s without the settings) and pass now.

--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -19,6 +19,7 @@
     Item,
     StoreError,
     StoreSilentError,
+    WatchOverdueError,
 )
 from sesamepost.internal.tasks import TaskOwner
 
@@ -172,7 +173,8 @@
                 self.counters["failures"] += 1
                 self._set_contact(False, str(error))
                 silent_calls += isinstance(error, StoreSilentError)
-                if silent_calls >= SILENT_CALLS_BEFORE_LISTING:
+                is_overdue = isinstance(error, WatchOverdueError)
+                if is_overdue or silent_calls >= SILENT_CALLS_BEFORE_LISTING:
                     listed = False
                 await asyncio.sleep(retry_s)
                 retry_s = min(retry_s * 2, RETRY_MAX_S)
--- a/src/sesamepost/internal/coordination/relay.py
+++ b/src/sesamepost/internal/coordination/relay.py
@@ -25,6 +25,7 @@
     StoreRejectedError,
     StoreSilentError,
     Transaction,
+    WatchOverdueError,
     Write,
 )
 from sesamepost.internal.wire.pool import PeerPool
@@ -139,6 +140,8 @@
             except VERDICTS:
                 self._note_direct(True, "")
                 raise
+            except WatchOverdueError:
+                raise
             except StoreError as error:
                 self._note_direct(False, str(error))
                 failure = error
@@ -151,11 +154,17 @@
         self.counters[f"direct_{operation}"] += 1
         if operation != "watch":
             return await perform(self.direct, operation, arguments)
+        wait_s = arguments[-1]
+        sent_at = boottime()
         try:
             return await self._watch_or_lost(arguments)
         except StoreSilentError as error:
+            took_s = boottime() - sent_at
+            if took_s > wait_s:
+                log.info("watch_overdue", reason=str(error), took_s=round(took_s, 2))
+                raise WatchOverdueError(str(error)) from None
             # A watch may be cut although the store is well; a lost store fails again.
-            log.info("watch_cut", reason=str(error))
+            log.info("watch_cut", reason=str(error), took_s=round(took_s, 2))
             return await self._watch_or_lost(arguments)
 
     async def _watch_or_lost(self, arguments: list):
--- a/src/sesamepost/internal/coordination/store.py
+++ b/src/sesamepost/internal/coordination/store.py
@@ -16,6 +16,13 @@
     """No complete answer arrived: the call may take effect, now or later."""
 
 
+class WatchOverdueError(StoreSilentError):
+    """A watch had no answer in its time, which does not show that the store is lost.
+
+    Its answer may be too large for the link. A listing has only the newest items.
+    """
+
+
 class StoreRejectedError(StoreError):
     """The store answered that it did nothing."""
 
--- a/tests/coordination/test_relay.py
+++ b/tests/coordination/test_relay.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sesamepost.internal.coordination.mirror import Mirror, WatchPace
 from sesamepost.internal.coordination.nodes import NodeEntry
 from sesamepost.internal.coordination.relay import RelayedStore
 from sesamepost.internal.coordination.store import (
@@ -153,3 +154,58 @@
             await relayed.watch("", 0, 0.05)
         await asyncio.sleep(0.3)
         assert (await relayed.watch("", 0, 0.05)).events == ()
+
+
+class OverdueStore(MemoryStore):
+    """Answers no watch, as if each answer were too large for the link."""
+
+    async def watch(self, prefix, after, wait_s):
+        await asyncio.sleep(wait_s + 0.1)
+        raise StoreSilentError("no answer in time")
+
+
+async def test_a_watch_that_had_its_time_is_not_repeated():
+    # Grown Paani, fresh-576e, CONFIG: it was repeated for another 2 s and then asked of
+    # three peers, each time for all changes since a revision that became older.
+    async with two_nodes(OverdueStore(), MemoryStore()) as (relayed, _, _):
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        with pytest.raises(StoreSilentError):
+            await relayed.watch("", 0, 0.3)
+        assert loop.time() - began < 0.6
+        assert relayed.is_direct
+
+
+async def test_settings_are_known_in_time_although_no_watch_is_answered():
+    # A node that had fallen behind learned of settings after two silent watches, each
+    # of them repeated: over 4 s, the operators allow 3.
+    store = OverdueStore()
+    await put(store, "settings", b"old")
+    async with two_nodes(store, Rejecting()) as (relayed, _, _):
+        mirror = Mirror(relayed)
+        mirror.feed = Pace(WatchPace(pause_s=0.2, wait_s=1.0))
+        async with mirror:
+            await until(lambda: mirror.get("settings") is not None)
+            await asyncio.sleep(0.5)
+            await put(store, "settings", b"new")
+            async with asyncio.timeout(3.0):
+                while mirror.get("settings").value != b"new":
+                    await mirror.wait_for_change(3.0)
+
+
+class Pace:
+    """A feed that has the store asked at a given pace."""
+
+    def __init__(self, pace: WatchPace) -> None:
+        self.fixed = pace
+
+    async def follow(self, revision):
+        return None
+
+    def pace(self):
+        return self.fixed
+
+
+async def put(store: MemoryStore, key: str, value: bytes) -> None:
+    revision = store.items[key].revision if key in store.items else 0
+    await store.commit(Transaction({key: revision}, (Write(key, value),)))
