--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -41,7 +41,9 @@
         tables = TableStore(mirror.store, mirror, "s") if partitioned else None
         if tables:
             owners = [Owner(vm, f"i-{vm}", 1) for vm in VMS]
-            mirror.offer(Item(tables.key, new_table(owners).encode(), 9))
+            table = new_table(owners)
+            for index, key in enumerate(tables.keys):
+                mirror.offer(Item(key, table.section(index).encode(), 9))
         loads = LoadBook("a0", "r")
         super().__init__("10.0.0.1", None, nodes, None, loads, lambda service: tables)
 
