Close a connection that has its answer when the node begins to close

Cause: the answer in front of it had been made, without "Connection: close", but not been written, when the node went through its connections. Such a connection was neither idle nor did its handler look at the stop again. It stayed open, dropped what it read, and ended with the process.

A connection with no further request now ends after the answer that is being written, and one that is idle and is sent a request ends at once, so the caller knows within the grace that the request was not read.

Both new tests fail on the code before: the connection stayed open for more than a second.

--- a/src/sesamepost/internal/forwarding/pipelining.py
+++ b/src/sesamepost/internal/forwarding/pipelining.py
@@ -33,6 +33,7 @@
         """Parse what arrived and offer requests that are behind another one."""
         if self.is_closing and self.last_payload.is_eof():
             # Requests behind the answer that closes a connection count as not read.
+            self._close_if_idle()
             return
         super().data_received(data)
         if self._messages:
@@ -66,9 +67,15 @@
 
         A caller that goes on pipelining would otherwise keep the connection busy.
         """
+        self.is_closing = True
+        self._close_if_idle()
+        if not self._messages:
+            # An answer may have been made before, and not been written yet.
+            self.close()
+
+    def _close_if_idle(self) -> None:
         if self._waiter is not None and not self._messages:
             self.force_close()
-        self.is_closing = True
 
     def take_early(self, message: RawRequestMessage) -> asyncio.Task | None:
         """Return the task of a request that was started early."""
--- a/tests/forwarding/test_pipelining.py
+++ b/tests/forwarding/test_pipelining.py
@@ -1,11 +1,13 @@
 """Pipelined requests run side by side and are answered in their order."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 
 from aiohttp import web
 
-from sesamepost.internal.forwarding.pipelining import PipelinedServer
+from sesamepost.internal.forwarding.pipelining import PipelinedHandler, PipelinedServer
+from tests.waiting import until
 
 PIPELINED = "".join(f"GET /{n} HTTP/1.1\r\nHost: h\r\n\r\n" for n in "abc").encode()
 
@@ -18,6 +20,7 @@
         self.cancelled: list[str] = []
         self.release = asyncio.Event()
         self.changed = asyncio.Event()
+        self.on_answer: Callable[[PipelinedHandler], None] = lambda connection: None
 
     async def work(self, path: str) -> web.Response:
         self.started.append(path)
@@ -38,6 +41,7 @@
         response = await (task or self.work(request.raw_path))
         if request.protocol.is_closing and not request.protocol.has_waiting:
             response.force_close()
+        self.on_answer(request.protocol)
         return response
 
 
@@ -101,3 +105,30 @@
         assert seen.count(b"HTTP/1.1 200") == 3
         assert seen.endswith(b"/c")
         assert sorted(handler.started) == ["/a", "/b", "/c"]
+
+
+async def test_a_close_while_an_answer_is_written_ends_the_connection_after_it():
+    # Grown Paani scale-1, LOST: the answer had been made when the node began to close,
+    # so its connection stayed open. The next request was read and dropped, and the
+    # connection ended with the process, 0.6 s later and without an answer.
+    async with served() as (handler, reader, writer):
+        handler.release.set()
+        loop = asyncio.get_running_loop()
+        handler.on_answer = lambda connection: loop.call_soon(
+            connection.close_when_answered
+        )
+        writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        async with asyncio.timeout(1):
+            assert (await reader.read()).endswith(b"/a")
+
+
+async def test_a_request_that_crosses_the_close_ends_the_connection_at_once():
+    # Guards against a connection that reads requests and never answers.
+    async with served() as (handler, reader, writer):
+        await until(lambda: handler.server.connections)
+        (connection,) = handler.server.connections
+        connection.is_closing = True
+        writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        async with asyncio.timeout(1):
+            assert await reader.read() == b""
+        assert handler.started == []
