Go on with a table change after a failed read of its sections

The exception ended the move without a line of its own; its keys stayed released until a later round.

The new test failed with the exception before.

--- a/src/sesamepost/internal/ranges/table_store.py
+++ b/src/sesamepost/internal/ranges/table_store.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable, Collection
-from contextlib import suppress
 
 import structlog
 
@@ -225,8 +224,7 @@
         except StoreError as error:
             log.info("range_table_write_failed", reasons=reasons, error=str(error))
             await asyncio.sleep(WRITE_RETRY_S)
-            with suppress(StoreError):
-                await self._refresh(based_on)
+            await self._refresh(based_on)
             return False
         for key, value in changes.items():
             self.mirror.offer(Item(key, value, written))
@@ -272,7 +270,12 @@
             await self._refresh(keys)
 
     async def _refresh(self, keys: Collection[str]) -> None:
-        for key in keys:
-            item, _ = await self.store.get(key)
-            if item is not None:
-                self.mirror.offer(item)
+        """Read sections from the store; the next try tells if that failed."""
+        try:
+            for key in keys:
+                item, _ = await self.store.get(key)
+                if item is not None:
+                    self.mirror.offer(item)
+        except StoreError as error:
+            log.info("range_table_unread", keys=list(keys), error=str(error))
+            await asyncio.sleep(WRITE_RETRY_S)
--- a/tests/ranges/test_table_store.py
+++ b/tests/ranges/test_table_store.py
@@ -3,7 +3,11 @@
 import asyncio
 
 from sesamepost.internal.coordination.mirror import Mirror
-from sesamepost.internal.coordination.store import Item
+from sesamepost.internal.coordination.store import (
+    ConditionFailedError,
+    Item,
+    StoreSilentError,
+)
 from sesamepost.internal.ranges.messages import told
 from sesamepost.internal.ranges.table import (
     LAST_KEY,
@@ -173,3 +177,28 @@
     assert await tables.change("c", lambda t: reassign(t, 7, 7, B))
     assert tables.pending == []
     assert tables.table.find(5).owner == A
+
+
+class Unreadable(SlowStore):
+    """Lets no key be read, and fails the first transactions without telling why."""
+
+    failures = 2
+
+    async def get(self, key):
+        raise StoreSilentError("no answer in time")
+
+    async def commit(self, transaction):
+        if self.failures > 0:
+            self.failures -= 1
+            raise ConditionFailedError("a verdict that came through a peer")
+        return await super().commit(transaction)
+
+
+async def test_a_failed_read_after_a_lost_race_is_tried_again():
+    # The failure ended the move with an exception that nobody took, and its keys stayed
+    # released until the next round.
+    tables = store_with()
+    store = tables.store = Unreadable()
+    store.revision = 5
+    store.items.update(tables.mirror.items)
+    assert await tables.change("test", lambda t: reassign(t, 10, 20, B))
