Cut off answers of endpoints that are bytes without end

Played from a stand-in in ten places of an answer to a request and in six of an answer to an order. A request was held until its deadline by interim answers, by chunks of one byte (parsed for more than 20 s) and by answers to other requests; a release read 2.8 GB of a body without a length in its 6 s, which a machine of 200 MB does not survive. Endless heads, fields, trailers, and bodies without a length in an answer to a request were bounded already.

A connection to the endpoint now counts all bytes of an answer: what is not body may be 128 KiB and as long as the body, and at most eight answers to earlier requests are dropped in front of one. An order's answer has a body of 64 KiB at most.

Open: interim answers without end to an order.

--- a/src/sesamepost/internal/forwarding/endpoint_connection.py
+++ b/src/sesamepost/internal/forwarding/endpoint_connection.py
@@ -15,6 +15,11 @@
 
 MAX_ANSWER_BYTES = 8 << 20
 MAX_HEADER_BYTES = 64 << 10
+# Bytes beside a body: fields, interim answers and the framing of chunks. Framing may
+# be as long as the body; an endpoint that sends more sends no answer.
+MAX_OVERHEAD_BYTES = 2 * MAX_HEADER_BYTES
+# Answers to earlier requests that are dropped in front of one answer.
+MAX_SKIPPED_ANSWERS = 8
 
 
 @dataclass(slots=True)
@@ -51,6 +56,9 @@
         self.head: h11.Response | None = None
         self.chunks: list[bytes] = []
         self.size = 0
+        # All bytes since the answer in front of this one, and such answers.
+        self.received = 0
+        self.skipped_for_request = 0
         self.is_open = False
         self.idle_since = 0.0
         self.idle_limit_s: float | None = None
@@ -67,11 +75,15 @@
         if self.waiter is None:
             self.close()
             return
+        self.received += len(data)
         try:
             self.parser.receive_data(data)
             self._read_events()
         except h11.RemoteProtocolError as error:
             self._fail(ErrorKind.ANSWER_CUT_OFF, f"not a valid answer: {error}")
+        if self.received - self.size > MAX_OVERHEAD_BYTES + self.size:
+            detail = f"{self.received} bytes for {self.size} of a body"
+            self._fail(ErrorKind.ANSWER_CUT_OFF, detail)
 
     def eof_received(self) -> bool:
         """Take an orderly end, which completes an answer without a length."""
@@ -105,6 +117,7 @@
     ) -> EndpointAnswer:
         """Return the answer; raise ``RouterError`` if its outcome is not known."""
         self.request_id = request_id
+        self.skipped_for_request = 0
         self.request = h11.Request(method=method, target=target, headers=headers)
         self.waiter = asyncio.get_running_loop().create_future()
         data = self._start_parser()
@@ -130,6 +143,7 @@
         self.head = None
         self.chunks = []
         self.size = 0
+        self.received = 0
         return self.parser.send(self.request)
 
     def _read_events(self) -> None:
@@ -173,13 +187,15 @@
     def _skip_answer(self, rest: bytes, keeps_open: bool) -> None:
         """Drop an answer to an earlier request and go on reading behind it."""
         self.skipped_answers += 1
-        if not keeps_open:
+        self.skipped_for_request += 1
+        if not keeps_open or self.skipped_for_request > MAX_SKIPPED_ANSWERS:
             self._fail(ErrorKind.OUTCOME_UNKNOWN, "the endpoint answered another id")
             self.close()
             return
         # The request is not sent again: the parser only has to expect its answer.
         self._start_parser()
         if rest:
+            self.received = len(rest)
             self.parser.receive_data(rest)
 
     def _note_keep_alive(self, value: str) -> None:
--- a/src/sesamepost/platform/endpoint_orders.py
+++ b/src/sesamepost/platform/endpoint_orders.py
@@ -15,6 +15,8 @@
 
 GRANT_TIMEOUT_S = 1.0
 RELEASE_TIMEOUT_S = 6.0
+# An answer to an order has an empty or a short body.
+MAX_BODY_BYTES = 64 << 10
 # Grants are renewed more often, so that a connection lasts as long as the worker.
 KEEP_ALIVE_S = 30.0
 
@@ -83,7 +85,7 @@
                 async with self.session.post(
                     self.base + path, json=body, trace_request_ctx=path
                 ) as response:
-                    await response.read()
+                    await _skip_body(response)
                     return response.status, response.headers.get(HANDOVER_HEADER, "")
         except aiohttp.ClientConnectorError as error:
             if isinstance(error.os_error, ConnectionRefusedError):
@@ -91,3 +93,13 @@
             raise EndpointSilentError(repr(error)) from None
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise EndpointSilentError(repr(error)) from None
+
+
+async def _skip_body(response: aiohttp.ClientResponse) -> None:
+    """Read the body to its end, and close the connection if it is too long."""
+    size = 0
+    async for piece in response.content.iter_any():
+        size += len(piece)
+        if size > MAX_BODY_BYTES:
+            response.close()
+            raise EndpointSilentError(f"an answer of more than {MAX_BODY_BYTES} bytes")
--- a/tests/forwarding/test_endpoint_connection.py
+++ b/tests/forwarding/test_endpoint_connection.py
@@ -8,6 +8,7 @@
 import pytest
 
 from sesamepost.errors import ErrorKind, RouterError
+from sesamepost.internal.forwarding.endpoint_connection import MAX_ANSWER_BYTES
 from sesamepost.internal.forwarding.endpoint_pool import EndpointPool, Listening
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
 from sesamepost.internal.wire.pool import Address
@@ -139,3 +140,59 @@
             await send(pool, "1")
         assert caught.value.kind is ErrorKind.ENDPOINT_UNREACHABLE
         assert await pool.probe() is Listening.NO
+
+
+class EndlessEndpoint:
+    """Answers each request with a beginning and then the same bytes until a close."""
+
+    def __init__(self, begin: bytes, repeated: bytes) -> None:
+        self.begin = begin
+        self.repeated = repeated * (1 + 16384 // len(repeated))
+        self.sent = 0
+        self.closed = asyncio.Event()
+
+    async def serve(self, reader, writer) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.begin)
+            while True:
+                writer.write(self.repeated)
+                await writer.drain()
+                self.sent += len(self.repeated)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed.set()
+
+
+OK_HEAD = b"HTTP/1.1 200 OK\r\nId: 1\r\n"
+ENDLESS = {
+    "no answer": (b"", b"\x00\x01\x02"),
+    "a status line": (b"HTTP/1.1 200 ", b"O"),
+    "a field": (OK_HEAD + b"X: ", b"y"),
+    "many fields": (OK_HEAD, b"X: y\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "a body without a length": (OK_HEAD + b"\r\n", b"z"),
+    "many chunks": (OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nz\r\n"),
+    "a chunk's length": (OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"0"),
+    "trailers": (OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"X: y\r\n"),
+    "answers to others": (b"", answer("9", "z")),
+}
+# The largest answer, and what lies in the buffers of both sides.
+MAX_ENDLESS_BYTES = MAX_ANSWER_BYTES + (16 << 20)
+
+
+@pytest.mark.parametrize("where", ENDLESS)
+async def test_bytes_without_end_are_cut_off_by_their_number(where):
+    # Guards against an endpoint that keeps a node reading until a deadline, or fills
+    # its memory.
+    endpoint = EndlessEndpoint(*ENDLESS[where])
+    server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    async with EndpointPool(address, NAMES) as pool:
+        with pytest.raises(RouterError):
+            async with asyncio.timeout(20):
+                await send(pool, "1")
+        async with asyncio.timeout(5):
+            await endpoint.closed.wait()
+        assert endpoint.sent < MAX_ENDLESS_BYTES
+        assert not pool.idle
+    server.close()
--- a/tests/platform/test_endpoint_orders.py
+++ b/tests/platform/test_endpoint_orders.py
@@ -1,14 +1,17 @@
 """Grants reach only the life of the worker that they are meant for."""
 
+import asyncio
+
 import pytest
 from aiohttp import web
 
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.forwarding.endpoint_presence import EndpointPresence
 from sesamepost.internal.forwarding.endpoint_watch import JUST_HEARD_S, EndpointWatch
-from sesamepost.internal.ranges.keeper import EndpointUnsureError
+from sesamepost.internal.ranges.keeper import EndpointSilentError, EndpointUnsureError
 from sesamepost.internal.wire.pool import Address
 from sesamepost.platform.endpoint_orders import WorkerOrders
+from tests.forwarding.test_endpoint_connection import EndlessEndpoint
 from tests.forwarding.test_endpoint_watch import info
 from tests.waiting import until
 
@@ -83,3 +86,32 @@
             presence.note_new_life()
             watch.heard_at = boottime() - JUST_HEARD_S
             assert not presence.is_sure()
+
+
+ENDLESS = {
+    "no answer": (b"", b"\x00\x01\x02"),
+    "a field": (b"HTTP/1.1 200 OK\r\nX: ", b"y"),
+    "many fields": (b"HTTP/1.1 200 OK\r\n", b"X: y\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "a body without a length": (b"HTTP/1.1 200 OK\r\n\r\n", b"z"),
+    "many chunks": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"1\r\nz\r\n",
+    ),
+}
+
+
+@pytest.mark.parametrize("where", ENDLESS)
+async def test_an_order_is_not_answered_by_bytes_without_end(where):
+    # Guards against a worker whose answer to a release fills the memory of a node for
+    # the 6 s that a release may take.
+    endpoint = EndlessEndpoint(*ENDLESS[where])
+    server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    async with WorkerOrders(address) as orders:
+        with pytest.raises(EndpointSilentError):
+            await orders.release(0, 9, 1)
+        async with asyncio.timeout(5):
+            await endpoint.closed.wait()
+    assert endpoint.sent < 8 << 20
+    server.close()
