Share the tests' failure domain, their writes and their stored tables

put stood in five test files, the nodes of a failure domain in two, and the seeding of a stored table in six tests of one file. They now stand once each.

--- a/tests/coordination/memory_store.py
+++ b/tests/coordination/memory_store.py
@@ -12,6 +12,7 @@
     StoreError,
     StoreSilentError,
     Transaction,
+    Write,
 )
 
 MAX_TRANSACTION_ENTRIES = 32
@@ -126,3 +127,9 @@
     async def commit(self, transaction: Transaction) -> int:
         await asyncio.sleep(0.01)
         return await super().commit(transaction)
+
+
+async def put(store: MemoryStore, key: str, value: bytes) -> None:
+    """Set a value, whatever is there."""
+    revision = store.items[key].revision if key in store.items else 0
+    await store.commit(Transaction({key: revision}, (Write(key, value),)))
--- a/tests/coordination/test_feed.py
+++ b/tests/coordination/test_feed.py
@@ -1,27 +1,19 @@
 """One node of a large failure domain watches the store for the others."""
 
 import asyncio
-from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass
 
 from sesamepost.internal.coordination import feed as feed_module
-from sesamepost.internal.coordination.feed import MIN_GROUP, ReaderFeed
-from sesamepost.internal.coordination.mirror import Mirror
-from sesamepost.internal.coordination.nodes import NODE_PREFIX, NodeEntry, NodeTable
-from sesamepost.internal.coordination.relay import RelayedStore
+from sesamepost.internal.coordination.feed import MIN_GROUP
 from sesamepost.internal.coordination.store import (
     Item,
     StoreRejectedError,
     Transaction,
     Write,
 )
-from sesamepost.internal.identity import new_node_id
-from sesamepost.internal.wire.pool import Address, PeerPool
-from tests.coordination.memory_store import MemoryStore
+from tests.coordination.failure_domain import failure_domain
+from tests.coordination.memory_store import MemoryStore, put
 from tests.waiting import until
 
-KEY = b"k" * 32
-
 
 class CountedStore(MemoryStore):
     """Counts the watches, and can be silent to one node."""
@@ -58,43 +50,9 @@
             cut.cancel()
 
 
-@dataclass(slots=True)
-class Node:
-    """What a test looks at in one member of the group."""
-
-    mirror: Mirror
-    feed: ReaderFeed
-    view: View
-
-
-@asynccontextmanager
-async def group(store: CountedStore, count: int):
-    """Run the mirrors of one failure domain, on loopback addresses of their own."""
-    async with AsyncExitStack() as stack:
-        pools, entries = [], []
-        for index in range(count):
-            vm = f"127.0.0.{index + 1}"
-            pool = await stack.enter_async_context(PeerPool(new_node_id(vm), KEY))
-            address = await pool.listen(Address(vm, 0))
-            pools.append(pool)
-            entries.append(NodeEntry(vm, vm, 1, address.port, "a", "r", None))
-        for entry in entries:
-            await put(store, NODE_PREFIX + entry.vm, entry.encode())
-        nodes = []
-        for pool, entry in zip(pools, entries, strict=True):
-            view = View(store)
-            relayed = RelayedStore(view, pool, list)
-            mirror = Mirror(relayed)
-            mirror.feed = ReaderFeed(entry, NodeTable(mirror), mirror, relayed)
-            await stack.enter_async_context(mirror)
-            nodes.append(Node(mirror, mirror.feed, view))
-        await until(lambda: all(node.mirror.in_contact for node in nodes))
-        yield nodes
-
-
-async def put(store: MemoryStore, key: str, value: bytes) -> None:
-    revision = store.items[key].revision if key in store.items else 0
-    await store.commit(Transaction({key: revision}, (Write(key, value),)))
+def group(store: CountedStore, count: int):
+    """Run the mirrors of one failure domain, each with a view of the store."""
+    return failure_domain(store, count, lambda: View(store))
 
 
 def all_have(nodes, key: str, value: bytes) -> bool:
@@ -130,7 +88,7 @@
     store = CountedStore()
     async with group(store, MIN_GROUP) as nodes:
         await until(lambda: nodes[1].mirror.counters["follows"] > 0)
-        nodes[0].view.is_cut.set()
+        nodes[0].store.is_cut.set()
         await put(store, "settings", b"new")
         loop = asyncio.get_running_loop()
         began = loop.time()
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -10,15 +10,10 @@
     Transaction,
     Write,
 )
-from tests.coordination.memory_store import MemoryStore
+from tests.coordination.memory_store import MemoryStore, put
 from tests.waiting import until
 
 
-async def put(store: MemoryStore, key: str, value: bytes) -> None:
-    revision = store.items[key].revision if key in store.items else 0
-    await store.commit(Transaction({key: revision}, (Write(key, value),)))
-
-
 def value_of(mirror: Mirror, key: str) -> bytes | None:
     item = mirror.get(key)
     return None if item is None else item.value
--- a/tests/coordination/test_narrow_link.py
+++ b/tests/coordination/test_narrow_link.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from sesamepost.internal.coordination.mirror import Mirror
-from sesamepost.internal.coordination.store import StoreSilentError, Transaction, Write
-from tests.coordination.memory_store import MemoryStore
+from sesamepost.internal.coordination.store import StoreSilentError
+from tests.coordination.memory_store import MemoryStore, put
 from tests.waiting import until
 
 EVENT_S = 0.02
@@ -37,11 +37,6 @@
             raise StoreSilentError("the answer took too long")
 
 
-async def put(store: MemoryStore, key: str, value: bytes) -> None:
-    revision = store.items[key].revision if key in store.items else 0
-    await store.commit(Transaction({key: revision}, (Write(key, value),)))
-
-
 async def test_a_node_that_fell_behind_catches_up_by_a_listing():
     # Grown Valstock trouble-1: one node with a link of 5 Mbit/s kept settings that were
     # seven seconds old. An answer with all versions of a table since its revision took
--- a/tests/coordination/test_relay.py
+++ b/tests/coordination/test_relay.py
@@ -18,7 +18,7 @@
 )
 from sesamepost.internal.identity import new_node_id
 from sesamepost.internal.wire.pool import Address, PeerPool
-from tests.coordination.memory_store import MemoryStore
+from tests.coordination.memory_store import MemoryStore, put
 from tests.waiting import until
 
 KEY = b"k" * 32
@@ -204,8 +204,3 @@
 
     def pace(self):
         return self.fixed
-
-
-async def put(store: MemoryStore, key: str, value: bytes) -> None:
-    revision = store.items[key].revision if key in store.items else 0
-    await store.commit(Transaction({key: revision}, (Write(key, value),)))
--- a/tests/coordination/test_settings_while_endpoints_leave.py
+++ b/tests/coordination/test_settings_while_endpoints_leave.py
@@ -4,21 +4,15 @@
 import itertools
 from contextlib import AsyncExitStack
 
-from sesamepost.internal.coordination.feed import MIN_GROUP, ReaderFeed
+from sesamepost.internal.coordination.feed import MIN_GROUP
 from sesamepost.internal.coordination.mirror import Mirror
-from sesamepost.internal.coordination.nodes import NODE_PREFIX, NodeEntry, NodeTable
-from sesamepost.internal.coordination.relay import RelayedStore
-from sesamepost.internal.coordination.store import Transaction, Write
-from sesamepost.internal.identity import new_node_id
 from sesamepost.internal.ranges.table import KEYS, Owner, new_table, reassign
 from sesamepost.internal.ranges.table_store import TableStore
-from sesamepost.internal.wire.pool import Address, PeerPool
-from tests.coordination.memory_store import MemoryStore
+from tests.coordination.failure_domain import failure_domain
+from tests.coordination.memory_store import MemoryStore, put
 from tests.coordination.narrow_links import LinkedStore
 from tests.waiting import until
 
-KEY = b"k" * 32
-# The narrowest link, the way between two regions and back, and the operators' bound.
 LINK_BYTES_PER_S = 5e6 / 8
 RTT_S = 0.044
 CONFIG_S = 3.0
@@ -29,9 +23,8 @@
 WRITES_PER_S = 16
 
 
-async def put(store: MemoryStore, key: str, value: bytes) -> None:
-    revision = store.items[key].revision if key in store.items else 0
-    await store.commit(Transaction({key: revision}, (Write(key, value),)))
+def linked_to(store: MemoryStore) -> LinkedStore:
+    return LinkedStore(store, LINK_BYTES_PER_S, RTT_S)
 
 
 def dealt_table():
@@ -80,29 +73,15 @@
     seed = TableStore(store, Mirror(store), "s")
     await seed.change("test", lambda table: dealt_table())
     async with AsyncExitStack() as stack:
-        mirrors, tables = [], []
-        entries = []
-        pools = []
-        for index in range(MIN_GROUP):
-            vm = f"127.0.1.{index + 1}"
-            pool = await stack.enter_async_context(PeerPool(new_node_id(vm), KEY))
-            address = await pool.listen(Address(vm, 0))
-            pools.append(pool)
-            entries.append(NodeEntry(vm, vm, 1, address.port, "a", "r", None))
-            await put(store, NODE_PREFIX + vm, entries[-1].encode())
-        for pool, entry in zip(pools, entries, strict=True):
-            linked = LinkedStore(store, LINK_BYTES_PER_S, RTT_S)
-            relayed = RelayedStore(linked, pool, list)
-            mirror = Mirror(relayed)
-            mirror.feed = ReaderFeed(entry, NodeTable(mirror), mirror, relayed)
-            mirrors.append(await stack.enter_async_context(mirror))
-            tables.append(TableStore(relayed, mirror, "s"))
+        domain = failure_domain(store, MIN_GROUP, lambda: linked_to(store))
+        members = await stack.enter_async_context(domain)
+        mirrors = [member.mirror for member in members]
+        leaving = [TableStore(members[0].relayed, mirrors[0], "s")]
         for _ in range(LEAVING_BESIDE_THE_READER):
-            linked = LinkedStore(store, LINK_BYTES_PER_S, RTT_S)
+            linked = linked_to(store)
             mirror = await stack.enter_async_context(Mirror(linked))
-            tables.append(TableStore(linked, mirror, "s"))
-        await until(lambda: all(t.table is not None for t in tables))
-        leaving = [tables[0], *tables[MIN_GROUP:]]
+            leaving.append(TableStore(linked, mirror, "s"))
+        await until(lambda: all(t.table is not None for t in leaving))
         moves = [
             asyncio.ensure_future(give_all_away(t, OWNERS[i], OWNERS[-1]))
             for i, t in enumerate(leaving)
--- a/tests/ranges/test_table_store.py
+++ b/tests/ranges/test_table_store.py
@@ -36,6 +36,14 @@
     return tables
 
 
+def stored() -> TableStore:
+    """Return a table that the store and the mirror have."""
+    tables = store_with()
+    tables.store.revision = 5
+    tables.store.items.update(tables.mirror.items)
+    return tables
+
+
 def test_a_range_that_is_told_counts_at_once():
     tables = store_with()
     woken = []
@@ -82,9 +90,7 @@
 
 async def test_changes_rest_on_the_table_of_the_store_and_not_on_what_was_told():
     # Guards against a write of ranges that the store never had.
-    tables = store_with()
-    tables.store.revision = 5
-    tables.store.items.update(tables.mirror.items)
+    tables = stored()
     tables.offer_range(7, KeyRange(100, 199, B, 9))
     seen = []
     await tables.change("test", lambda table: seen.append(table.find(150).owner))
@@ -101,10 +107,8 @@
 async def test_changes_in_different_sections_do_not_fail_on_each_other():
     # Half of the moves of 41 owners were given up after ten writes that another owner's
     # write had made void, with their keys released meanwhile.
-    tables, other = store_with(), store_with()
+    tables, other = stored(), store_with()
     store = other.store = tables.store
-    store.revision = 5
-    store.items.update(tables.mirror.items)
     assert await tables.change("test", lambda t: reassign(t, 10, 20, B))
     assert await other.change("test", lambda t: reassign(t, LAST_KEY, LAST_KEY, A))
     assert len(store.commits) == 2
@@ -114,10 +118,8 @@
 
 async def test_a_change_of_the_same_section_rests_on_the_newest_one():
     # Guards against an owner that is lost because two wrote the same section.
-    tables, other = store_with(), store_with()
-    store = other.store = tables.store
-    store.revision = 5
-    store.items.update(tables.mirror.items)
+    tables, other = stored(), store_with()
+    other.store = tables.store
     assert await tables.change("test", lambda t: reassign(t, 10, 20, B))
     assert await other.change("test", lambda t: reassign(t, 30, 40, B))
     assert other.table.find(15).owner == other.table.find(35).owner == B
@@ -136,10 +138,8 @@
 
 async def test_changes_that_wait_for_a_write_share_the_next_one():
     # An endpoint that left with 16 ranges caused 16 writes that failed on each other.
-    tables = store_with()
+    tables = stored()
     store = tables.store
-    store.revision = 5
-    store.items.update(tables.mirror.items)
     changes = [
         tables.change("test", lambda t, k=key: reassign(t, k, k, B))
         for key in range(0, 1600, 100)
@@ -151,10 +151,7 @@
 
 async def test_a_change_with_conditions_is_written_alone():
     # Guards against a takeover whose failed condition gives up other changes.
-    tables = store_with()
-    store = tables.store
-    store.revision = 5
-    store.items.update(tables.mirror.items)
+    tables = stored()
     failing = tables.change("test", lambda t: reassign(t, 1, 1, B), {"missing": 3})
     others = [
         tables.change("test", lambda t, k=key: reassign(t, k, k, B)) for key in (5, 7)
@@ -165,10 +162,7 @@
 
 async def test_a_change_that_is_cancelled_does_not_hold_up_others():
     # Guards against a stopped keeper whose change is written or blocks later ones.
-    tables = store_with()
-    store = tables.store
-    store.revision = 5
-    store.items.update(tables.mirror.items)
+    tables = stored()
     first = asyncio.ensure_future(tables.change("a", lambda t: reassign(t, 1, 1, B)))
     second = asyncio.ensure_future(tables.change("b", lambda t: reassign(t, 5, 5, B)))
     await asyncio.sleep(0)
--- a/tests/ranges/test_takeover.py
+++ b/tests/ranges/test_takeover.py
@@ -11,12 +11,12 @@
     NodeEntry,
     NodeTable,
 )
-from sesamepost.internal.coordination.store import Deletion, Item, Transaction, Write
+from sesamepost.internal.coordination.store import Deletion, Item
 from sesamepost.internal.ranges.holds import HOLD_S, TAKEOVER_SLACK_S
 from sesamepost.internal.ranges.table import Owner, new_table
 from sesamepost.internal.ranges.table_store import TableStore
 from sesamepost.internal.ranges.takeover import Takeover, lost_owners
-from tests.coordination.memory_store import MemoryStore
+from tests.coordination.memory_store import MemoryStore, put
 
 A, B = Owner("10.0.0.1", "i-1", 1), Owner("10.0.0.2", "i-2", 2)
 WAIT_S = HOLD_S + TAKEOVER_SLACK_S
@@ -45,16 +45,15 @@
     return store, mirror, nodes, tables
 
 
-async def put(store: MemoryStore, mirror: Mirror, key: str, value: bytes) -> None:
-    revision = store.items[key].revision if key in store.items else 0
-    await store.commit(Transaction({key: revision}, (Write(key, value),)))
+async def put_known(store: MemoryStore, mirror: Mirror, key: str, value: bytes) -> None:
+    await put(store, key, value)
     mirror.offer(store.items[key])
 
 
 async def prepare(store, mirror, nodes, tables, owners=(A, B)) -> Takeover:
     for owner in owners:
-        await put(store, mirror, nodes.node_key(owner.vm), entry(owner).encode())
-        await put(store, mirror, LEASE_COUNT_PREFIX + owner.vm, b"1")
+        await put_known(store, mirror, nodes.node_key(owner.vm), entry(owner).encode())
+        await put_known(store, mirror, LEASE_COUNT_PREFIX + owner.vm, b"1")
     await tables.change("test", lambda table: new_table(list(owners)))
     mirror.in_contact = True
     return Takeover(B.vm, tables, nodes, mirror)
