--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,8 @@
     pytest.param(1, SHORT_S, id="short"),
     # A renewal reached a new life of a worker with the fence of the life before.
     pytest.param(14, 12.0, id="old-fence"),
+    # The same, over a connection that was opened within 0.25 s of a heartbeat.
+    pytest.param(129, 12.0, id="old-fence-new-connection"),
 ]
 
 
