Start the whole-path tests when every node knows an endpoint without keys

Trace: the fleet waited until node 1 served the keys. Nothing waited until node 0 had read the entry of an endpoint without keys, which it refuses truthfully until then. The fleet now waits for that at its start; the test and its checks are unchanged.

--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -121,6 +121,8 @@
             await self.start_worker(index)
         await asyncio.gather(*(self.start(i) for i in range(self.count)))
         await self.wait_until_served()
+        if self.count > 1:
+            await self.wait_until(self._know_plain_endpoints, READY_TIMEOUT_S)
         return self
 
     async def __aexit__(self, *error) -> None:
@@ -132,6 +134,14 @@
             await worker.__aexit__()
         await self.stack.aclose()
 
+    async def _know_plain_endpoints(self) -> bool:
+        """Return whether each node has heard of an endpoint without keys."""
+        for index in range(self.count):
+            status, _, _ = await self.ask(index, "/p/known", body="x")
+            if status != 200:
+                return False
+        return True
+
     def ip(self, index: int) -> str:
         """Return the address of a node; each has one of its own."""
         return f"127.9.{os.getpid() % 250}.{index + 1}"
