--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -137,7 +137,10 @@
     async def _know_plain_endpoints(self) -> bool:
         """Return whether each node has heard of an endpoint without keys."""
         for index in range(self.count):
-            status, _, _ = await self.ask(index, "/p/known", body="x")
+            try:
+                status, _, _ = await self.ask(index, "/p/known", body="x")
+            except (aiohttp.ClientError, TimeoutError):
+                return False
             if status != 200:
                 return False
         return True
