Return a failed answer rather than a later refusal

The 500 is now returned, and the call counts as one that may have run. Four tests failed before, with and without a key.

A copy of an earlier refusal on a kept connection was taken for the response to the next request if it had no id, or if the same request was sent to the same endpoint again. A response without an id now ends its connection, and a request is not sent again on a connection on which it failed.

--- a/src/sesamepost/internal/forwarding/endpoint_connection.py
+++ b/src/sesamepost/internal/forwarding/endpoint_connection.py
@@ -21,6 +21,9 @@
 MAX_OVERHEAD_BYTES = 2 * MAX_HEADER_BYTES
 # Responses to earlier requests that are skipped while waiting for one response.
 MAX_SKIPPED_ANSWERS = 8
+# A connection with this many failed requests is closed, as it remembers their ids.
+MAX_FAILED_IDS = 256
+FIRST_FAILURE_STATUS = 400
 
 
 @dataclass(slots=True)
@@ -65,6 +68,9 @@
         self.idle_limit_s: float | None = None
         self.answers = 0
         self.skipped_answers = 0
+        # A copy of a failed response may come late, and a further attempt of the same
+        # request has the same id, so it is sent on another connection.
+        self.failed_ids: set[str] = set()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport of the new connection."""
@@ -185,7 +191,11 @@
             return
         self.head = None
         self.answers += 1
-        if not is_reusable or trailing:
+        if answer.status >= FIRST_FAILURE_STATUS:
+            self.failed_ids.add(answered_id)
+        # A copy of a response without an id could not be told from the next response.
+        is_traceable = answered_id and len(self.failed_ids) <= MAX_FAILED_IDS
+        if not is_reusable or trailing or not is_traceable:
             self.close()
         self._parse_keep_alive(answer.header("keep-alive"))
         self.waiter.set_result(answer)
--- a/src/sesamepost/internal/forwarding/endpoint_pool.py
+++ b/src/sesamepost/internal/forwarding/endpoint_pool.py
@@ -68,7 +68,7 @@
 
         ``ENDPOINT_UNREACHABLE`` means that nothing was sent.
         """
-        connection = self._pop_idle() or await self._connect()
+        connection = self._pop_idle(request_id) or await self._connect()
         self.in_use.add(connection)
         try:
             return await connection.send(method, target, headers, body, request_id)
@@ -86,17 +86,21 @@
         self._return_to_pool(connection)
         return Listening.YES
 
-    def _pop_idle(self) -> EndpointConnection | None:
+    def _pop_idle(self, request_id: str) -> EndpointConnection | None:
         now = boottime()
-        while self.idle:
-            connection = self.idle.pop()
+        for connection in self.idle[::-1]:
             limit_s = connection.idle_limit_s
             if limit_s is None:
                 limit_s = DEFAULT_IDLE_LIMIT_S
             is_fresh = now - connection.idle_since < limit_s * IDLE_LIMIT_SHARE
-            if connection.is_open and is_fresh:
-                return connection
-            connection.close()
+            if not connection.is_open or not is_fresh:
+                self.idle.remove(connection)
+                connection.close()
+                continue
+            if request_id in connection.failed_ids:
+                continue
+            self.idle.remove(connection)
+            return connection
         return None
 
     async def _connect(self) -> EndpointConnection:
--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -119,17 +119,20 @@
     async def run(self, call: Call, progress: Progress) -> Answer:
         """Return an endpoint's answer, or raise ``RouterError``.
 
-        At the deadline of the call, the request is cancelled at the endpoint.
+        At the deadline of the call, the request is cancelled at the endpoint. A failed
+        answer of an endpoint is returned rather than an error of later attempts.
         """
         remaining_s = call.deadline - boottime()
         try:
             async with asyncio.timeout(max(0.0, remaining_s)):
                 return await self._run(call, progress)
-        except TimeoutError:
-            if progress.is_in_flight:
-                progress.may_have_run = True
+        except (RouterError, TimeoutError) as error:
             if progress.failed_answer is not None:
                 return progress.failed_answer
+            if isinstance(error, RouterError):
+                raise
+            if progress.is_in_flight:
+                progress.may_have_run = True
             raise progress.error(ErrorKind.DEADLINE_NOT_RUN) from None
 
     async def _run(self, call: Call, progress: Progress) -> Answer:
@@ -150,6 +153,7 @@
                 return answer
             # The failed answer is returned unless another endpoint answers.
             progress.failed_answer = answer
+            progress.may_have_run = True
             progress.retries += 1
             progress.tried.add(node.vm)
             if not self._has_alternative(call, progress):
--- a/tests/forwarding/test_endpoint_connection.py
+++ b/tests/forwarding/test_endpoint_connection.py
@@ -8,7 +8,10 @@
 import pytest
 
 from sesamepost.errors import ErrorKind, RouterError
-from sesamepost.internal.forwarding.endpoint_connection import MAX_ANSWER_BYTES
+from sesamepost.internal.forwarding.endpoint_connection import (
+    MAX_ANSWER_BYTES,
+    MAX_FAILED_IDS,
+)
 from sesamepost.internal.forwarding.endpoint_pool import EndpointPool, Listening
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
 from sesamepost.internal.wire.pool import Address
@@ -99,6 +102,47 @@
         assert endpoint.connections == 2
 
 
+def refusal(request_id: str = "") -> bytes:
+    id_header = f"Id: {request_id}\r\n" if request_id else ""
+    head = f"HTTP/1.1 503 Service Unavailable\r\n{id_header}Not-Run: 1\r\n"
+    return f"{head}Content-Length: 0\r\n\r\n".encode()
+
+
+async def test_a_late_copy_of_a_refusal_does_not_refuse_the_next_request():
+    # Guards against "not run" as the outcome of a request that the endpoint runs.
+    late = [refusal("1"), answer("2", "two")]
+    async with pool_to([refusal("1")], late) as (pool, endpoint):
+        assert (await send(pool, "1")).status == 503
+        assert (await send(pool, "2")).body == b"two"
+        assert endpoint.connections == 1
+
+
+async def test_a_late_copy_of_a_refusal_does_not_refuse_the_same_request_again():
+    # Guards against a second run of a request that is sent to its owner once more after
+    # a refusal: the copy bears the id of the second attempt too.
+    scripts = [refusal("1")], [answer("1", "one")]
+    async with pool_to(*scripts) as (pool, endpoint):
+        assert (await send(pool, "1")).status == 503
+        assert (await send(pool, "1")).body == b"one"
+        assert endpoint.connections == 2
+
+
+async def test_a_response_without_an_id_ends_its_connection():
+    # Guards against a copy of it that is taken for the response to the next request.
+    async with pool_to([refusal()], [answer("2", "two")]) as (pool, endpoint):
+        assert (await send(pool, "1")).status == 503
+        assert (await send(pool, "2")).body == b"two"
+        assert endpoint.connections == 2
+
+
+async def test_ids_of_failed_requests_do_not_fill_the_memory():
+    scripts = [[refusal(str(i))] for i in range(MAX_FAILED_IDS + 2)]
+    async with pool_to(*scripts) as (pool, endpoint):
+        for i in range(MAX_FAILED_IDS + 2):
+            assert (await send(pool, str(i))).status == 503
+        assert endpoint.connections == 2
+
+
 @pytest.mark.parametrize(
     ("script", "kind"),
     [
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -109,6 +109,15 @@
     assert await outcome(forwarder, call(True)) == 200
 
 
+@pytest.mark.parametrize("key", [NO_KEY, 5])
+@pytest.mark.parametrize("refusal", [ErrorKind.OVERLOADED, ErrorKind.NO_ENDPOINT])
+async def test_a_failed_answer_is_returned_if_the_next_endpoint_refuses(refusal, key):
+    # Guards against "not run" as the outcome of a request that one endpoint has run.
+    script = [500, *[refusal] * 50]
+    forwarder = ScriptedForwarder(key != NO_KEY, script)
+    assert await outcome(forwarder, call(True, key)) == 500
+
+
 async def test_a_request_reaches_no_more_endpoints_than_its_route_allows():
     script = [ErrorKind.OUTCOME_UNKNOWN] * 3
     forwarder = ScriptedForwarder(False, script)
