Check values of other writers where they are decoded

One odd node entry, very deeply nested, with a number too large or a port out of range, was accepted and raised errors wherever it was used; a response of the store that could not be read raised errors that ended the renewal of the lease. Node entries, range sections, heartbeats, leaves, the routing settings and responses of the store are now decoded by msgspec into typed fields with bounds.

--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -7,6 +7,7 @@
 from dataclasses import asdict, dataclass, replace
 
 import msgpack
+import msgspec
 import structlog
 
 from sesamepost.internal.clock import boottime
@@ -21,6 +22,14 @@
     Write,
 )
 from sesamepost.internal.identity import ANY_INCARNATION, NodeId
+from sesamepost.internal.limits import (
+    Count,
+    Incarnation,
+    IpAddress,
+    Name,
+    Port,
+    Slots,
+)
 from sesamepost.internal.tasks import TaskOwner
 from sesamepost.internal.wire.pool import Address
 
@@ -50,11 +59,11 @@
     an ``id``, so an incarnation is identified by ``id`` and ``born`` together.
     """
 
-    service: str
-    id: str
-    born: int
-    slots: int
-    version: str
+    service: Name
+    id: Name
+    born: Count
+    slots: Slots
+    version: Name
     is_ready: bool
 
     @property
@@ -67,12 +76,12 @@
 class NodeEntry:
     """The published description of a node; ``vm`` is its IP address."""
 
-    vm: str
-    name: str
-    incarnation: int
-    peer_port: int
-    failure_domain: str
-    region: str
+    vm: IpAddress
+    name: Name
+    incarnation: Incarnation
+    peer_port: Port
+    failure_domain: Name
+    region: Name
     endpoint: EndpointInfo | None
     is_stopping: bool = False
 
@@ -94,18 +103,20 @@
         return msgpack.packb(asdict(self))
 
 
+_DECODER = msgspec.msgpack.Decoder(NodeEntry)
+
+
 def decode_node(item: Item) -> NodeEntry | None:
-    """Return the entry in ``item``, or None if it cannot be decoded."""
+    """Return the entry in ``item``, or None if it is not one of the VM in its key."""
     try:
-        fields = msgpack.unpackb(item.value)
-        endpoint = fields.pop("endpoint")
-        if endpoint is not None:
-            endpoint = EndpointInfo(**endpoint)
-        return NodeEntry(endpoint=endpoint, **fields)
-    except Exception as error:
-        # Malformed input raises various unrelated types of exceptions.
+        entry = _DECODER.decode(item.value)
+    except (msgspec.MsgspecError, RecursionError) as error:
         log.warning("node_entry_unreadable", key=item.key, error=repr(error))
         return None
+    if item.key != NODE_PREFIX + entry.vm:
+        log.warning("node_entry_misplaced", key=item.key, vm=entry.vm)
+        return None
+    return entry
 
 
 class NodeTable:
@@ -193,9 +204,14 @@
                 await self.store.end_lease(self.lease)
 
     def _on_change(self, event) -> None:
-        if event.key != self.key or isinstance(event, Item):
+        if event.key != self.key or self.written_entry is None:
             return
-        if self.written_entry is not None:
+        if isinstance(event, Item):
+            if event.value != self.written_entry.encode():
+                log.warning("own_entry_overwritten", revision=event.revision)
+                self.written_entry = None
+                self.wake.set()
+        else:
             log.warning("own_entry_removed", revision=event.revision, lease=self.lease)
             self.lease = 0
             self.written_entry = None
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -48,6 +48,7 @@
 from sesamepost.internal.ranges.table import LAST_KEY, Owner
 from sesamepost.internal.ranges.table_store import TableStore
 from sesamepost.internal.ranges.takeover import Takeover
+from sesamepost.internal.tasks import task_failures
 from sesamepost.internal.telemetry.loop_lag import LoopLag
 from sesamepost.internal.telemetry.metrics import Metrics
 from sesamepost.internal.wire.pool import Address, PeerPool
@@ -443,6 +444,7 @@
             "relay": self.store.counters,
             "feed": self.feed.counters,
             "event_loop": self.loop_lag.counters,
+            "task_failures": task_failures,
         }
         for name, counters in parts.items():
             self.metrics.add_counters(name, counters)
--- a/src/sesamepost/internal/ranges/table.py
+++ b/src/sesamepost/internal/ranges/table.py
@@ -8,6 +8,9 @@
 from dataclasses import dataclass, replace
 
 import msgpack
+import msgspec
+
+from sesamepost.internal.limits import Count, Name
 
 KEYS = 1 << 16
 LAST_KEY = KEYS - 1
@@ -112,6 +115,17 @@
         )
 
 
+# The highest fence, the owners, and of each range the first key, the index of its owner
+# or -1, the fence and the handover token.
+_SECTION_DECODER = msgspec.msgpack.Decoder(
+    tuple[
+        Count,
+        list[tuple[Name, Name, Count]],
+        list[tuple[Count, int, Count, str]],
+    ]
+)
+
+
 def section_of(key: int) -> int:
     """Return the index of the section with ``key``."""
     return key // SECTION_KEYS
@@ -124,7 +138,7 @@
     """
     begin = index * SECTION_KEYS
     try:
-        fence, owner_rows, rows = msgpack.unpackb(data)
+        fence, owner_rows, rows = _SECTION_DECODER.decode(data)
         owners = [Owner(*row) for row in owner_rows]
         bounds = [row[0] for row in rows] + [begin + SECTION_KEYS]
         ranges = tuple(
@@ -137,8 +151,7 @@
             )
             for i, (first, owner_index, range_fence, handover) in enumerate(rows)
         )
-    except Exception as error:
-        # Malformed input raises any of several unrelated exceptions.
+    except (msgspec.MsgspecError, RecursionError, IndexError) as error:
         raise ValueError(f"not a section of a range table: {error!r}") from None
     _validate_section(ranges, begin)
     return RangeTable(ranges, fence)
--- a/src/sesamepost/internal/wire/pool.py
+++ b/src/sesamepost/internal/wire/pool.py
@@ -152,7 +152,8 @@
                     lambda: self._new_stream(handshake), *address
                 )
                 await asyncio.shield(stream.opened)
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, OverflowError, ValueError) as error:
+            # The last two are raised for an address that cannot exist.
             self.counters["dial_failures"] += 1
             raise StreamClosedError(f"cannot connect to {address}: {error!r}") from None
         return stream
@@ -198,4 +199,9 @@
         if handler is None:
             self.counters["unhandled_messages"] += 1
             return
-        handler(stream, item)
+        try:
+            handler(stream, item)
+        except Exception:
+            # One message with odd values must not end the stream and its calls.
+            self.counters["failed_messages"] += 1
+            log.exception("message_failed", type=type(item).__name__)
--- a/src/sesamepost/platform/control_plane.py
+++ b/src/sesamepost/platform/control_plane.py
@@ -1,13 +1,15 @@
 """HTTP servers for heartbeats of the worker, readiness and metrics."""
 
-import json
 from contextlib import AsyncExitStack
 
 import structlog
 from aiohttp import web
+from msgspec import Struct
+from msgspec.json import Decoder
 
 from sesamepost.internal.coordination.nodes import EndpointInfo
 from sesamepost.internal.forwarding.node import Node
+from sesamepost.internal.limits import MAX_NAME_LENGTH, Count, Name, Slots
 from sesamepost.internal.wire.pool import Address
 from sesamepost.platform.names import (
     HEARTBEAT_PATH,
@@ -28,6 +30,40 @@
     """A heartbeat is invalid; the message names the field."""
 
 
+class ServiceFields(Struct):
+    """What a worker says about its service."""
+
+    service: Name
+    version: Name
+    slots: Slots
+
+
+class StatusFields(Struct):
+    """What a worker says about itself; ``sequence`` rises with each heartbeat."""
+
+    state: Name
+    sequence: Count
+
+
+class HeartbeatFields(Struct, rename="camel"):
+    """A heartbeat; ``born`` is the worker's start as Unix time in milliseconds."""
+
+    address: Name
+    service_info: ServiceFields
+    status: StatusFields
+    born: Count
+
+
+class LeaveFields(Struct):
+    """The body of a leave message, all of which is optional."""
+
+    born: Count = UNKNOWN_START_MS
+
+
+_HEARTBEAT_DECODER = Decoder(HeartbeatFields)
+_LEAVE_DECODER = Decoder(LeaveFields)
+
+
 def decode_heartbeat(
     worker_id: str, data: bytes, own_address: str
 ) -> tuple[EndpointInfo, int]:
@@ -36,41 +72,24 @@
     Raise ``HeartbeatError`` if the heartbeat is invalid or has another address.
     """
     try:
-        fields = json.loads(data)
-        info = fields["serviceInfo"]
-        status = fields["status"]
-        state = status["state"]
-        if fields["address"] != own_address:
-            raise HeartbeatError(
-                f"address is {fields['address']!r}, not {own_address!r}"
-            )
-        if state not in (READY_STATE, DRAINING_STATE):
-            raise HeartbeatError(f"state is {state!r}")
-        numbers = {
-            "slots": info["slots"],
-            "sequence": status["sequence"],
-            "born": fields["born"],
-        }
-        texts = {"service": info["service"], "version": info["version"]}
-    except (ValueError, KeyError, TypeError) as error:
-        if isinstance(error, HeartbeatError):
-            raise
-        raise HeartbeatError(f"it cannot be read: {error!r}") from None
-    for name, value in numbers.items():
-        if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-            raise HeartbeatError(f"{name} is {value!r}, not a whole number")
-    for name, value in texts.items():
-        if not isinstance(value, str):
-            raise HeartbeatError(f"{name} is {value!r}, not text")
+        fields = _HEARTBEAT_DECODER.decode(data)
+    except (ValueError, RecursionError) as error:
+        raise HeartbeatError(f"it cannot be read: {error}") from None
+    if fields.address != own_address:
+        raise HeartbeatError(f"address is {fields.address!r}, not {own_address!r}")
+    if fields.status.state not in (READY_STATE, DRAINING_STATE):
+        raise HeartbeatError(f"state is {fields.status.state!r}")
+    if len(worker_id) > MAX_NAME_LENGTH:
+        raise HeartbeatError(f"the id has {len(worker_id)} characters")
     endpoint = EndpointInfo(
-        texts["service"],
+        fields.service_info.service,
         worker_id,
-        numbers["born"],
-        numbers["slots"],
-        texts["version"],
-        state == READY_STATE,
+        fields.born,
+        fields.service_info.slots,
+        fields.service_info.version,
+        fields.status.state == READY_STATE,
     )
-    return endpoint, numbers["sequence"]
+    return endpoint, fields.status.sequence
 
 
 def decode_leave(data: bytes) -> int:
@@ -80,11 +99,9 @@
     it, so an invalid body is accepted.
     """
     try:
-        born = json.loads(data)["born"]
-    except (ValueError, KeyError, TypeError):
+        return _LEAVE_DECODER.decode(data).born
+    except (ValueError, RecursionError):
         return UNKNOWN_START_MS
-    is_number = isinstance(born, int) and not isinstance(born, bool)
-    return born if is_number else UNKNOWN_START_MS
 
 
 class ControlPlane:
--- a/src/sesamepost/platform/routing.py
+++ b/src/sesamepost/platform/routing.py
@@ -1,9 +1,10 @@
 """Decoding of the operator's routing settings, as they are kept in the store."""
 
-import json
-from typing import Any
+from typing import Annotated
 
 import structlog
+from msgspec import Meta, Struct
+from msgspec.json import Decoder
 
 from sesamepost.internal.forwarding.routes import (
     Limits,
@@ -12,66 +13,129 @@
     Service,
     Share,
 )
+from sesamepost.internal.limits import Count
 
 # Requests of this kind may be executed more than once.
 RETRYABLE_KIND = "safe"
 
+MAX_SECONDS = 86_400.0
+
+Seconds = Annotated[float, Meta(ge=0, le=MAX_SECONDS)]
+Weight = Annotated[float, Meta(ge=0)]
+
 log = structlog.get_logger()
 
 
+class SplitFields(Struct):
+    """A service and its share of the requests on a route."""
+
+    service: str
+    weight: Weight
+
+
+class PathFields(Struct, rename="camel"):
+    """A route of a host."""
+
+    name: str
+    prefix: str
+    kind: str
+    service: str = ""
+    traffic_split: list[SplitFields] | None = None
+    timeout_s: Seconds = 0.0
+    target_latency_s: Seconds = 0.0
+    max_attempts: Count = 1
+    priority: Count = 0
+
+
+class HostFields(Struct):
+    """A host and its routes."""
+
+    host: str
+    paths: list[PathFields]
+
+
+class ServiceFields(Struct, rename="camel"):
+    """A service and how its workers are checked and given keys."""
+
+    name: str
+    sharded: bool = False
+    max_connections: Count = 100
+    health_check_path: str = "/health"
+
+
+_DEFAULTS = Limits()
+
+
+class LimitFields(Struct, rename="camel", frozen=True):
+    """Bounds of what a caller may send."""
+
+    max_header_bytes: Count = _DEFAULTS.header_bytes
+    max_body_bytes: Count = _DEFAULTS.body_bytes
+    header_timeout_s: Seconds = _DEFAULTS.header_timeout_s
+    idle_timeout_s: Seconds = _DEFAULTS.idle_timeout_s
+
+
+class RoutingFields(Struct, rename="camel"):
+    """The operator's settings as they stand in the store."""
+
+    version: Count
+    services: list[ServiceFields]
+    virtual_hosts: list[HostFields]
+    limits: LimitFields = LimitFields()
+
+
+_DECODER = Decoder(RoutingFields)
+
+
 def decode_routing(data: bytes) -> RoutingSettings | None:
     """Return the settings, or log an error and return None if they are invalid."""
     try:
-        return _decode(json.loads(data))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return _settings(_DECODER.decode(data))
+    except (ValueError, RecursionError) as error:
         log.error("operator_settings_invalid", error=repr(error))
         return None
 
 
-def _decode(fields: dict[str, Any]) -> RoutingSettings:
-    routes = []
-    for host in fields["virtualHosts"]:
-        for path in host["paths"]:
-            routes.append(_route(host["host"], path))
-    services = {s["name"]: _service(s) for s in fields["services"]}
-    limits = fields.get("limits", {})
-    defaults = Limits()
+def _settings(fields: RoutingFields) -> RoutingSettings:
+    limits = fields.limits
     return RoutingSettings(
-        int(fields["version"]),
-        tuple(routes),
-        services,
+        fields.version,
+        tuple(
+            _route(host.host, path)
+            for host in fields.virtual_hosts
+            for path in host.paths
+        ),
+        {s.name: _service(s) for s in fields.services},
         Limits(
-            int(limits.get("maxHeaderBytes", defaults.header_bytes)),
-            int(limits.get("maxBodyBytes", defaults.body_bytes)),
-            float(limits.get("headerTimeoutS", defaults.header_timeout_s)),
-            float(limits.get("idleTimeoutS", defaults.idle_timeout_s)),
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
         ),
     )
 
 
-def _route(host: str, path: dict[str, Any]) -> Route:
-    split = path.get("trafficSplit")
-    if split:
-        shares = tuple(Share(s["service"], float(s["weight"])) for s in split)
+def _route(host: str, path: PathFields) -> Route:
+    if path.traffic_split:
+        shares = tuple(Share(s.service, s.weight) for s in path.traffic_split)
+    elif path.service:
+        shares = (Share(path.service, 1.0),)
     else:
-        shares = (Share(path["service"], 1.0),)
+        raise ValueError(f"route {path.name!r} names no service")
     return Route(
-        name=path["name"],
+        name=path.name,
         host=host,
-        prefix=path["prefix"],
-        is_retryable=path["kind"] == RETRYABLE_KIND,
-        timeout_s=float(path.get("timeoutS", 0)),
-        target_latency_s=float(path.get("targetLatencyS", 0)),
-        max_endpoints=int(path.get("maxAttempts", 1)),
-        priority=int(path.get("priority", 0)),
+        prefix=path.prefix,
+        is_retryable=path.kind == RETRYABLE_KIND,
+        timeout_s=path.timeout_s,
+        target_latency_s=path.target_latency_s,
+        max_endpoints=path.max_attempts,
+        priority=path.priority,
         shares=shares,
     )
 
 
-def _service(fields: dict[str, Any]) -> Service:
+def _service(fields: ServiceFields) -> Service:
     return Service(
-        fields["name"],
-        bool(fields.get("sharded", False)),
-        int(fields.get("maxConnections", 100)),
-        fields.get("healthCheckPath", "/health"),
+        fields.name, fields.sharded, fields.max_connections, fields.health_check_path
     )
--- a/src/sesamepost/platform/store.py
+++ b/src/sesamepost/platform/store.py
@@ -3,10 +3,14 @@
 import asyncio
 import json
 import socket
-from base64 import b64decode, b64encode
+from base64 import b64encode
 from collections import Counter
+from collections.abc import Iterable
 
 import aiohttp
+import structlog
+from msgspec import Raw, Struct
+from msgspec.json import Decoder
 
 from sesamepost.internal.coordination.store import (
     Batch,
@@ -32,6 +36,33 @@
 # Statuses that guarantee that the store has not executed the call.
 REJECTED_STATUSES = frozenset({429, 503})
 
+log = structlog.get_logger()
+
+
+class ItemFields(Struct):
+    """An item as it was written, or the key and revision of a deletion."""
+
+    key: str
+    revision: int
+    value: bytes = b""
+    lease: int = 0
+    deleted: bool = False
+
+
+class ResponseFields(Struct, rename="camel"):
+    """The fields of all responses but those of a single item."""
+
+    at_revision: int = 0
+    revision: int = 0
+    lease: int = 0
+    truncated: bool = False
+    items: list[Raw] = []
+    events: list[Raw] = []
+
+
+_ITEM_DECODER = Decoder(ItemFields)
+_RESPONSE_DECODER = Decoder(ResponseFields)
+
 
 class PlatformStore:
     """HTTP client of the store, used as an async context manager."""
@@ -59,10 +90,14 @@
 
     async def get(self, key: str) -> tuple[Item | None, int]:
         """Return the current item at ``key``, or None, and the store's revision."""
-        status, fields = await self._call("GET", "/kv-key", {"key": key})
+        status, content = await self._call("GET", "/kv-key", {"key": key})
+        revision = _fields(content, status).at_revision
         if status == 404:
-            return None, int(fields.get("atRevision", 0))
-        return _item(fields), int(fields["atRevision"])
+            return None, revision
+        items = _events([content])
+        if not items:
+            raise StoreSilentError(f"the item {key} cannot be read")
+        return items[0], revision
 
     async def list(self, prefix: str) -> Batch:
         """Return all items whose key begins with ``prefix``."""
@@ -70,15 +105,19 @@
         revision = None
         query = {"prefix": prefix}
         while True:
-            _, fields = await self._call("GET", "/kv-range", query)
-            events += [_item(entry) for entry in fields["items"]]
+            status, content = await self._call("GET", "/kv-range", query)
+            fields = _fields(content, status)
+            page = _events(fields.items)
+            events += page
             if revision is None:
                 # The pages are not a snapshot. A watch from the revision of the first
                 # page misses no change.
-                revision = int(fields["atRevision"])
-            if not fields.get("truncated"):
+                revision = fields.at_revision
+            if not fields.truncated:
                 return Batch(revision, tuple(events))
-            query = {"prefix": prefix, "after": events[-1].key}
+            if not page:
+                raise StoreSilentError(f"no item of a page of {prefix} can be read")
+            query = {"prefix": prefix, "after": page[-1].key}
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Batch:
         """Return the changes after a revision, waiting up to ``wait_s`` for one."""
@@ -88,13 +127,13 @@
             "waitMs": str(int(wait_s * 1000)),
         }
         timeout_s = wait_s + WATCH_GRACE_S
-        status, fields = await self._call(
+        status, content = await self._call(
             "GET", "/kv-watch", query, timeout_s=timeout_s
         )
         if status == 410:
             raise HistoryGoneError(f"no history after revision {after}")
-        events = tuple(_event(entry) for entry in fields["events"])
-        return Batch(int(fields["atRevision"]), events)
+        fields = _fields(content, status)
+        return Batch(fields.at_revision, tuple(_events(fields.events)))
 
     async def commit(self, transaction: Transaction) -> int:
         """Apply a transaction and return the revision of the change."""
@@ -113,18 +152,18 @@
             ],
             "remove": list(transaction.deletes),
         }
-        status, fields = await self._call("POST", "/kv-txn", body=body)
+        status, content = await self._call("POST", "/kv-txn", body=body)
         if status == 412:
-            items = tuple(_item(entry) for entry in fields.get("items", ()))
+            items = tuple(_events(_fields(content, status).items))
             raise ConditionFailedError(", ".join(transaction.conditions), items)
         if status == 404:
             raise LeaseEndedError("the lease bound to a written key has ended")
-        return int(fields["revision"])
+        return _fields(content, status).revision
 
     async def open_lease(self, ttl_s: float) -> int:
         """Open a lease and return its id."""
-        _, fields = await self._call("POST", "/kv-lease", body={"ttlS": ttl_s})
-        return int(fields["lease"])
+        status, content = await self._call("POST", "/kv-lease", body={"ttlS": ttl_s})
+        return _fields(content, status).lease
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease; raise ``LeaseEndedError`` if it has ended."""
@@ -143,8 +182,8 @@
         query: dict[str, str] | None = None,
         body: dict | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, dict]:
-        """Return the status and the fields of a conclusive response.
+    ) -> tuple[int, bytes]:
+        """Return the status and the content of a conclusive response.
 
         Raise ``StoreRejectedError`` if the call was not executed, and
         ``StoreSilentError`` if its outcome is unknown.
@@ -168,28 +207,33 @@
             raise StoreRejectedError(f"{method} {path}: status {status}")
         if status not in (200, 404, 410, 412):
             raise StoreSilentError(f"{method} {path}: status {status}: {content[:80]}")
+        return status, content
+
+
+def _fields(content: bytes, status: int) -> ResponseFields:
+    """Return the fields of a response; only a refusal may lack them."""
+    try:
+        return _RESPONSE_DECODER.decode(content)
+    except (ValueError, RecursionError) as error:
+        if status == 200:
+            raise StoreSilentError(f"the response cannot be read: {error}") from None
+        return ResponseFields()
+
+
+def _events(entries: Iterable[bytes | Raw]) -> list[Item | Deletion]:
+    """Return the readable entries; an odd one costs only itself and a log line."""
+    events = []
+    for entry in entries:
         try:
-            fields = json.loads(content) if content else {}
-        except ValueError as error:
-            if status == 200:
-                raise StoreSilentError(f"{method} {path}: {error}") from None
-            fields = {}
-        return status, fields if isinstance(fields, dict) else {}
-
-
-def _item(fields: dict) -> Item:
-    return Item(
-        fields["key"],
-        b64decode(fields["value"]),
-        int(fields["revision"]),
-        int(fields.get("lease", 0)),
-    )
-
-
-def _event(fields: dict) -> Item | Deletion:
-    if fields.get("deleted"):
-        return Deletion(fields["key"], int(fields["revision"]))
-    return _item(fields)
+            fields = _ITEM_DECODER.decode(entry)
+        except (ValueError, RecursionError) as error:
+            log.warning("store_entry_unreadable", error=str(error))
+            continue
+        if fields.deleted:
+            events.append(Deletion(fields.key, fields.revision))
+        else:
+            events.append(Item(fields.key, fields.value, fields.revision, fields.lease))
+    return events
 
 
 def _create_socket(address_info) -> socket.socket:
