Give keys with the answers to heartbeats

Endpoints of some services accept no calls that grant or release keys: they hold what the answers to their heartbeats order and report what they hold and have released.

ranges/heartbeat_holds turns the holds of the HoldTracker into orders and reports into holds; the keeper keeps its one decision logic, and platform/ encodes the rows. Rows that cannot be valid reject the heartbeat. Keys that move are served until the answer that leaves them out. A new process learns the holds from the first report instead of waiting for the longest hold.

--- a/src/sesamepost/internal/forwarding/endpoint_watch.py
+++ b/src/sesamepost/internal/forwarding/endpoint_watch.py
@@ -65,20 +65,23 @@
         """Request a probe of the endpoint after a request to it has failed."""
         self.is_suspect = True
 
-    def note_heartbeat(self, info: EndpointInfo, sequence: int) -> None:
-        """Process a heartbeat unless it is outdated by a newer one or a restart."""
+    def note_heartbeat(self, info: EndpointInfo, sequence: int) -> bool:
+        """Process a heartbeat unless it is outdated by a newer one or a restart.
+
+        Return whether it was processed.
+        """
         now = boottime()
         current = self.endpoint
         if current is not None and info.incarnation == current.incarnation:
             if sequence <= self.last_sequence:
-                return
+                return False
             if self.has_left and info.is_ready:
                 # An incarnation that has sent a leave message stays unready.
                 info = current
         elif current is not None and info.born < current.born:
             is_silent = now - self.last_seen_at >= SILENT_INCARNATION_S
             if not is_silent:
-                return
+                return False
         if current is None or info.incarnation != current.incarnation:
             self.has_left = info.born <= self.departed.get(info.id, -1)
             if self.has_left:
@@ -90,6 +93,7 @@
         self.last_heartbeat_at = now
         self.is_suspect = False
         self._update(info, is_gone=False)
+        return True
 
     def note_leave(self, endpoint_id: str, born: int) -> None:
         """Process the leave message of the incarnation that was started at ``born``.
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -39,10 +39,15 @@
 from sesamepost.internal.forwarding.loads import LoadTracker
 from sesamepost.internal.forwarding.node_settings import NodeSettings
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
-from sesamepost.internal.forwarding.routes import RouteIndex, RoutingSettings
+from sesamepost.internal.forwarding.routes import (
+    RouteIndex,
+    RoutingSettings,
+    Service,
+)
 from sesamepost.internal.forwarding.serving import PeerService
 from sesamepost.internal.identity import new_node_id
 from sesamepost.internal.ranges.balancing import RangeBalancer
+from sesamepost.internal.ranges.heartbeat_holds import HoldOrder, HoldReport
 from sesamepost.internal.ranges.keeper import EndpointCommands, RangeKeeper
 from sesamepost.internal.ranges.messages import RangeUpdate, range_update
 from sesamepost.internal.ranges.table import LAST_KEY, Owner
@@ -201,6 +206,20 @@
         needs_restart = [name for name in changed if name not in RELOADABLE_FIELDS]
         log.info("reload", in_force=sorted(applied), needs_restart=needs_restart)
 
+    async def answer_heartbeat(
+        self, info: EndpointInfo, sequence: int, report: HoldReport
+    ) -> HoldOrder | None:
+        """Process a heartbeat; return what the endpoint is to hold, if it asks for it.
+
+        None renews no hold. An outdated heartbeat gets that answer as well.
+        """
+        if not self.watch.note_heartbeat(info, sequence):
+            return None
+        keeper = self.keepers.get(info.service)
+        if keeper is None or keeper.heartbeat_holds is None:
+            return None
+        return await keeper.answer_heartbeat(report)
+
     async def stop(self) -> None:
         """Hand over all keys, let callers switch nodes and finish open requests."""
         self.is_stopping = True
@@ -373,9 +392,10 @@
         )
         for service in routing.services.values():
             if service.is_partitioned and service.name not in self.keepers:
-                self._start_keeper(service.name)
+                self._start_keeper(service)
 
-    def _start_keeper(self, service: str) -> None:
+    def _start_keeper(self, settings: Service) -> None:
+        service = settings.name
         tables = self.table_of(service)
         keeper = RangeKeeper(
             self.settings.vm,
@@ -384,6 +404,7 @@
             self.registration,
             self.commands,
             self.settings.max_hold_s,
+            settings.grants_by_heartbeat,
         )
         keeper.on_moved = partial(self._notify_owners, service)
         self.keepers[service] = keeper
@@ -415,7 +436,8 @@
             self.local.set_info(info)
             self.registration.update(endpoint=info)
         self._update_keepers(is_gone)
-        if self.local.keeper is not None:
+        keeper = self.local.keeper
+        if keeper is not None and keeper.heartbeat_holds is None:
             self.presence.note_heartbeat()
 
     def _update_keepers(self, is_gone: bool) -> None:
--- a/src/sesamepost/internal/forwarding/routes.py
+++ b/src/sesamepost/internal/forwarding/routes.py
@@ -33,12 +33,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service of the operator; it is partitioned if its keys have owners."""
+    """A service of the operator; it is partitioned if its keys have owners.
+
+    With ``grants_by_heartbeat``, its endpoints take keys only with the answers to their
+    heartbeats.
+    """
 
     name: str
     is_partitioned: bool
     max_connections: int
     health_path: str
+    grants_by_heartbeat: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesamepost/internal/ranges/holds.py
+++ b/src/sesamepost/internal/ranges/holds.py
@@ -5,7 +5,7 @@
 no other endpoint may get it.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from sesamepost.internal.ranges.table import KeyRange
 
@@ -37,6 +37,7 @@
     """The hold of one range, as far as this node knows."""
 
     key_range: KeyRange
+    certain_from: float = 0.0
     certain_until: float = 0.0
     possible_until: float = 0.0
     unanswered_until: float = 0.0
@@ -59,6 +60,8 @@
         self.holds: dict[tuple[int, int, int], Hold] = {}
         # Holds of ranges that this node no longer owns, until they certainly ended.
         self.past: list[Hold] = []
+        # Keys that the endpoint was told to release in an answer to its heartbeat.
+        self.released_keys: tuple[tuple[int, int], ...] = ()
 
     def set_ranges(self, ranges: list[KeyRange], now: float) -> None:
         """Set the ranges that the endpoint should hold from now on.
@@ -133,7 +136,16 @@
     def may_run(self, key: int, now: float) -> bool:
         """Return whether the endpoint certainly holds ``key``."""
         hold = self.find(key)
-        return hold is not None and not hold.is_releasing and hold.certain_until > now
+        return (
+            hold is not None
+            and not hold.is_releasing
+            and hold.certain_from <= now < hold.certain_until
+            and not self.is_released(key)
+        )
+
+    def is_released(self, key: int) -> bool:
+        """Return whether the endpoint was told with a heartbeat to release ``key``."""
+        return any(first <= key <= last for first, last in self.released_keys)
 
     def find(self, key: int) -> Hold | None:
         """Return the hold of the range with ``key``, or None."""
@@ -175,14 +187,7 @@
             if held.fence != key_range.fence:
                 continue
             if held.first <= key_range.first and key_range.last <= held.last:
-                return Hold(
-                    key_range,
-                    hold.certain_until,
-                    hold.possible_until,
-                    hold.unanswered_until,
-                    hold.retry_at,
-                    hold.is_refused,
-                )
+                return replace(hold, key_range=key_range, is_releasing=False)
         return Hold(key_range)
 
 
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -11,6 +11,12 @@
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import EndpointInfo, NodeTable, Registration
 from sesamepost.internal.ranges.balance import Move
+from sesamepost.internal.ranges.heartbeat_holds import (
+    ANSWER_DELAY_S,
+    HeartbeatHolds,
+    HoldOrder,
+    HoldReport,
+)
 from sesamepost.internal.ranges.holds import (
     HOLD_S,
     LONGEST_HOLD_S,
@@ -33,6 +39,9 @@
 RELEASE_RETRY_S = 0.3
 # Requests that take longer than this are cut off when their hold ends.
 TOTAL_RELEASE_TIMEOUT_S = HOLD_S + 1.0
+# An answer to a heartbeat waits this long for a write that gives the endpoint its keys.
+# It must arrive within a second, and its holds run from when the heartbeat was sent.
+WRITE_WAIT_S = 0.4
 
 log = structlog.get_logger()
 
@@ -72,7 +81,9 @@
     """Manages the holds of the local endpoint of a partitioned service.
 
     It sends grants, reassigns the ranges to a new incarnation of the endpoint with a
-    higher fence, and hands them over when the endpoint leaves or has ended.
+    higher fence, and hands them over when the endpoint leaves or has ended. With
+    ``by_heartbeat``, the endpoint takes no commands, but holds what the answers to its
+    heartbeats order.
     """
 
     def __init__(
@@ -83,12 +94,14 @@
         registration: Registration,
         commands: EndpointCommands,
         max_hold_s: float,
+        by_heartbeat: bool = False,
     ) -> None:
         self.vm = vm
         self.tables = tables
         self.nodes = nodes
         self.registration = registration
         self.commands = commands
+        self.heartbeat_holds = HeartbeatHolds() if by_heartbeat else None
         self.started_at = boottime()
         self.holds = HoldTracker(max_hold_s, self.started_at + LONGEST_HOLD_S)
         self.endpoint: EndpointInfo | None = None
@@ -195,6 +208,9 @@
     def note_key_refused(self, key: int) -> None:
         """Record that the endpoint reported no hold of ``key``, and grant it again."""
         self.inherited_until = 0.0
+        if self.holds.is_released(key):
+            # The request crossed the release of its key.
+            return
         hold = self.holds.find(key)
         if hold is not None:
             hold.certain_until = 0.0
@@ -253,10 +269,7 @@
         if table is None:
             return
         owned = table.owned_by(self.vm)
-        current = [r for r in owned if r.owner == self.owner]
-        self.holds.set_ranges(current, boottime())
-        for first, last in self.moves:
-            self.holds.start_release(first, last)
+        self._set_ranges(owned)
         is_serving = (
             self.endpoint is not None and self.endpoint.is_ready and not self.is_leaving
         )
@@ -272,7 +285,40 @@
             return
         self._adopt([r for r in owned if r.owner != self.owner])
         self._raise_fences()
-        self._send_grants()
+        if self.heartbeat_holds is None:
+            self._send_grants()
+
+    def _set_ranges(self, owned: list[KeyRange]) -> None:
+        current = [r for r in owned if r.owner == self.owner]
+        self.holds.set_ranges(current, boottime())
+        if self.heartbeat_holds is not None:
+            return
+        for first, last in self.moves:
+            self.holds.start_release(first, last)
+
+    async def answer_heartbeat(self, report: HoldReport) -> HoldOrder | None:
+        """Return what the endpoint is to hold, or None if the answer renews nothing."""
+        holds = self.holds
+        self.heartbeat_holds.note_report(holds, report, boottime())
+        self._step()
+        is_ready = self.endpoint is not None and self.endpoint.is_ready
+        if self.writes and is_ready:
+            await asyncio.wait(self.writes.values(), timeout=WRITE_WAIT_S)
+        table = self.tables.table
+        if table is None or not self.is_confirmed or self.holds is not holds:
+            return None
+        self._set_ranges(table.owned_by(self.vm))
+        may_grant_until = self.registration.renewed_at + HOLD_S
+        order = self.heartbeat_holds.order(
+            holds, list(self.moves), may_grant_until, boottime()
+        )
+        self.counters["orders" if order else "heartbeats_without_order"] += 1
+        asyncio.get_running_loop().call_later(ANSWER_DELAY_S, self._note_granted)
+        return order
+
+    def _note_granted(self) -> None:
+        granted, self.granted = self.granted, asyncio.Event()
+        granted.set()
 
     def _is_heartbeat_overdue(self) -> bool:
         """Return whether a live endpoint would have sent a heartbeat by now."""
@@ -360,8 +406,7 @@
             if hold is not None and hold.certain_until < sent_at:
                 log.info("granted", first=r.first, last=r.last, fence=r.fence)
             holds.note_granted(command, sent_at)
-            granted, self.granted = self.granted, asyncio.Event()
-            granted.set()
+            self._note_granted()
         else:
             log.warning("grant_refused", first=r.first, last=r.last, fence=r.fence)
             holds.note_refused(command)
@@ -399,7 +444,8 @@
             return
         if any(begin <= last and first <= end for begin, end in self.moves):
             return
-        self.holds.start_release(first, last)
+        if self.heartbeat_holds is None:
+            self.holds.start_release(first, last)
         task = asyncio.ensure_future(self._move(first, last, reason, transform))
         self.moves[first, last] = task
 
@@ -415,7 +461,8 @@
             if is_moved:
                 self.on_moved(first, last)
         finally:
-            holds.stop_release(first, last)
+            if self.heartbeat_holds is None:
+                holds.stop_release(first, last)
             self.moves.pop((first, last), None)
             self.retry_move_at.pop((first, last), None)
             if not is_moved:
@@ -425,6 +472,8 @@
 
     async def _release(self, first: int, last: int) -> str:
         """Release keys; return their token once the endpoint certainly holds none."""
+        if self.heartbeat_holds is not None:
+            return await self._release_by_heartbeat(first, last)
         holds = self.holds
         # A grant in flight could otherwise be accepted after the release.
         pending = [
@@ -448,6 +497,21 @@
         await self._sleep_until(holds.possible_until(first, last))
         return ""
 
+    async def _release_by_heartbeat(self, first: int, last: int) -> str:
+        """Wait for a heartbeat that proves the release, or until the hold has ended."""
+        end = self.holds.possible_until(first, last)
+        release = asyncio.ensure_future(self.heartbeat_holds.release(first, last))
+        try:
+            while not release.done():
+                remaining_s = end - boottime()
+                if remaining_s <= 0 or self.is_endpoint_gone:
+                    return ""
+                timeout_s = min(remaining_s, CHECK_INTERVAL_S)
+                await asyncio.wait({release}, timeout=timeout_s)
+            return release.result()
+        finally:
+            release.cancel()
+
     async def _release_part(self, first: int, last: int, fence: int) -> str:
         holds = self.holds
         end = min(
--- a/src/sesamepost/platform/control_plane.py
+++ b/src/sesamepost/platform/control_plane.py
@@ -1,15 +1,29 @@
 """HTTP servers for heartbeats of the worker, readiness and metrics."""
 
+import asyncio
+import json
 from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from functools import partial
+from typing import Annotated
 
 import structlog
 from aiohttp import web
-from msgspec import Struct
+from msgspec import Meta, Struct
 from msgspec.json import Decoder
 
+from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import EndpointInfo
 from sesamepost.internal.forwarding.node import Node
 from sesamepost.internal.limits import MAX_NAME_LENGTH, Count, Name, Slots
+from sesamepost.internal.ranges.heartbeat_holds import (
+    ANSWER_TIMEOUT_S,
+    HeldRange,
+    HoldOrder,
+    HoldReport,
+    ReleasedRange,
+)
+from sesamepost.internal.ranges.table import LAST_KEY
 from sesamepost.internal.wire.pool import Address
 from sesamepost.platform.names import (
     HEARTBEAT_PATH,
@@ -18,6 +32,10 @@
     READY_PATH,
 )
 
+MAX_REPORTED_RANGES = 4096
+
+Key = Annotated[int, Meta(ge=0, le=LAST_KEY)]
+
 READY_STATE = "ready"
 DRAINING_STATE = "draining"
 # Later than any start time, as Unix time in milliseconds.
@@ -46,12 +64,22 @@
 
 
 class HeartbeatFields(Struct, rename="camel"):
-    """A heartbeat; ``born`` is the worker's start as Unix time in milliseconds."""
+    """A heartbeat; ``born`` is the worker's start as Unix time in milliseconds.
+
+    ``holds`` are rows of the first key, the last key and the fence, ``released`` rows
+    of the first key, the last key and the handover token.
+    """
 
     address: Name
     service_info: ServiceFields
     status: StatusFields
     born: Count
+    holds: Annotated[
+        list[tuple[Key, Key, Count]], Meta(max_length=MAX_REPORTED_RANGES)
+    ] = []
+    released: Annotated[
+        list[tuple[Key, Key, Name]], Meta(max_length=MAX_REPORTED_RANGES)
+    ] = []
 
 
 class LeaveFields(Struct):
@@ -62,12 +90,21 @@
 
 _HEARTBEAT_DECODER = Decoder(HeartbeatFields)
 _LEAVE_DECODER = Decoder(LeaveFields)
+_encode_text = partial(json.dumps, separators=(",", ":"))
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """A valid heartbeat of the worker."""
+
+    endpoint: EndpointInfo
+    sequence: int
+    held: tuple[HeldRange, ...]
+    released: tuple[ReleasedRange, ...]
 
 
-def decode_heartbeat(
-    worker_id: str, data: bytes, own_address: str
-) -> tuple[EndpointInfo, int]:
-    """Return the worker and its sequence number.
+def decode_heartbeat(worker_id: str, data: bytes, own_address: str) -> Heartbeat:
+    """Return the heartbeat of a worker.
 
     Raise ``HeartbeatError`` if the heartbeat is invalid or has another address.
     """
@@ -81,6 +118,9 @@
         raise HeartbeatError(f"state is {fields.status.state!r}")
     if len(worker_id) > MAX_NAME_LENGTH:
         raise HeartbeatError(f"the id has {len(worker_id)} characters")
+    for first, last, _ in (*fields.holds, *fields.released):
+        if first > last:
+            raise HeartbeatError(f"the range from {first} to {last} is empty")
     endpoint = EndpointInfo(
         fields.service_info.service,
         worker_id,
@@ -89,7 +129,20 @@
         fields.service_info.version,
         fields.status.state == READY_STATE,
     )
-    return endpoint, fields.status.sequence
+    return Heartbeat(
+        endpoint,
+        fields.status.sequence,
+        tuple(HeldRange(*row) for row in fields.holds),
+        tuple(ReleasedRange(*row) for row in fields.released),
+    )
+
+
+def encode_order(order: HoldOrder | None) -> dict:
+    """Return the fields of the answer to a heartbeat; without holds it renews none."""
+    if order is None:
+        return {}
+    rows = [[r.first, r.last, r.fence, r.handover] for r in order.ranges]
+    return {"holds": rows, "holdS": round(order.hold_s, 3)}
 
 
 def decode_leave(data: bytes) -> int:
@@ -113,6 +166,9 @@
         self.own_address = f"{endpoint.host}:{endpoint.port}"
         self.stack = AsyncExitStack()
         self.unreadable_heartbeats = 0
+        # The connection and the time of the last answer to a heartbeat.
+        self.answered_on: asyncio.Transport | None = None
+        self.answered_at = float("-inf")
 
     async def __aenter__(self) -> "ControlPlane":
         settings = self.node.settings
@@ -146,15 +202,30 @@
     async def _heartbeat(self, request: web.Request) -> web.Response:
         data = await request.read()
         try:
-            endpoint, sequence = decode_heartbeat(
+            heartbeat = decode_heartbeat(
                 request.match_info["id"], data, self.own_address
             )
         except HeartbeatError as error:
             self.unreadable_heartbeats += 1
             log.warning("check_in_unreadable", error=str(error))
             return web.json_response({"error": str(error)}, status=400)
-        self.node.watch.note_heartbeat(endpoint, sequence)
-        return web.json_response({})
+        report = HoldReport(
+            heartbeat.held, heartbeat.released, self._follows_answer(request)
+        )
+        order = await self.node.answer_heartbeat(
+            heartbeat.endpoint, heartbeat.sequence, report
+        )
+        self.answered_on = request.transport
+        self.answered_at = boottime()
+        return web.json_response(encode_order(order), dumps=_encode_text)
+
+    def _follows_answer(self, request: web.Request) -> bool:
+        """Return whether the worker sent this after it had read the last answer.
+
+        It has read that answer if it uses the same connection again.
+        """
+        is_late = boottime() - self.answered_at >= ANSWER_TIMEOUT_S
+        return is_late or request.transport is self.answered_on
 
     async def _leave(self, request: web.Request) -> web.Response:
         born = decode_leave(await request.read())
--- a/src/sesamepost/platform/routing.py
+++ b/src/sesamepost/platform/routing.py
@@ -17,6 +17,8 @@
 
 # Requests of this kind may be executed more than once.
 RETRYABLE_KIND = "safe"
+# Workers of such a service take their keys with the answers to their heartbeats.
+GRANTS_BY_HEARTBEAT = "heartbeat"
 
 MAX_SECONDS = 86_400.0
 
@@ -61,6 +63,7 @@
     sharded: bool = False
     max_connections: Count = 100
     health_check_path: str = "/health"
+    grants: str = ""
 
 
 _DEFAULTS = Limits()
@@ -137,5 +140,9 @@
 
 def _service(fields: ServiceFields) -> Service:
     return Service(
-        fields.name, fields.sharded, fields.max_connections, fields.health_check_path
+        fields.name,
+        fields.sharded,
+        fields.max_connections,
+        fields.health_check_path,
+        fields.grants == GRANTS_BY_HEARTBEAT,
     )
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -14,7 +14,11 @@
 
 from sesamepost.internal.ranges.table import LAST_KEY
 from tests.platform.store_standin import StoreStandin
-from tests.platform.worker_standin import Record, WorkerStandin
+from tests.platform.worker_standin import (
+    HeartbeatWorkerStandin,
+    Record,
+    WorkerStandin,
+)
 
 ROOT = Path(__file__).parents[2]
 PORT_NAMES = ("callers", "ready", "control", "inbound", "worker", "peer", "metrics")
@@ -104,6 +108,9 @@
 class Fleet:
     """A store and nodes with a worker each; those with an even index serve keys."""
 
+    worker_type: type[WorkerStandin] = WorkerStandin
+    routing = ROUTING
+
     def __init__(self, path: Path, nodes: int = 4) -> None:
         self.path = path
         self.count = nodes
@@ -119,7 +126,7 @@
         enter = self.stack.enter_async_context
         await enter(self.store)
         self.session = await enter(aiohttp.ClientSession())
-        await self.store.put("op/config", ROUTING)
+        await self.store.put("op/config", self.routing)
         for index in range(self.count):
             await self.start_worker(index)
         await asyncio.gather(*(self.start(i) for i in range(self.count)))
@@ -170,7 +177,7 @@
 
     async def start_worker(self, index: int) -> None:
         """Start a new incarnation of a node's worker."""
-        worker = WorkerStandin(
+        worker = self.worker_type(
             self.ip(index), self.ports, self.service(index), self.record
         )
         worker.listening_port = self.listening_port()
@@ -278,3 +285,16 @@
             return True
 
         return await self.wait_until(all_served, timeout_s)
+
+
+class HeartbeatFleet(Fleet):
+    """A fleet whose workers take their keys with the answers to their heartbeats."""
+
+    worker_type = HeartbeatWorkerStandin
+    routing = {
+        **ROUTING,
+        "services": [
+            {**ROUTING["services"][0], "grants": "heartbeat"},
+            ROUTING["services"][1],
+        ],
+    }
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -128,11 +128,12 @@
 
 
 def test_a_heartbeat_identifies_the_incarnation_of_the_endpoint():
-    endpoint, sequence = decode()
+    heartbeat = decode()
+    endpoint = heartbeat.endpoint
     assert endpoint.incarnation == ("i-1", 1778173088000)
     assert (endpoint.service, endpoint.slots, endpoint.is_ready) == ("desk", 6, True)
-    assert sequence == 4
-    assert not decode(status__state="draining")[0].is_ready
+    assert heartbeat.sequence == 4
+    assert not decode(status__state="draining").endpoint.is_ready
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -116,11 +116,13 @@
 @given(with_odd_value(HEARTBEAT).map(lambda fields: json.dumps(fields).encode()))
 def test_an_odd_heartbeat_is_rejected_or_usable(data):
     try:
-        endpoint, sequence = decode_heartbeat("i-1", data, ADDRESS)
+        heartbeat = decode_heartbeat("i-1", data, ADDRESS)
     except HeartbeatError:
         return
-    check_entry(NodeEntry(VM, "n", 7, 7600, "a", "r", endpoint).encode())
-    assert sequence >= 0
+    check_entry(NodeEntry(VM, "n", 7, 7600, "a", "r", heartbeat.endpoint).encode())
+    assert heartbeat.sequence >= 0
+    for r in (*heartbeat.held, *heartbeat.released):
+        assert 0 <= r.first <= r.last <= 65535
 
 
 @given(with_odd_value(ROUTING).map(lambda fields: json.dumps(fields).encode()))
--- a/tests/platform/worker_standin.py
+++ b/tests/platform/worker_standin.py
@@ -3,12 +3,15 @@
 import asyncio
 import itertools
 import time
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import aiohttp
 from aiohttp import web
 
 HEARTBEAT_S = 0.3
+# The next heartbeat after an answer that left out a held range.
+RELEASE_HEARTBEAT_S = 0.05
 START_TIMES_MS = itertools.count(1_700_000_000_000)
 
 
@@ -89,28 +92,35 @@
         async with aiohttp.ClientSession() as session:
             while True:
                 self.sequence += 1
-                body = {
-                    "address": f"{self.ip}:{self.ports['worker']}",
-                    "born": self.born,
-                    "serviceInfo": {
-                        "service": self.service,
-                        "version": "v1",
-                        "zone": "a",
-                        "slots": 4,
-                    },
-                    "status": {
-                        "state": self.state,
-                        "sequence": self.sequence,
-                        "coldRemainingS": 0,
-                    },
-                }
-                try:
+                pause_s = HEARTBEAT_S
+                with suppress(aiohttp.ClientError, TimeoutError):
                     timeout = aiohttp.ClientTimeout(total=1)
-                    async with session.post(url, json=body, timeout=timeout):
-                        pass
-                except (aiohttp.ClientError, TimeoutError):
-                    pass
-                await asyncio.sleep(HEARTBEAT_S)
+                    sent_at = time.monotonic()
+                    body = self._heartbeat()
+                    async with session.post(url, json=body, timeout=timeout) as answer:
+                        pause_s = self._take_answer(await answer.json(), sent_at)
+                await asyncio.sleep(pause_s)
+
+    def _heartbeat(self) -> dict:
+        return {
+            "address": f"{self.ip}:{self.ports['worker']}",
+            "born": self.born,
+            "serviceInfo": {
+                "service": self.service,
+                "version": "v1",
+                "zone": "a",
+                "slots": 4,
+            },
+            "status": {
+                "state": self.state,
+                "sequence": self.sequence,
+                "coldRemainingS": 0,
+            },
+        }
+
+    def _take_answer(self, answer: dict, sent_at: float) -> float:
+        """Process the answer to a heartbeat; return the seconds until the next one."""
+        return HEARTBEAT_S
 
     async def _grant(self, request: web.Request) -> web.Response:
         body = await request.json()
@@ -166,3 +176,53 @@
     def _holds(self, key: int) -> bool:
         now = time.monotonic()
         return any(f <= key <= last and end > now for f, last, _, end in self.holds)
+
+
+class HeartbeatWorkerStandin(WorkerStandin):
+    """A worker that takes its keys only with the answers to its heartbeats."""
+
+    def __init__(self, ip: str, ports: dict, service: str, record: Record) -> None:
+        super().__init__(ip, ports, service, record)
+        self.released: list[tuple[int, int, str]] = []
+
+    def _heartbeat(self) -> dict:
+        now = time.monotonic()
+        self.holds = [hold for hold in self.holds if hold[3] > now]
+        held = [list(hold[:3]) for hold in self.holds]
+        return {**super()._heartbeat(), "holds": held, "released": self.released}
+
+    def _take_answer(self, answer: dict, sent_at: float) -> float:
+        self.released = []
+        if "holds" not in answer:
+            return HEARTBEAT_S
+        until = sent_at + answer["holdS"]
+        before, self.holds = self.holds, []
+        for first, last, fence, handover in answer["holds"]:
+            if handover:
+                self.record.handovers.append(handover)
+            self.record.note_grant(self.id, first, last, fence, until)
+            self.holds.append((first, last, fence, until))
+        for first, last, _, _ in before:
+            for begin, end in self._gaps(first, last):
+                self.record.note_release(self.id, begin, end)
+                self.released.append((begin, end, f"token-{self.id}-{begin}"))
+        return RELEASE_HEARTBEAT_S if self.released else HEARTBEAT_S
+
+    def _gaps(self, first: int, last: int) -> list[tuple[int, int]]:
+        """Return the parts of a range that are no longer held."""
+        gaps = []
+        for begin, end, _, _ in sorted(self.holds):
+            if end < first or last < begin:
+                continue
+            if first < begin:
+                gaps.append((first, begin - 1))
+            first = max(first, end + 1)
+        if first <= last:
+            gaps.append((first, last))
+        return gaps
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        self.record.problems.append(f"{self.id} cannot take the call {request.path}")
+        return web.Response(status=400)
+
+    _release = _grant
