Log and document keys that are given with heartbeats

Each change of an order is one line, so that a refused request can be followed to the answer that gave or withdrew its key. sesamepost-capacity called two methods that had changed; two tests that failed with a TypeError and an AttributeError before now run these measurements.

--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -42,6 +42,7 @@
 # An answer to a heartbeat waits this long for a write that gives the endpoint its keys.
 # It must arrive within a second, and its holds run from when the heartbeat was sent.
 WRITE_WAIT_S = 0.4
+MAX_LOGGED_RANGES = 8
 
 log = structlog.get_logger()
 
@@ -102,6 +103,9 @@
         self.registration = registration
         self.commands = commands
         self.heartbeat_holds = HeartbeatHolds() if by_heartbeat else None
+        # First key, last key and fence of each range of the last order, None if the
+        # last answer renewed nothing.
+        self.ordered_ranges: tuple[tuple[int, int, int], ...] | None = None
         self.started_at = boottime()
         self.holds = HoldTracker(max_hold_s, self.started_at + LONGEST_HOLD_S)
         self.endpoint: EndpointInfo | None = None
@@ -312,10 +316,30 @@
         order = self.heartbeat_holds.order(
             holds, list(self.moves), may_grant_until, boottime()
         )
-        self.counters["orders" if order else "heartbeats_without_order"] += 1
+        self._note_order(order)
         asyncio.get_running_loop().call_later(ANSWER_DELAY_S, self._note_granted)
         return order
 
+    def _note_order(self, order: HoldOrder | None) -> None:
+        """Count an order, and log it if it differs from the one before."""
+        self.counters["orders" if order else "heartbeats_without_order"] += 1
+        ranges = None
+        if order is not None:
+            ranges = tuple((r.first, r.last, r.fence) for r in order.ranges)
+        if ranges == self.ordered_ranges:
+            return
+        before = set(self.ordered_ranges or ())
+        self.ordered_ranges = ranges
+        log.info(
+            "holds_ordered",
+            ranges=0 if ranges is None else len(ranges),
+            added=[r for r in ranges or () if r not in before][:MAX_LOGGED_RANGES],
+            left_out=sorted(before - set(ranges or ()))[:MAX_LOGGED_RANGES],
+            hold_s=round(order.hold_s, 2) if order else 0.0,
+            renewed_ago_s=round(boottime() - self.registration.renewed_at, 2),
+            revision=self.tables.revision,
+        )
+
     def _note_granted(self) -> None:
         granted, self.granted = self.granted, asyncio.Event()
         granted.set()
--- a/src/sesamepost/tools/capacity/memory.py
+++ b/src/sesamepost/tools/capacity/memory.py
@@ -147,10 +147,9 @@
         return streams
 
     def check(streams: list[PeerStream]):
+        now = asyncio.get_running_loop().time()
         for stream in streams:
-            stream._check_silence()
-            if stream.silence_timer is not None:
-                stream.silence_timer.cancel()
+            stream.check_silence(now)
 
     memory = {n: allocated_bytes(lambda n=n: build(n)) for n in STREAM_SIZES}
     series = [byte_series("streams, without buffers", "streams", memory)]
--- a/src/sesamepost/tools/capacity/steps.py
+++ b/src/sesamepost/tools/capacity/steps.py
@@ -277,7 +277,7 @@
 def _build_report(reporter: Reporter):
     from sesamepost.internal.balance.reports import build_report
 
-    return build_report(reporter._node_load(boottime()))
+    return build_report(reporter._node_load(boottime(), reporter._versions_to_report()))
 
 
 def _evaluate(daemon: IdleDaemon) -> None:
