Give each release a connection of its own

A second copy of a release's response, sent late on the kept connection, was taken for the proof of the next release, whose keys then got another owner while the first one still ran requests. A release now uses the project's own connection, which counts every byte and ends with the response.

--- a/src/sesamepost/internal/forwarding/endpoint_connection.py
+++ b/src/sesamepost/internal/forwarding/endpoint_connection.py
@@ -50,8 +50,11 @@
 class EndpointConnection(asyncio.Protocol):
     """Sends one request at a time and reads the response that belongs to it."""
 
-    def __init__(self, names: HeaderNames) -> None:
+    def __init__(
+        self, names: HeaderNames, max_body_bytes: int = MAX_ANSWER_BYTES
+    ) -> None:
         self.names = names
+        self.max_body_bytes = max_body_bytes
         self.transport: asyncio.Transport | None = None
         self.parser: h11.Connection | None = None
         self.request: h11.Request | None = None
@@ -173,7 +176,7 @@
 
     def _append_body(self, data: bytes) -> None:
         self.body_size += len(data)
-        if self.body_size > MAX_ANSWER_BYTES:
+        if self.body_size > self.max_body_bytes:
             self._fail(ErrorKind.ANSWER_TOO_LARGE, f"more than {self.body_size} bytes")
             self.close()
             return
--- a/src/sesamepost/platform/endpoint_commands.py
+++ b/src/sesamepost/platform/endpoint_commands.py
@@ -1,17 +1,28 @@
 """Commands to the worker on the same machine: grants and releases of key ranges."""
 
 import asyncio
+import json
 from collections.abc import Callable
 
 import aiohttp
 
+from sesamepost.errors import RouterError
+from sesamepost.internal.forwarding.endpoint_connection import (
+    EndpointConnection,
+    EndpointResponse,
+)
 from sesamepost.internal.ranges.keeper import (
     EndpointGoneError,
     EndpointUnconfirmedError,
     EndpointUnresponsiveError,
 )
 from sesamepost.internal.wire.pool import Address
-from sesamepost.platform.names import GRANT_PATH, HANDOVER_HEADER, RELEASE_PATH
+from sesamepost.platform.names import (
+    GRANT_PATH,
+    HANDOVER_HEADER,
+    HEADERS,
+    RELEASE_PATH,
+)
 
 GRANT_TIMEOUT_S = 1.0
 RELEASE_TIMEOUT_S = 6.0
@@ -25,11 +36,15 @@
 class WorkerCommands:
     """Sends commands over separate connections, so that requests do not delay them.
 
+    Responses to commands have no id. A second copy of one, sent late, would be taken
+    for the proof of the next release, so each release has a connection of its own.
+
     ``may_connect`` returns whether a grant may open a connection. An open connection
     leads to the incarnation of the worker for which it was opened.
     """
 
     def __init__(self, address: Address) -> None:
+        self.address = address
         self.base = f"http://{address.host}:{address.port}"
         self.session: aiohttp.ClientSession | None = None
         self.may_connect: Callable[[], bool] = lambda: True
@@ -61,7 +76,7 @@
         }
         if handover:
             body["handover"] = handover
-        status, _ = await self._command(GRANT_PATH, body, GRANT_TIMEOUT_S)
+        status = await self._command(GRANT_PATH, body, GRANT_TIMEOUT_S)
         if status == 409:
             return False
         if status != 200:
@@ -73,12 +88,35 @@
     async def release(self, first: int, last: int, fence: int) -> str:
         """End a hold once its requests have finished; return the handover token."""
         body = {"from": first, "target": last, "fence": fence}
-        status, handover = await self._command(RELEASE_PATH, body, RELEASE_TIMEOUT_S)
-        if status != 200:
+        try:
+            async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                response = await self._post_once(RELEASE_PATH, body)
+        except ConnectionRefusedError as error:
+            raise EndpointGoneError(str(error)) from None
+        except (RouterError, TimeoutError, OSError) as error:
+            raise EndpointUnresponsiveError(repr(error)) from None
+        if response.status != 200:
             raise EndpointUnresponsiveError(
-                f"the worker answered a release with status {status}"
+                f"the worker answered a release with status {response.status}"
             )
-        return handover
+        return response.header(HANDOVER_HEADER)
+
+    async def _post_once(self, path: str, body: dict) -> EndpointResponse:
+        """Send a command on a new connection, which ends with the response."""
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            lambda: EndpointConnection(HEADERS, MAX_BODY_BYTES), *self.address
+        )
+        data = json.dumps(body).encode()
+        headers = [
+            ("Host", f"{self.address.host}:{self.address.port}"),
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(data))),
+        ]
+        try:
+            return await connection.send("POST", path, headers, data, "")
+        finally:
+            connection.close()
 
     async def _on_connect(self, session, context, parameters) -> None:
         if context.trace_request_ctx == GRANT_PATH and not self.may_connect():
@@ -86,16 +124,14 @@
                 "the current incarnation of the worker is not confirmed"
             )
 
-    async def _command(
-        self, path: str, body: dict, timeout_s: float
-    ) -> tuple[int, str]:
+    async def _command(self, path: str, body: dict, timeout_s: float) -> int:
         try:
             async with asyncio.timeout(timeout_s):
                 async with self.session.post(
                     self.base + path, json=body, trace_request_ctx=path
                 ) as response:
                     await _drain_body(response)
-                    return response.status, response.headers.get(HANDOVER_HEADER, "")
+                    return response.status
         except aiohttp.ClientConnectorError as error:
             if isinstance(error.os_error, ConnectionRefusedError):
                 raise EndpointGoneError(str(error)) from None
--- a/tests/platform/test_endpoint_commands.py
+++ b/tests/platform/test_endpoint_commands.py
@@ -95,6 +95,35 @@
             assert not presence.is_current()
 
 
+async def test_a_late_copy_of_a_release_does_not_end_the_next_one():
+    # Guards against keys that get another owner while the first still runs requests.
+    answers = [
+        b"HTTP/1.1 200 OK\r\nHandover: t1\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nHandover: t2\r\nContent-Length: 0\r\n\r\n",
+    ]
+    sent: list[bytes] = []
+
+    async def serve(reader, writer) -> None:
+        is_kept = False
+        try:
+            while True:
+                await reader.readuntil(b"}")
+                if is_kept:
+                    writer.write(sent[-1])
+                answer = answers[len(sent)]
+                writer.write(answer)
+                sent.append(answer)
+                is_kept = True
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with WorkerCommands(Address(*server.sockets[0].getsockname()[:2])) as orders:
+        assert await orders.release(0, 9, 1) == "t1"
+        assert await orders.release(10, 19, 1) == "t2"
+    server.close()
+
+
 ENDLESS = {
     "no answer": (b"", b"\x00\x01\x02"),
     "a field": (b"HTTP/1.1 200 OK\r\nX: ", b"y"),
