Let an answer to a heartbeat wait for a change of the order

A range that moved to an endpoint waited there for the next heartbeat, up to 0.87 s without service. An answer that orders nothing new now waits up to 0.5 s for a change; an endpoint that leaves or has to release keys is answered immediately. A move in tests reaches its target in under 0.25 s. Whether a release was ordered is now told by the keys that the last order left out, since the release may begin after that order.

--- a/src/sesamepost/internal/ranges/heartbeat_holds.py
+++ b/src/sesamepost/internal/ranges/heartbeat_holds.py
@@ -92,13 +92,11 @@
 class PendingRelease:
     """A release that waits for reports of the endpoint."""
 
-    __slots__ = ("done", "first", "is_ordered", "last", "released")
+    __slots__ = ("done", "first", "last", "released")
 
     def __init__(self, first: int, last: int) -> None:
         self.first = first
         self.last = last
-        # Whether an answer has left the keys out.
-        self.is_ordered = False
         self.released: list[ReleasedRange] = []
         self.done: asyncio.Future[str] = asyncio.get_running_loop().create_future()
 
@@ -144,7 +142,8 @@
             # The report is complete, whatever a previous process may have ordered.
             holds.assumed_until = 0.0
         for release in self.releases:
-            self._note_release(release, report)
+            is_ordered = (release.first, release.last) in holds.released_keys
+            _note_release(release, report, is_ordered)
 
     def _note_hold(self, hold: Hold, report: HoldReport, now: float) -> None:
         key_range = hold.key_range
@@ -170,16 +169,6 @@
         if self.missing[key] >= MAX_MISSING_REPORTS:
             hold.is_refused = True
 
-    def _note_release(self, release: PendingRelease, report: HoldReport) -> None:
-        first, last = release.first, release.last
-        release.released += [
-            r for r in report.released if r.first <= last and first <= r.last
-        ]
-        is_held = any(r.first <= last and first <= r.last for r in report.held)
-        is_proved = report.follows_answer or release.token()
-        if release.is_ordered and is_proved and not is_held and not release.done.done():
-            release.done.set_result(release.token())
-
     def order(
         self,
         holds: HoldTracker,
@@ -195,8 +184,6 @@
         hold_s = min(hold_s, holds.max_hold_s)
         if hold_s < MIN_HOLD_S:
             return None
-        for release in self.releases:
-            release.is_ordered = True
         holds.released_keys = tuple(moving)
         ranges: list[OrderedRange] = []
         room = MAX_ORDER_BYTES
@@ -220,6 +207,20 @@
         return HoldOrder(tuple(ranges), hold_s)
 
 
+def _note_release(
+    release: PendingRelease, report: HoldReport, is_ordered: bool
+) -> None:
+    """End a release if the last answer left its keys out and none is held."""
+    first, last = release.first, release.last
+    release.released += [
+        r for r in report.released if r.first <= last and first <= r.last
+    ]
+    is_held = any(r.first <= last and first <= r.last for r in report.held)
+    is_proved = report.follows_answer or release.token()
+    if is_ordered and is_proved and not is_held and not release.done.done():
+        release.done.set_result(release.token())
+
+
 def _pieces(
     hold: Hold, moving: Collection[tuple[int, int]], now: float
 ) -> list[OrderedRange]:
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -39,9 +39,10 @@
 RELEASE_RETRY_S = 0.3
 # Requests that take longer than this are cut off when their hold ends.
 TOTAL_RELEASE_TIMEOUT_S = HOLD_S + 1.0
-# An answer to a heartbeat waits this long for a write that gives the endpoint its keys.
-# It must arrive within a second, and its holds run from when the heartbeat was sent.
-WRITE_WAIT_S = 0.4
+# An answer that orders nothing new waits this long for a change, so that a range which
+# moves here need not wait for the next heartbeat. It must arrive within a second, and
+# its holds run from when the heartbeat was sent.
+ANSWER_WAIT_S = 0.5
 MAX_LOGGED_RANGES = 8
 
 log = structlog.get_logger()
@@ -117,6 +118,8 @@
         self.is_leaving = False
         self.wake = asyncio.Event()
         self.granted = asyncio.Event()
+        # Set and replaced after each step.
+        self.stepped = asyncio.Event()
         self.moves: dict[tuple[int, int], asyncio.Task] = {}
         # Earliest time of the next handover of ranges whose move failed.
         self.retry_move_at: dict[tuple[int, int], float] = {}
@@ -264,6 +267,8 @@
             except Exception:
                 # A failed iteration must not end the renewal of the holds.
                 log.exception("range_keeper_failed")
+            stepped, self.stepped = self.stepped, asyncio.Event()
+            stepped.set()
             with suppress(TimeoutError):
                 async with asyncio.timeout(CHECK_INTERVAL_S):
                     await self.wake.wait()
@@ -305,9 +310,7 @@
         holds = self.holds
         self.heartbeat_holds.note_report(holds, report, boottime())
         self._step()
-        is_ready = self.endpoint is not None and self.endpoint.is_ready
-        if self.writes and is_ready:
-            await asyncio.wait(self.writes.values(), timeout=WRITE_WAIT_S)
+        await self._wait_for_new_order()
         table = self.tables.table
         if table is None or not self.is_confirmed or self.holds is not holds:
             return None
@@ -320,6 +323,28 @@
         asyncio.get_running_loop().call_later(ANSWER_DELAY_S, self._note_granted)
         return order
 
+    async def _wait_for_new_order(self) -> None:
+        """Wait while the endpoint is to hold the same as by the last order.
+
+        An endpoint that leaves or still has to release keys is answered immediately.
+        """
+        end = boottime() + ANSWER_WAIT_S
+        while (remaining_s := end - boottime()) > 0 and self._is_order_unchanged():
+            stepped = self.stepped
+            with suppress(TimeoutError):
+                async with asyncio.timeout(remaining_s):
+                    await stepped.wait()
+
+    def _is_order_unchanged(self) -> bool:
+        if self.endpoint is None or not self.endpoint.is_ready or self.is_leaving:
+            return False
+        if self.writes:
+            return True
+        if self.moves or self.ordered_ranges is None:
+            return False
+        wanted = {key for key, hold in self.holds.holds.items() if not hold.is_refused}
+        return wanted == set(self.ordered_ranges)
+
     def _note_order(self, order: HoldOrder | None) -> None:
         """Count an order, and log it if it differs from the one before."""
         self.counters["orders" if order else "heartbeats_without_order"] += 1
@@ -472,6 +497,7 @@
             self.holds.start_release(first, last)
         task = asyncio.ensure_future(self._move(first, last, reason, transform))
         self.moves[first, last] = task
+        self.wake.set()
 
     async def _move(self, first: int, last: int, reason: str, transform) -> None:
         log.info("move_started", first=first, last=last, reason=reason)
--- a/tests/ranges/test_keeper.py
+++ b/tests/ranges/test_keeper.py
@@ -15,7 +15,14 @@
     Registration,
 )
 from sesamepost.internal.ranges.balance import Move
-from sesamepost.internal.ranges.keeper import RangeKeeper
+from sesamepost.internal.ranges.heartbeat_holds import (
+    ANSWER_TIMEOUT_S,
+    HeldRange,
+    HoldOrder,
+    HoldReport,
+    ReleasedRange,
+)
+from sesamepost.internal.ranges.keeper import ANSWER_WAIT_S, RangeKeeper
 from sesamepost.internal.ranges.table import LAST_KEY, KeyRange, Owner, new_table
 from sesamepost.internal.ranges.table_store import TableStore
 from tests.coordination.memory_store import MemoryStore, SlowStore
@@ -46,7 +53,9 @@
 
 
 @asynccontextmanager
-async def running_keepers(store: MemoryStore, owners: list[Owner]):
+async def running_keepers(
+    store: MemoryStore, owners: list[Owner], by_heartbeat: bool = False
+):
     async with AsyncExitStack() as stack:
         tables = TableStore(store, Mirror(store), SERVICE)
         await tables.change("test", lambda table: new_table(owners))
@@ -62,6 +71,7 @@
                 registration,
                 RecordingEndpoint(),
                 10.0,
+                by_heartbeat,
             )
             registration.renewed_at = boottime()
             info = EndpointInfo(SERVICE, owner.endpoint_id, owner.born, 3, "v", True)
@@ -69,7 +79,9 @@
             await stack.enter_async_context(mirror)
             await stack.enter_async_context(keeper)
             found.append(keeper)
-        await until(lambda: all(k.commands.granted for k in found))
+        await until(lambda: all(k.holds.holds for k in found))
+        if not by_heartbeat:
+            await until(lambda: all(k.commands.granted for k in found))
         yield found
 
 
@@ -125,3 +137,65 @@
             await asyncio.sleep(0.6)
         started = [line for line in logs if line["event"] == "move_started"]
         assert 1 <= sum(line["first"] == last for line in started) <= 3
+
+
+def held_by(order: HoldOrder) -> list[tuple[int, int, int]]:
+    return [(r.first, r.last, r.fence) for r in order.ranges]
+
+
+async def send_heartbeat(keeper: RangeKeeper, held=(), released=()) -> HoldOrder:
+    rows = tuple(HeldRange(*row) for row in held)
+    tokens = tuple(ReleasedRange(*row) for row in released)
+    return await keeper.answer_heartbeat(HoldReport(rows, tokens, True))
+
+
+async def test_a_move_between_heartbeats_reaches_its_target_with_a_waiting_answer():
+    # Guards against hot keys that are without service until the next heartbeat of their
+    # new owner, most of a second.
+    async with running_keepers(MemoryStore(), OWNERS[:2], True) as (source, target):
+        held = held_by(await send_heartbeat(source))
+        kept = held_by(await send_heartbeat(target))
+        waiting = asyncio.ensure_future(send_heartbeat(target, kept))
+        await asyncio.sleep(0.05)
+        started = boottime()
+        source.move([Move(10, 19, target.owner)], "test")
+        await asyncio.sleep(0.02)
+        order = await send_heartbeat(source, held)
+        assert [r[:2] for r in held_by(order)][:2] == [(0, 9), (20, held[0][1])]
+        assert not source.may_run(15)
+        rest = held_by(order)
+        await send_heartbeat(source, rest, [(10, 19, "token")])
+        order = await waiting
+        assert (10, 19) in [r[:2] for r in held_by(order)]
+        assert "token" in [r.handover for r in order.ranges]
+        assert boottime() - started < ANSWER_WAIT_S / 2
+
+
+async def test_keys_that_move_are_served_until_the_endpoint_is_told():
+    async with running_keepers(MemoryStore(), OWNERS[:2], True) as (source, target):
+        held = held_by(await send_heartbeat(source))
+        await until(lambda: source.may_run(15))
+        source.move([Move(10, 19, target.owner)], "test")
+        await asyncio.sleep(0.05)
+        assert source.may_run(15)
+        await send_heartbeat(source, held)
+        assert not source.may_run(15)
+        assert source.may_run(25)
+
+
+async def test_an_answer_that_orders_nothing_new_arrives_well_within_a_second():
+    async with running_keepers(MemoryStore(), OWNERS[:2], True) as (keeper, _):
+        held = held_by(await send_heartbeat(keeper))
+        started = boottime()
+        assert held_by(await send_heartbeat(keeper, held)) == held
+        assert ANSWER_WAIT_S - 0.05 < boottime() - started < ANSWER_TIMEOUT_S * 0.7
+
+
+async def test_an_endpoint_that_leaves_is_answered_immediately():
+    # Guards against confirming late that it gets no more requests.
+    async with running_keepers(MemoryStore(), OWNERS[:2], True) as (keeper, _):
+        held = held_by(await send_heartbeat(keeper))
+        keeper.set_endpoint(replace(keeper.endpoint, is_ready=False), False)
+        started = boottime()
+        await send_heartbeat(keeper, held)
+        assert boottime() - started < 0.1
