Hand over ranges that do not fit into an answer

An answer to a heartbeat has at most 4 KiB. Ranges beyond that were never ordered, so no endpoint served them.

--- a/src/sesamepost/internal/ranges/heartbeat_holds.py
+++ b/src/sesamepost/internal/ranges/heartbeat_holds.py
@@ -28,6 +28,7 @@
     Hold,
     HoldTracker,
 )
+from sesamepost.internal.ranges.table import KeyRange
 
 # The endpoint ignores an answer that arrives later than this.
 ANSWER_TIMEOUT_S = 1.0
@@ -123,7 +124,8 @@
         self.releases: list[PendingRelease] = []
         # Number of reports in a row that lack an ordered range, by range and fence.
         self.missing: dict[tuple[int, int, int], int] = {}
-        self.left_out = 0
+        # The ranges that did not fit into the last order.
+        self.left_out: list[KeyRange] = []
 
     async def release(self, first: int, last: int) -> str:
         """Wait until the endpoint has released the keys; return the handover token."""
@@ -188,15 +190,17 @@
         ranges: list[OrderedRange] = []
         room = MAX_ORDER_BYTES
         ordered = set()
+        self.left_out = []
         # The endpoint would release a held range that is left out, so these come first.
         for hold in sorted(holds.holds.values(), key=lambda h: h.certain_until <= now):
             if hold.is_refused:
                 continue
             pieces = _pieces(hold, moving, now)
-            room -= sum(ROW_BYTES + len(piece.handover) for piece in pieces)
-            if room < 0:
-                self.left_out += 1
+            size = sum(ROW_BYTES + len(piece.handover) for piece in pieces)
+            if size > room:
+                self.left_out.append(hold.key_range)
                 continue
+            room -= size
             ranges += pieces
             key_range = hold.key_range
             ordered.add((key_range.first, key_range.last, key_range.fence))
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -288,7 +288,7 @@
                 or self.is_leaving
                 or self._is_heartbeat_overdue()
             ):
-                self._hand_over(owned)
+                self._hand_over(owned, "the endpoint leaves")
             return
         if not self.is_confirmed:
             return
@@ -320,6 +320,7 @@
             holds, list(self.moves), may_grant_until, boottime()
         )
         self._note_order(order)
+        self._hand_over(self.heartbeat_holds.left_out, "the answer is full")
         asyncio.get_running_loop().call_later(ANSWER_DELAY_S, self._note_granted)
         return order
 
@@ -461,13 +462,12 @@
             holds.note_refused(command)
             self.wake.set()
 
-    def _hand_over(self, ranges: list[KeyRange]) -> None:
-        if not self.other_owners():
+    def _hand_over(self, ranges: list[KeyRange], reason: str) -> None:
+        if not ranges or not self.other_owners():
             return
         now = boottime()
         for r in ranges:
             if now >= self.retry_move_at.get((r.first, r.last), 0.0):
-                reason = "the endpoint leaves"
                 self._start_move(r.first, r.last, reason, self._distribute(r))
 
     def _distribute(self, old: KeyRange):
--- a/tests/ranges/test_keeper.py
+++ b/tests/ranges/test_keeper.py
@@ -17,13 +17,22 @@
 from sesamepost.internal.ranges.balance import Move
 from sesamepost.internal.ranges.heartbeat_holds import (
     ANSWER_TIMEOUT_S,
+    MAX_ORDER_BYTES,
+    ROW_BYTES,
     HeldRange,
     HoldOrder,
     HoldReport,
     ReleasedRange,
 )
 from sesamepost.internal.ranges.keeper import ANSWER_WAIT_S, RangeKeeper
-from sesamepost.internal.ranges.table import LAST_KEY, KeyRange, Owner, new_table
+from sesamepost.internal.ranges.table import (
+    LAST_KEY,
+    KeyRange,
+    Owner,
+    RangeTable,
+    new_table,
+    reassign,
+)
 from sesamepost.internal.ranges.table_store import TableStore
 from tests.coordination.memory_store import MemoryStore, SlowStore
 from tests.waiting import until
@@ -199,3 +208,23 @@
         started = boottime()
         await send_heartbeat(keeper, held)
         assert boottime() - started < 0.1
+
+
+async def test_ranges_that_do_not_fit_into_an_answer_go_to_other_owners():
+    # Guards against keys that no endpoint is ever told to hold.
+    async with running_keepers(MemoryStore(), OWNERS[:2], True) as (keeper, other):
+        for owner in (keeper.owner, other.owner):
+            info = EndpointInfo(SERVICE, owner.endpoint_id, owner.born, 3, "v", True)
+            keeper.nodes.nodes[owner.vm] = replace(entry(owner), endpoint=info)
+
+        def split(table: RangeTable) -> RangeTable:
+            for first in range(0, 4 * MAX_ORDER_BYTES // ROW_BYTES, 2):
+                table = reassign(table, first, first, keeper.owner)
+            return table
+
+        await keeper.tables.change("test", split)
+        order = await send_heartbeat(keeper)
+        assert len(order.ranges) <= MAX_ORDER_BYTES // ROW_BYTES
+        await until(lambda: not keeper.moves)
+        held = {r.first for r in keeper.tables.table.owned_by(keeper.vm)}
+        assert held <= {r.first for r in order.ranges}
