--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -83,13 +83,13 @@
 """
 
 
-def routing_with(version: int) -> dict:
-    """Return the routing settings with a route that exists only in this version."""
-    host = ROUTING["virtualHosts"][0]
+def routing_with(version: int, base: dict) -> dict:
+    """Return settings like ``base`` with a route that exists only in this version."""
+    host = base["virtualHosts"][0]
     plain = host["paths"][1]
     path = {**plain, "name": f"v{version}", "prefix": f"/v{version}/"}
     hosts = [{**host, "paths": [*host["paths"], path]}]
-    return {**ROUTING, "version": version, "virtualHosts": hosts}
+    return {**base, "version": version, "virtualHosts": hosts}
 
 
 def free_ports() -> dict[str, int]:
@@ -165,7 +165,7 @@
 
     async def put_routing(self, version: int) -> None:
         """Write a version of the routing settings, as the operator does."""
-        await self.store.put("op/config", routing_with(version))
+        await self.store.put("op/config", routing_with(version, self.routing))
 
     def store_address(self, index: int) -> str:
         """Return the address at which a node reaches the store."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,8 +2,9 @@
 
 ``python -m tests.soak.soak --seeds 50`` runs the seeds 1 to 50. ``--first`` selects
 another first seed, ``--nodes`` the size of the fleet and ``--seconds`` the duration of
-the faults. A seed determines the faults with their times and targets; the scheduling of
-the processes still differs from run to run.
+the faults. With ``--by-heartbeat``, workers take keys by heartbeats. A seed determines
+the faults with their times and targets; the scheduling of the processes still differs
+from run to run.
 """
 
 import asyncio
@@ -17,7 +18,7 @@
 
 import defopt
 
-from tests.platform.fleet import Fleet
+from tests.platform.fleet import Fleet, HeartbeatFleet
 from tests.soak.faults import FAULTS, Fault, Target
 from tests.soak.proxy import FaultProxy
 from tests.soak.traffic import Outcome, Traffic, find_violations
@@ -51,10 +52,17 @@
     return planned
 
 
-async def run_seed(seed: int, path: Path, nodes: int = 4, seconds: float = 12.0):
+async def run_seed(
+    seed: int,
+    path: Path,
+    nodes: int = 4,
+    seconds: float = 12.0,
+    by_heartbeat: bool = False,
+):
     """Run one seed and return the violations and the outcomes of all requests."""
     async with AsyncExitStack() as stack:
-        fleet = SoakFleet(path, nodes)
+        fleet_type = HeartbeatSoakFleet if by_heartbeat else SoakFleet
+        fleet = fleet_type(path, nodes)
         target = Target(fleet, random.Random(seed))
         fleet.target, fleet.proxy_stack = target, stack
         await stack.enter_async_context(fleet)
@@ -163,19 +171,33 @@
         return self.ports["worker"] + len(self.ports)
 
 
-def main(*, seeds: int = 10, first: int = 1, nodes: int = 4, seconds: float = 12):
+class HeartbeatSoakFleet(SoakFleet, HeartbeatFleet):
+    """The same with workers that take keys by heartbeats."""
+
+
+def main(
+    *,
+    seeds: int = 10,
+    first: int = 1,
+    nodes: int = 4,
+    seconds: float = 12,
+    by_heartbeat: bool = False,
+):
     """Run seeds one after the other.
 
     :param seeds: number of seeds
     :param first: first seed
     :param nodes: number of nodes, each a process
     :param seconds: duration of fault injection
+    :param by_heartbeat: whether workers take their keys by heartbeats
     """
     failed = 0
     for seed in range(first, first + seeds):
         path = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         try:
-            problems, outcomes = asyncio.run(run_seed(seed, path, nodes, seconds))
+            problems, outcomes = asyncio.run(
+                run_seed(seed, path, nodes, seconds, by_heartbeat)
+            )
         except Exception:
             problems, outcomes = [traceback.format_exc()], []
         served = sum(outcome.status == 200 for outcome in outcomes)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -22,6 +22,12 @@
     assert any(outcome.status == 200 for outcome in outcomes)
 
 
+async def test_no_promise_is_broken_where_keys_are_given_by_heartbeats(tmp_path):
+    problems, outcomes = await run_seed(2, tmp_path, seconds=6.0, by_heartbeat=True)
+    assert problems == []
+    assert any(outcome.status == 200 for outcome in outcomes)
+
+
 def test_a_seed_determines_the_faults():
     # Guards against regression seeds that no longer reproduce their faults.
     assert schedule(7, 12.0) == schedule(7, 12.0)
