Keep the ranges of a report until a later one lacks them

A new process that got a heartbeat before it knew the range table forgot what the endpoint holds. The tracker now keeps the reported ranges until a later report lacks them.

--- a/src/sesamepost/internal/ranges/heartbeat_holds.py
+++ b/src/sesamepost/internal/ranges/heartbeat_holds.py
@@ -140,9 +140,14 @@
         """Update ``holds`` and the pending releases by a report."""
         for hold in [*holds.holds.values(), *holds.past]:
             self._note_hold(hold, report, now)
+        until = now + LONGEST_HOLD_S
+        reported = [(r.first, r.last, until) for r in report.held]
         if report.follows_answer:
             # The report is complete, whatever a previous process may have ordered.
             holds.assumed_until = 0.0
+            holds.reported = reported
+        else:
+            holds.reported += reported
         for release in self.releases:
             is_ordered = (release.first, release.last) in holds.released_keys
             _note_release(release, report, is_ordered)
@@ -154,11 +159,7 @@
         if any(r.fence > fence for r in overlapping):
             hold.is_refused = True
             hold.certain_until = 0.0
-        if overlapping:
-            if hold.possible_until <= now:
-                # A previous process of this node ordered it.
-                hold.possible_until = now + LONGEST_HOLD_S
-        elif report.follows_answer:
+        if not overlapping and report.follows_answer:
             hold.possible_until = min(hold.possible_until, now)
         key = first, last, fence
         if any(r.fence == fence for r in overlapping):
@@ -196,6 +197,8 @@
             if hold.is_refused:
                 continue
             pieces = _pieces(hold, moving, now)
+            if not pieces:
+                continue
             size = sum(ROW_BYTES + len(piece.handover) for piece in pieces)
             if size > room:
                 self.left_out.append(hold.key_range)
--- a/src/sesamepost/internal/ranges/holds.py
+++ b/src/sesamepost/internal/ranges/holds.py
@@ -60,6 +60,9 @@
         self.holds: dict[tuple[int, int, int], Hold] = {}
         # Holds of ranges that this node no longer owns, until they certainly ended.
         self.past: list[Hold] = []
+        # First and last key of the ranges in the last report of the endpoint, and the
+        # time until which it may hold them by orders of any process of this node.
+        self.reported: list[tuple[int, int, float]] = []
         # Keys that the endpoint was told to release in an answer to its heartbeat.
         self.released_keys: tuple[tuple[int, int], ...] = ()
 
@@ -168,7 +171,12 @@
     def possible_until(self, first: int, last: int) -> float:
         """Return the time until which the endpoint may hold any of these keys."""
         holds = [*self._overlapping(first, last), *self._past_overlapping(first, last)]
-        return max([self.assumed_until, *(h.possible_until for h in holds)])
+        reported = [
+            until
+            for begin, end, until in self.reported
+            if begin <= last and first <= end
+        ]
+        return max([self.assumed_until, *reported, *(h.possible_until for h in holds)])
 
     def unanswered_until(self, first: int, last: int) -> float:
         """Return the time until which an unanswered grant may still give these keys."""
--- a/tests/ranges/test_keeper.py
+++ b/tests/ranges/test_keeper.py
@@ -24,6 +24,7 @@
     HoldReport,
     ReleasedRange,
 )
+from sesamepost.internal.ranges.holds import LONGEST_HOLD_S, HoldTracker
 from sesamepost.internal.ranges.keeper import ANSWER_WAIT_S, RangeKeeper
 from sesamepost.internal.ranges.table import (
     LAST_KEY,
@@ -228,3 +229,23 @@
         await until(lambda: not keeper.moves)
         held = {r.first for r in keeper.tables.table.owned_by(keeper.vm)}
         assert held <= {r.first for r in order.ranges}
+
+
+async def test_a_new_process_does_not_hand_over_what_its_first_heartbeat_reports():
+    # Guards against two holders: the endpoint leaves with the first heartbeat that the
+    # new process receives, before it knows the table. Found by soak seed 319 with
+    # heartbeats.
+    async with running_keepers(MemoryStore(), OWNERS[:2], True) as (keeper, other):
+        held = held_by(await send_heartbeat(keeper))
+        info = EndpointInfo(SERVICE, "i-2", 2, 3, "v", True)
+        keeper.nodes.nodes[other.vm] = replace(entry(OWNERS[1]), endpoint=info)
+        keeper.holds = HoldTracker(10.0, boottime() + LONGEST_HOLD_S)
+        table, keeper.tables.merged_table = keeper.tables.merged_table, None
+        keeper.set_endpoint(replace(keeper.endpoint, is_ready=False), False)
+        assert await send_heartbeat(keeper, held) is None
+        keeper.tables.merged_table = table
+        await asyncio.sleep(0.3)
+        await send_heartbeat(keeper, held)
+        assert keeper.tables.table.find(5).owner == keeper.owner
+        await send_heartbeat(keeper)
+        await until(lambda: keeper.tables.table.find(5).owner == OWNERS[1])
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -22,8 +22,18 @@
     assert any(outcome.status == 200 for outcome in outcomes)
 
 
-async def test_no_promise_is_broken_where_keys_are_given_by_heartbeats(tmp_path):
-    problems, outcomes = await run_seed(2, tmp_path, seconds=6.0, by_heartbeat=True)
+HEARTBEAT_SEEDS = [
+    pytest.param(2, 6.0, id="short"),
+    # A worker left with the first heartbeat that a new process of its node received.
+    pytest.param(319, 12.0, id="leaves-after-restart"),
+]
+
+
+@pytest.mark.parametrize(("seed", "seconds"), HEARTBEAT_SEEDS)
+async def test_no_promise_is_broken_where_keys_are_given_by_heartbeats(
+    seed, seconds, tmp_path
+):
+    problems, outcomes = await run_seed(seed, tmp_path, 4, seconds, by_heartbeat=True)
     assert problems == []
     assert any(outcome.status == 200 for outcome in outcomes)
 
