--- a/src/sesamepost/internal/ranges/heartbeat_holds.py
+++ b/src/sesamepost/internal/ranges/heartbeat_holds.py
@@ -112,7 +112,6 @@
 class HeartbeatHolds:
     """Turns the holds of a ``HoldTracker`` into orders and reports into holds.
 
-    >>> import asyncio
     >>> from sesamepost.internal.ranges.table import KeyRange
     >>> holds = HoldTracker()
     >>> holds.set_ranges([KeyRange(0, 9, None, 3, "token")], now=0.0)
