--- a/review/common/holds.py
+++ b/review/common/holds.py
@@ -30,6 +30,8 @@
     def __init__(self) -> None:
         self.holds: list[LoggedHold] = []
         self.record: CaseRecord | None = None
+        # The worker, the first and the last key of each release.
+        self.releases: list[tuple[str, int, int]] = []
 
     def note(self, text: str) -> None:
         """Write one line to the record of the case."""
@@ -48,6 +50,7 @@
     def release(self, worker: str, first: int, last: int) -> None:
         """Record that a worker holds these keys no longer."""
         now = time.monotonic()
+        self.releases.append((worker, first, last))
         for hold in list(self.holds):
             overlaps = hold.first <= last and first <= hold.last
             if hold.worker != worker or hold.end <= now or not overlaps:
