--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -23,6 +23,7 @@
 
     def __init__(self, folder: Path) -> None:
         self.started = time.monotonic()
+        folder.mkdir(exist_ok=True)
         self.file = (folder / "record.txt").open("w", buffering=1)
 
     def note(self, text: str) -> None:
