--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -182,6 +182,8 @@
         self.last_lease_key = LAST_LEASE_PREFIX + entry.vm
         self.lease = 0
         self.recorded_lease = 0
+        # Revision of the first write of the entry under the recorded lease.
+        self.lease_revision = 0
         self.written_entry: NodeEntry | None = None
         self.renewed_at = float("-inf")
         self.is_owner = False
@@ -283,6 +285,8 @@
                 self.mirror.offer(item)
             raise
         self.written_entry = entry
+        if self.recorded_lease != self.lease:
+            self.lease_revision = revision
         self.recorded_lease = self.lease
         self.mirror.offer(Item(self.key, value, revision, self.lease))
         log.info("entry_written", revision=revision, lease=self.lease)
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -454,7 +454,16 @@
         if is_granted:
             hold = holds.find(r.first)
             if hold is not None and hold.certain_until < sent_at:
-                log.info("granted", first=r.first, last=r.last, fence=r.fence)
+                log.info(
+                    "granted",
+                    first=r.first,
+                    last=r.last,
+                    fence=r.fence,
+                    range_revision=self.tables.revision_of(r.first),
+                    known_revision=self.tables.mirror.revision,
+                    lease_revision=self.registration.lease_revision,
+                    renewed_ago_s=round(boottime() - self.registration.renewed_at, 2),
+                )
             holds.note_granted(command, sent_at)
             self._note_granted()
         else:
