Grant ranges only from a table that is as new as the lease

Cause: a node that gets a new lease may grant for 5 s, but its copy of the range table came from its watch, which is resumed on its own.

Others take ranges of a node only while its entry is missing, and their transaction requires that. So a table known at the revision of the entry's first write under the present lease, or later, names the present owner. A node now grants only from such a table, and reads the table directly if its watch is not that far. The same holds for ranges ordered with answers to heartbeats, adopted ranges and raised fences, as all of them are granted through the same check.

--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -11,6 +11,7 @@
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import EndpointInfo, NodeTable, Registration
 from sesamepost.internal.ranges.balance import Move
+from sesamepost.internal.ranges.grant_right import GrantRight
 from sesamepost.internal.ranges.heartbeat_holds import (
     ANSWER_DELAY_S,
     HeartbeatHolds,
@@ -102,6 +103,7 @@
         self.tables = tables
         self.nodes = nodes
         self.registration = registration
+        self.right = GrantRight(tables, registration)
         self.commands = commands
         self.heartbeat_holds = HeartbeatHolds() if by_heartbeat else None
         # First key, last key and fence of each range of the last order, None if the
@@ -138,6 +140,7 @@
             task.cancel()
             with suppress(asyncio.CancelledError):
                 await task
+        await self.right.close()
 
     @property
     def owner(self) -> Owner | None:
@@ -314,10 +317,12 @@
         table = self.tables.table
         if table is None or not self.is_confirmed or self.holds is not holds:
             return None
-        self._set_ranges(table.owned_by(self.vm))
-        may_grant_until = self.registration.renewed_at + HOLD_S
+        owned = table.owned_by(self.vm)
+        if not self.right.covers_all(owned):
+            return None
+        self._set_ranges(owned)
         order = self.heartbeat_holds.order(
-            holds, list(self.moves), may_grant_until, boottime()
+            holds, list(self.moves), self.right.until, boottime()
         )
         self._note_order(order)
         self._hand_over(self.heartbeat_holds.left_out, "the answer is full")
@@ -419,8 +424,11 @@
 
     def _send_grants(self) -> None:
         now = boottime()
-        may_grant_until = self.registration.renewed_at + HOLD_S
-        for command in self.holds.due_grants(may_grant_until, now):
+        commands = self.holds.due_grants(self.right.until, now)
+        self.right.covers_all([command.key_range for command in commands])
+        for command in commands:
+            if not self.right.covers(command.key_range):
+                continue
             key = (
                 command.key_range.first,
                 command.key_range.last,
--- a/src/sesamepost/internal/ranges/table_store.py
+++ b/src/sesamepost/internal/ranges/table_store.py
@@ -73,6 +73,8 @@
         self.revisions = [-1] * SECTIONS
         self.sections: list[RangeTable | None] = [None] * SECTIONS
         self.stored_table: RangeTable | None = None
+        # Revision of the store as of the last call of ``read``.
+        self.read_revision = 0
         self.range_updates: list[tuple[int, KeyRange]] = []
         self.merged_table: RangeTable | None = None
         # Whether the mirror has sections that have not been loaded yet.
@@ -105,6 +107,18 @@
         ]
         return max([self.revisions[section_of(key)], *update_revisions])
 
+    def known_at(self, key: int) -> int:
+        """Return the newest revision of the store at which the range is known."""
+        return max(self.mirror.revision, self.read_revision, self.revision_of(key))
+
+    async def read(self) -> None:
+        """Read the table from the store, ahead of the watch."""
+        batch = await self.store.list(self.prefix)
+        for item in batch.events:
+            self.mirror.offer(item)
+        self.read_revision = max(self.read_revision, batch.revision)
+        self.on_range_update()
+
     def is_section_key(self, store_key: str) -> bool:
         """Return whether a key of the store belongs to a section of this table."""
         return store_key.startswith(self.prefix)
--- /dev/null
+++ b/tests/ranges/test_grant_rights.py
@@ -0,0 +1,50 @@
+"""From which state of the table a keeper may grant ranges."""
+
+import asyncio
+
+from sesamepost.internal.ranges.keeper import RangeKeeper
+from sesamepost.internal.ranges.table import RangeTable, reassign
+from tests.coordination.memory_store import MemoryStore
+from tests.ranges.keepers import OWNERS, running_keepers
+from tests.ranges.test_keeper import send_heartbeat
+from tests.waiting import until
+
+TAKEN_FIRST, TAKEN_LAST = 0, 999
+
+
+def take_keys(table: RangeTable) -> RangeTable:
+    """Give keys of the first owner to the second one, as a takeover does."""
+    return reassign(table, TAKEN_FIRST, TAKEN_LAST, OWNERS[1])
+
+
+async def return_with_a_new_lease(keeper: RangeKeeper, other: RangeKeeper) -> None:
+    """Cut a keeper off, let another node take keys, and give it a new lease."""
+    keeper.tables.mirror.task.cancel()
+    assert await other.tables.change("owners are gone", take_keys)
+    for hold in keeper.holds.holds.values():
+        hold.certain_until = hold.retry_at = 0.0
+    await keeper.registration._renew_or_write()
+
+
+async def test_a_node_that_returns_grants_nothing_from_before_its_lease():
+    # Guards against two holders: after a cut of 10 s, a node got a new lease before its
+    # copy of the table was up to date, and granted ranges that others had got meanwhile
+    # (review, case 1).
+    async with running_keepers(MemoryStore(), OWNERS[:2]) as (keeper, other):
+        keeper.commands.granted.clear()
+        await return_with_a_new_lease(keeper, other)
+        await until(lambda: keeper.commands.granted)
+        await asyncio.sleep(0.1)
+        assert all(first > TAKEN_LAST for first, _, _ in keeper.commands.granted)
+        assert (TAKEN_LAST + 1, 8191, 1) in keeper.commands.granted
+
+
+async def test_a_node_that_returns_orders_nothing_from_before_its_lease():
+    # As above, for an endpoint that takes its keys with the answers to its heartbeats.
+    async with running_keepers(MemoryStore(), OWNERS[:2], True) as (keeper, other):
+        await return_with_a_new_lease(keeper, other)
+        order = await send_heartbeat(keeper)
+        assert order is None or all(r.first > TAKEN_LAST for r in order.ranges)
+        await until(lambda: keeper.tables.table.find(0).owner == OWNERS[1])
+        order = await send_heartbeat(keeper)
+        assert order.ranges[0].first == TAKEN_LAST + 1
--- a/tests/ranges/test_keeper.py
+++ b/tests/ranges/test_keeper.py
@@ -1,19 +1,12 @@
 """Handovers of keys by one keeper, and by several at the same time."""
 
 import asyncio
-from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import replace
 
 from structlog.testing import capture_logs
 
 from sesamepost.internal.clock import boottime
-from sesamepost.internal.coordination.mirror import Mirror
-from sesamepost.internal.coordination.nodes import (
-    EndpointInfo,
-    NodeEntry,
-    NodeTable,
-    Registration,
-)
+from sesamepost.internal.coordination.nodes import EndpointInfo
 from sesamepost.internal.ranges.balance import Move
 from sesamepost.internal.ranges.heartbeat_holds import (
     ANSWER_TIMEOUT_S,
@@ -29,71 +22,14 @@
 from sesamepost.internal.ranges.table import (
     LAST_KEY,
     KeyRange,
-    Owner,
     RangeTable,
     new_table,
     reassign,
 )
-from sesamepost.internal.ranges.table_store import TableStore
 from tests.coordination.memory_store import MemoryStore, SlowStore
+from tests.ranges.keepers import OWNERS, SERVICE, entry, running_keepers
 from tests.waiting import until
 
-SERVICE = "keyed"
-OWNERS = [Owner(f"10.0.0.{i}", f"i-{i}", i) for i in range(1, 7)]
-
-
-def entry(owner: Owner) -> NodeEntry:
-    return NodeEntry(owner.vm, owner.vm, 1, 7000, "a", "r", None)
-
-
-class RecordingEndpoint:
-    """Executes every command at once and records it."""
-
-    def __init__(self) -> None:
-        self.granted: list[tuple[int, int, int]] = []
-        self.released: list[tuple[int, int, int]] = []
-
-    async def grant(self, first, last, fence, hold_s, handover):
-        self.granted.append((first, last, fence))
-        return True
-
-    async def release(self, first, last, fence):
-        self.released.append((first, last, fence))
-        return f"token-{first}"
-
-
-@asynccontextmanager
-async def running_keepers(
-    store: MemoryStore, owners: list[Owner], by_heartbeat: bool = False
-):
-    async with AsyncExitStack() as stack:
-        tables = TableStore(store, Mirror(store), SERVICE)
-        await tables.change("test", lambda table: new_table(owners))
-        found = []
-        for owner in owners:
-            mirror = Mirror(store)
-            registration = Registration(store, mirror, entry(owner))
-            tables = TableStore(store, mirror, SERVICE)
-            keeper = RangeKeeper(
-                owner.vm,
-                tables,
-                NodeTable(mirror),
-                registration,
-                RecordingEndpoint(),
-                10.0,
-                by_heartbeat,
-            )
-            registration.renewed_at = boottime()
-            info = EndpointInfo(SERVICE, owner.endpoint_id, owner.born, 3, "v", True)
-            keeper.set_endpoint(info, False)
-            await stack.enter_async_context(mirror)
-            await stack.enter_async_context(keeper)
-            found.append(keeper)
-        await until(lambda: all(k.holds.holds for k in found))
-        if not by_heartbeat:
-            await until(lambda: all(k.commands.granted for k in found))
-        yield found
-
 
 async def test_pieces_of_a_range_go_to_their_targets_with_one_release():
     store = MemoryStore()
