Keep the holds of a worker after a check-in of another service

Cause: a check-in was accepted with any service name. One with a service that the settings don't name replaced the worker beside the node, and any other service at that address was taken for the proof that the worker had ended. So its keys were given to others without a release and without waiting for its hold. The log shows endpoint_changed with the odd service, then move_started and range_table_written within milliseconds.

The node now answers 400 to a check-in whose service neither the routing settings nor its own settings name. And a check-in, whoever wrote it, no longer voids holds: keys are released at the worker's address, or wait until the hold ends. Only a closed port proves that the worker has ended. The same holds for another incarnation of the same service: what the earlier one may hold is remembered until it ends.

--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -206,6 +206,17 @@
         needs_restart = [name for name in changed if name not in RELOADABLE_FIELDS]
         log.info("reload", in_force=sorted(applied), needs_restart=needs_restart)
 
+    def is_known_service(self, service: str) -> bool:
+        """Return whether an endpoint of this service may run beside this node.
+
+        Until the routing settings are known, only the service of the settings file is.
+        """
+        if service == self.settings.service:
+            return True
+        if self.index is None:
+            return not self.settings.service
+        return service in self.index.settings.services
+
     async def answer_heartbeat(
         self, info: EndpointInfo, sequence: int, report: HoldReport
     ) -> HoldOrder | None:
@@ -446,12 +457,8 @@
         self.registration.is_owner = self.local.keeper is not None
         for service, keeper in self.keepers.items():
             is_own = info is not None and info.service == service
-            # Another endpoint at the address proves that the earlier one has ended.
-            is_replaced = info is not None and not is_own
             keeper.set_endpoint(
-                info if is_own else None,
-                is_gone or is_replaced,
-                self.watch.is_confirmed,
+                info if is_own else None, is_gone, self.watch.is_confirmed
             )
 
     def _export_counters(self) -> None:
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -25,6 +25,7 @@
     HoldTracker,
 )
 from sesamepost.internal.ranges.table import (
+    LAST_KEY,
     KeyRange,
     Owner,
     RangeTable,
@@ -158,17 +159,29 @@
         endpoint that is not confirmed is known only from the previous process of this
         node. It may be another incarnation under the same id, so it gets no grants yet.
         It may still hold what it was granted, and refuses requests itself if not.
+
+        A heartbeat of another endpoint does not prove that the earlier one has ended,
+        since it may come from another writer. So the holds run on until they are
+        released or end, or until ``is_gone``.
         """
         self.is_confirmed = is_confirmed
         incarnation = endpoint.incarnation if endpoint else None
-        if incarnation != self.incarnation and self.incarnation is not None:
-            self.holds = HoldTracker(self.holds.max_hold_s)
+        if endpoint is None:
+            is_gone |= self.is_endpoint_gone
+        elif incarnation != self.incarnation and self.incarnation is not None:
+            self.holds = HoldTracker(self.holds.max_hold_s, self._held_until())
         self.incarnation = incarnation or self.incarnation
         self.endpoint = endpoint
         self.was_endpoint_seen |= endpoint is not None or is_gone
         self.is_endpoint_gone = is_gone
         self.wake.set()
 
+    def _held_until(self) -> float:
+        """Return the time until which the known incarnation may hold any key."""
+        if self.is_endpoint_gone:
+            return 0.0
+        return self.holds.possible_until(0, LAST_KEY)
+
     def may_run(self, key: int) -> bool:
         """Return whether requests for ``key`` may be sent to the endpoint now.
 
--- a/src/sesamepost/platform/control_plane.py
+++ b/src/sesamepost/platform/control_plane.py
@@ -205,6 +205,9 @@
             heartbeat = decode_heartbeat(
                 request.match_info["id"], data, self.own_address
             )
+            service = heartbeat.endpoint.service
+            if not self.node.is_known_service(service):
+                raise HeartbeatError(f"no service is named {service!r}")
         except HeartbeatError as error:
             self.unreadable_heartbeats += 1
             log.warning("check_in_unreadable", error=str(error))
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -59,6 +59,21 @@
     assert await fleet.wait_until_served() < LOSS_TARGET_S
 
 
+@pytest.mark.parametrize("service", ["not-named-here", "plain"])
+async def test_an_odd_check_in_does_not_void_the_holds_of_the_worker(fleet, service):
+    # Guards against two holders: a node took one check-in of another service for the
+    # proof that its worker had ended, and gave the keys away (review, case 3).
+    worker = fleet.workers[0]
+    odd = worker._heartbeat()
+    odd["born"] += 1
+    odd["serviceInfo"]["service"] = service
+    url = f"http://{fleet.ip(0)}:{fleet.ports['control']}/Instances.Heartbeat/odd-1"
+    async with fleet.session.post(url, json=odd) as answer:
+        assert answer.status == (400 if service == "not-named-here" else 200)
+    await asyncio.sleep(HOLD_S / 2)
+    await fleet.wait_until_served()
+
+
 async def test_a_leaving_endpoint_hands_its_keys_over(fleet):
     fleet.workers[0].state = "draining"
 
