Void late writes of ranges by the writer's lease record

Cause: a write of ranges required only that its sections were unchanged. A node was killed while the store had not answered the write of a move; its next process granted the range again from a table that was current, and 1.5 s later the store carried the write out.

Each write of ranges now also requires the record of the writer's last lease to be unchanged. A new process, or the same one after a cut, records another lease before it may grant, so earlier writes are carried out before that, and seen, or never.

The same cause within one process: a move that was given up after unanswered writes let its range be granted again under the old fence. The range now gets a higher fence first; that write either voids the late one or conflicts with it. A transaction names at most seven lost VMs now, one fewer, to make room for the record.

--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -37,7 +37,7 @@
 # The key under this prefix holds the id of a node's last lease and outlives the lease,
 # so it changes with each new lease. A transaction that takes over ranges requires it to
 # be unchanged, because the node's entry may have reappeared and vanished again
-# unobserved.
+# unobserved. So do the node's own writes of ranges, which the store may carry out late.
 LAST_LEASE_PREFIX = "sesamepost/leases/"
 RETRY_DELAY_S = 0.2
 FIRST_WRITE_DELAY_S = 2.0
@@ -266,9 +266,10 @@
         entry = self.entry
         value = entry.encode()
         expected = self.mirror.revision_of(self.key)
+        lease_record = str(self.lease).encode()
         writes = [Write(self.key, value, self.lease)]
         if self.recorded_lease != self.lease:
-            writes.append(Write(self.last_lease_key, str(self.lease).encode()))
+            writes.append(Write(self.last_lease_key, lease_record))
         transaction = Transaction({self.key: expected}, tuple(writes))
         try:
             revision = await self.store.commit(transaction)
@@ -287,6 +288,7 @@
         self.written_entry = entry
         if self.recorded_lease != self.lease:
             self.lease_revision = revision
+            self.mirror.offer(Item(self.last_lease_key, lease_record, revision))
         self.recorded_lease = self.lease
         self.mirror.offer(Item(self.key, value, revision, self.lease))
         log.info("entry_written", revision=revision, lease=self.lease)
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -183,7 +183,9 @@
     def table_of(self, service: str) -> TableStore | None:
         """Return the range table of a service, or None if it is not partitioned."""
         if service not in self.tables and self._is_partitioned(service):
-            self.tables[service] = TableStore(self.store, self.mirror, service)
+            self.tables[service] = TableStore(
+                self.store, self.mirror, service, self.registration.last_lease_key
+            )
         return self.tables.get(service)
 
     def _is_partitioned(self, service: str) -> bool:
--- a/src/sesamepost/internal/ranges/holds.py
+++ b/src/sesamepost/internal/ranges/holds.py
@@ -42,6 +42,7 @@
     possible_until: float = 0.0
     unanswered_until: float = 0.0
     retry_at: float = 0.0
+    # Whether the range needs a higher fence before its next grant.
     is_refused: bool = False
     is_releasing: bool = False
 
@@ -132,6 +133,11 @@
             hold.is_refused = True
             hold.certain_until = 0.0
 
+    def require_higher_fence(self, first: int, last: int) -> None:
+        """Send no more grants of the ranges with these keys under their fences."""
+        for hold in self._overlapping(first, last):
+            hold.is_refused = True
+
     def refused(self) -> list[KeyRange]:
         """Return the ranges that need a higher fence."""
         return [h.key_range for h in self.holds.values() if h.is_refused]
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -423,7 +423,7 @@
                     )
             return changed
 
-        self._start_write("fence", "a higher fence was seen", transform)
+        self._start_write("fence", "a higher fence is needed", transform)
 
     def _start_write(self, key: str, reason: str, transform) -> None:
         async def write() -> None:
@@ -546,6 +546,10 @@
             self.moves.pop((first, last), None)
             self.retry_move_at.pop((first, last), None)
             if not is_moved:
+                if self.tables.has_unanswered_write(first, last):
+                    # The store may still carry out the move. A write of a higher fence
+                    # either makes it void or conflicts with it.
+                    holds.require_higher_fence(first, last)
                 # The range may come from an update that the mirror does not have yet.
                 self.retry_move_at[first, last] = boottime() + CHECK_INTERVAL_S
             self.wake.set()
--- a/src/sesamepost/internal/ranges/table_store.py
+++ b/src/sesamepost/internal/ranges/table_store.py
@@ -12,6 +12,7 @@
     Deletion,
     Item,
     StoreError,
+    StoreSilentError,
     Transaction,
     Write,
 )
@@ -62,12 +63,23 @@
     Other nodes announce ranges that were written after the table in the mirror;
     ``table`` includes these updates until the mirror has caught up. ``revision`` is
     the newest known revision.
+
+    ``lease_key`` is the key that records the lease of this node. Each write requires it
+    to be unchanged, so a write that the store carries out late has no effect once the
+    node, or the next process on its VM, has another lease.
     """
 
-    def __init__(self, store: CoordinationStore, mirror: Mirror, service: str) -> None:
+    def __init__(
+        self,
+        store: CoordinationStore,
+        mirror: Mirror,
+        service: str,
+        lease_key: str = "",
+    ) -> None:
         self.store = store
         self.mirror = mirror
         self.service = service
+        self.lease_key = lease_key
         self.prefix = f"{TABLE_PREFIX}{service}/"
         self.keys = [f"{self.prefix}{index}" for index in range(SECTIONS)]
         self.revisions = [-1] * SECTIONS
@@ -82,6 +94,8 @@
         # Changes in the order of their requests; only one write runs at a time.
         self.pending: list[TableChange] = []
         self.write_lock = asyncio.Lock()
+        # Revisions on which the last unanswered writes were based, by section key.
+        self.unanswered: dict[str, int] = {}
         self.on_range_update: Callable[[], None] = lambda: None
         mirror.changes.subscribe(self._on_change)
 
@@ -107,6 +121,14 @@
         ]
         return max([self.revisions[section_of(key)], *update_revisions])
 
+    def has_unanswered_write(self, first: int, last: int) -> bool:
+        """Return whether the store may still carry out a write of these sections."""
+        self._sync_from_mirror()
+        return any(
+            self.unanswered.get(self.keys[index]) == self.revisions[index]
+            for index in range(section_of(first), section_of(last) + 1)
+        )
+
     def known_at(self, key: int) -> int:
         """Return the newest revision of the store at which the range is known."""
         return max(self.mirror.revision, self.read_revision, self.revision_of(key))
@@ -240,6 +262,8 @@
         based_on = {key: self.mirror.revision_of(key) for key in changes}
         writes = tuple(Write(key, value) for key, value in changes.items())
         conditions = {**based_on, **applied[0].conditions}
+        if self.lease_key:
+            conditions[self.lease_key] = self.mirror.revision_of(self.lease_key)
         reasons = sorted({change.reason for change in applied})
         try:
             written = await self.store.commit(Transaction(conditions, writes))
@@ -247,6 +271,8 @@
             await self._sync_after_conflict(error, based_on)
             return False
         except StoreError as error:
+            if isinstance(error, StoreSilentError):
+                self.unanswered.update(based_on)
             log.info("range_table_write_failed", reasons=reasons, error=str(error))
             await asyncio.sleep(WRITE_RETRY_S)
             await self._sync_from_store(based_on)
@@ -292,7 +318,8 @@
         for item in error.items:
             self.mirror.offer(item)
         if not any(item.key in keys for item in error.items):
-            await self._sync_from_store(keys)
+            lease_keys = [self.lease_key] if self.lease_key else []
+            await self._sync_from_store([*keys, *lease_keys])
 
     async def _sync_from_store(self, keys: Collection[str]) -> None:
         """Read sections from the store; the next write may conflict if that fails."""
--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -29,8 +29,8 @@
 MAX_SETTLE_S = 4.0
 TURN_DELAY_S = 0.5
 # A transaction of the store has at most 32 entries. Each section of the table needs
-# two of them, and so does each lost VM.
-MAX_LOST_VMS_PER_WRITE = 16 - SECTIONS
+# two of them, and so does each lost VM; the writer's lease record needs one.
+MAX_LOST_VMS_PER_WRITE = (32 - 1) // 2 - SECTIONS
 
 log = structlog.get_logger()
 
--- a/tests/coordination/memory_store.py
+++ b/tests/coordination/memory_store.py
@@ -129,6 +129,29 @@
         return await super().commit(transaction)
 
 
+class LateStore(MemoryStore):
+    """Leaves transactions unanswered while ``is_late`` is set; ``carry_out`` does one.
+
+    ``late`` holds the unanswered transactions in the order of their arrival.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_late = False
+        self.late: list[Transaction] = []
+
+    async def commit(self, transaction: Transaction) -> int:
+        if self.is_late:
+            self.late.append(transaction)
+            raise StoreSilentError("the response is late")
+        return await super().commit(transaction)
+
+    async def carry_out(self) -> None:
+        """Carry out the first unanswered transaction if its conditions still hold."""
+        with suppress(ConditionFailedError):
+            await super().commit(self.late[0])
+
+
 async def put(store: MemoryStore, key: str, value: bytes) -> None:
     """Set the value of ``key``, whether it exists or not."""
     revision = store.items[key].revision if key in store.items else 0
--- a/tests/ranges/keepers.py
+++ b/tests/ranges/keepers.py
@@ -51,7 +51,7 @@
         for owner in owners:
             mirror = Mirror(store)
             registration = Registration(store, mirror, entry(owner))
-            tables = TableStore(store, mirror, SERVICE)
+            tables = TableStore(store, mirror, SERVICE, registration.last_lease_key)
             keeper = RangeKeeper(
                 owner.vm,
                 tables,
