Keep the bodies of safe requests that are started early

Cause: a request that waits behind another one on its connection is started early. Its payload being at its end was taken for a request without a body, but aiohttp's payload is at its end as soon as the body has been received. A first request whose head and body arrive in one piece was started early too, as the handler of its connection does not wait yet.

A request is now started early with the body that its payload holds, once that is complete. Reading it may resume the connection and call data_received again, so a request is marked before its payload is read.

test_pipelined_safe_requests_keep_their_bodies (real processes) failed before; test_a_pipelined_request_starts_once_its_body_is_complete is new. No other caller of is_eof takes it for the absence of a body.

--- a/src/sesamepost/internal/forwarding/ingress.py
+++ b/src/sesamepost/internal/forwarding/ingress.py
@@ -8,6 +8,7 @@
 import structlog
 from aiohttp import web
 from aiohttp.http_parser import RawRequestMessage
+from aiohttp.streams import StreamReader
 from aiohttp.web_request import BaseRequest
 from multidict import CIMultiDict
 
@@ -137,7 +138,9 @@
         except web.HTTPRequestEntityTooLarge:
             return None
 
-    def _start_pipelined(self, message: RawRequestMessage) -> asyncio.Task | None:
+    def _start_pipelined(
+        self, message: RawRequestMessage, payload: StreamReader
+    ) -> asyncio.Task | None:
         """Start a pipelined request early if its route allows retries.
 
         A caller sends a request again if the connection closes before its answer.
@@ -147,7 +150,9 @@
         if not route or not route.is_retryable:
             return None
         self.counters["started_early"] += 1
-        return asyncio.ensure_future(self._process(message, b""))
+        body = payload.read_nowait()
+        bounded_body = body if len(body) <= MAX_BODY_BYTES else None
+        return asyncio.ensure_future(self._process(message, bounded_body))
 
     async def _process(
         self, message: RawRequestMessage, body: bytes | None
--- a/src/sesamepost/internal/forwarding/pipelining.py
+++ b/src/sesamepost/internal/forwarding/pipelining.py
@@ -10,14 +10,18 @@
 
 from aiohttp import web
 from aiohttp.http_parser import RawRequestMessage
-from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler
 
-StartPipelined = Callable[[RawRequestMessage], asyncio.Task | None]
+StartPipelined = Callable[[RawRequestMessage, StreamReader], asyncio.Task | None]
 
 
 class PipelinedHandler(RequestHandler):
-    """One connection; ``start_pipelined`` is called with each request that waits."""
+    """One connection; ``start_pipelined`` is called with each request that waits.
+
+    Its payload is complete by then. ``start_pipelined`` reads it only if it starts a
+    task for the request.
+    """
 
     __slots__ = ("is_closing", "last_payload", "pipelined", "start_pipelined")
 
@@ -42,9 +46,14 @@
         waiting = list(self._messages)[1 if is_idle else 0 :]
         for message, payload in waiting:
             is_request = isinstance(message, RawRequestMessage)
-            if id(message) in self.pipelined or not is_request or not payload.is_eof():
+            # At the end of the payload, a body may still wait in it to be read.
+            is_complete = payload.is_eof() and payload.exception() is None
+            if id(message) in self.pipelined or not is_request or not is_complete:
                 continue
-            self.pipelined[id(message)] = message, self.start_pipelined(message)
+            # Reading a payload may resume the connection, and so call this again.
+            self.pipelined[id(message)] = message, None
+            task = self.start_pipelined(message, payload)
+            self.pipelined[id(message)] = message, task
 
     def connection_lost(self, error: BaseException | None) -> None:
         """Cancel the pipelined requests of a caller that has disconnected."""
--- a/tests/forwarding/test_pipelining.py
+++ b/tests/forwarding/test_pipelining.py
@@ -33,8 +33,9 @@
             raise
         return web.Response(text=path)
 
-    def start_pipelined(self, message) -> asyncio.Task | None:
-        return asyncio.ensure_future(self.work(message.path))
+    def start_pipelined(self, message, payload) -> asyncio.Task | None:
+        text = f"{message.path} {payload.read_nowait().decode()}".strip()
+        return asyncio.ensure_future(self.work(text))
 
     async def handle(self, request) -> web.Response:
         task = request.protocol.take_pipelined(request._message)
@@ -81,6 +82,22 @@
         assert sorted(handler.started) == ["/a", "/b", "/c"]
 
 
+async def test_a_pipelined_request_starts_once_its_body_is_complete():
+    # Guards against requests that run without their body, which is complete before an
+    # earlier answer is written (review, case 2).
+    async with served() as (handler, reader, writer):
+        head = b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
+        writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n" + head + b"bo")
+        await wait_for(handler, lambda: handler.started == ["/a"])
+        await asyncio.sleep(0.05)
+        assert handler.started == ["/a"]
+        writer.write(b"dy")
+        await wait_for(handler, lambda: handler.started == ["/a", "/b body"])
+        handler.release.set()
+        async with asyncio.timeout(5):
+            await reader.readuntil(b"/b body")
+
+
 async def test_a_disconnect_cancels_all_pipelined_requests():
     # Guards against requests that keep running after their caller has disconnected.
     async with served() as (handler, _, writer):
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -33,6 +33,25 @@
     assert all(len(incarnations) == 1 for incarnations in fleet.record.runs.values())
 
 
+async def test_pipelined_safe_requests_keep_their_bodies(fleet):
+    # Guards against bodies of safe requests that are dropped if they are complete
+    # before the request is answered (review, case 2).
+    connection = await asyncio.open_connection(fleet.ip(1), fleet.ports["callers"])
+    reader, writer = connection
+    bodies = ["first", "", "third", "x" * 3000]
+    for number, body in enumerate(bodies):
+        head = (
+            f"POST /k/{number} HTTP/1.1\r\nHost: app.example\r\nShard-Key: 9\r\n"
+            f"Request-Id: b-{number}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        writer.write((head + body).encode())
+    for number, body in enumerate(bodies):
+        answer = await reader.readuntil(f"POST /k/{number} plain ".encode())
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert await reader.readexactly(len(body)) == body.encode()
+    writer.close()
+
+
 async def test_a_killed_process_recovers_its_keys(fleet):
     # The endpoint keeps running, so its keys must not wait for a lease to expire.
     await fleet.kill(0)
