Test answers that end within their head

Other operators saw a 200 with an empty or short body, framed as whole, after a worker stopped in the middle of its answer's head. Here it can't happen: neither h11 (nodes) nor aiohttp (sesamepostd) completes such a head. Both clients are tested with heads that are cut after every third byte, over real sockets: outcome unknown each time. Both tests passed on the code as it was; nothing was mended.

--- a/tests/dispatch/test_endpoint_client.py
+++ b/tests/dispatch/test_endpoint_client.py
@@ -125,3 +125,16 @@
     async with connected_client([answer]) as (client, _):
         result = await client.send(request("GET"), CONTEXT)
     assert result.headers == [("Set-Cookie", "a"), ("Set-Cookie", "b")]
+
+
+HEAD = WHOLE_ANSWER.removesuffix(b"ok")
+
+
+@pytest.mark.parametrize("cut", range(0, len(HEAD), 3))
+async def test_an_answer_that_ends_within_its_head_is_no_answer(cut):
+    # Guards against a 200 with an empty body that is framed as whole, as other
+    # operators saw when an endpoint stopped in the middle of a head.
+    async with connected_client([HEAD[:cut] + CLOSE]) as (client, _):
+        with pytest.raises(RouterError) as caught:
+            await client.send(request("GET"), CONTEXT)
+    assert caught.value.kind is ErrorKind.OUTCOME_UNKNOWN
--- a/tests/forwarding/test_endpoint_connection.py
+++ b/tests/forwarding/test_endpoint_connection.py
@@ -244,3 +244,17 @@
         assert endpoint.sent < MAX_ENDLESS_BYTES
         assert not pool.idle
     server.close()
+
+
+# The last cut leaves out only the empty line that ends the head.
+HEAD = answer("r", "body").partition(b"body")[0]
+
+
+@pytest.mark.parametrize("cut", range(0, len(HEAD), 3))
+async def test_an_answer_that_ends_within_its_head_is_no_answer(cut):
+    # Guards against a 200 with an empty or short body that is framed as whole, as other
+    # operators saw when an endpoint stopped in the middle of a head.
+    async with pool_to([HEAD[:cut], "close"]) as (pool, _):
+        with pytest.raises(RouterError) as caught:
+            await send(pool, "r")
+    assert caught.value.kind is ErrorKind.OUTCOME_UNKNOWN
