Answer requests that arrive in a planned stop before the process ends

Other operators saw that requests which came late in the grace of a planned stop were taken, passed on and cut without an answer at its end. It could happen here: with a budget of 6 s and work of 3.4 s, an order that arrived 2.2 s after SIGTERM waited for a slot, was passed on 5.2 s after it and was cut when the process ended, 7.0 s after SIGTERM, 1 s later than the platform allows.

Cause: nothing tied the time of a request to the end of the process; what was left at the end of the stop got another second from the server and was then cut.

Requests that arrive during a stop now have to be answered 0.7 s before the end of the grace, and the endpoint's node refuses one that is expected to take longer, which has not run. The stop itself waits until 0.6 s before the end, 0.4 s longer than before, and the server cuts what is left after 0.2 s, so the process ends in time.

--- a/src/sesamepost/internal/forwarding/endpoint.py
+++ b/src/sesamepost/internal/forwarding/endpoint.py
@@ -81,6 +81,8 @@
         self.demand_s = {w: DecayingSum(w) for w in BUSY_WINDOWS_S}
         self.start_futures: dict[int, asyncio.Future] = {}
         self.next_ticket = 0
+        # A stopping node must have the answers to all requests by this time.
+        self.latest_deadline = float("inf")
         self.failure_share = 0.0
         self.retry_budget = RetryBudget(RETRY_PERCENT, MIN_RETRIES_PER_S)
         self.counters: Counter[str] = Counter()
@@ -173,9 +175,11 @@
         The error's outcome says whether the request may have reached the endpoint.
         """
         received = boottime()
-        deadline = received + request.timeout_ms / 1000
+        deadline = min(received + request.timeout_ms / 1000, self.latest_deadline)
         self._check_service(request)
         time_s = self.gate.expected_time(request.route)
+        if received + time_s > self.latest_deadline:
+            raise RouterError(ErrorKind.SHUTTING_DOWN)
         for window_s in BUSY_WINDOWS_S:
             self.arrivals[window_s].add(received)
             self.demand_s[window_s].add(received, time_s)
--- a/src/sesamepost/internal/forwarding/ingress.py
+++ b/src/sesamepost/internal/forwarding/ingress.py
@@ -36,6 +36,8 @@
 MAX_HEADER_FIELD_BYTES = 64 << 10
 DEFAULT_TIMEOUT_S = 10.0
 KEEP_ALIVE_S = 75.0
+# Time for the last answers to be written once all requests have ended.
+SHUTDOWN_TIMEOUT_S = 0.2
 # Spreads the retries of clients that were refused at the same time.
 RETRY_AFTER_JITTER = 0.3
 
@@ -77,6 +79,8 @@
         self.idle = asyncio.Event()
         self.idle.set()
         self.is_stopping = False
+        # A stopping node must have answered all requests by this time.
+        self.latest_deadline = float("inf")
         self.runner: web.ServerRunner | None = None
         self.site: web.TCPSite | None = None
 
@@ -100,7 +104,9 @@
             max_line_size=MAX_HEADER_FIELD_BYTES,
             max_field_size=MAX_HEADER_FIELD_BYTES,
         )
-        self.runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=1)
+        self.runner = web.ServerRunner(
+            server, handle_signals=False, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        )
         await self.runner.setup()
         self.site = web.TCPSite(self.runner, *address, backlog=512)
         await self.site.start()
@@ -229,7 +235,7 @@
             message.path,
             headers,
             body,
-            received_at + timeout_s,
+            min(received_at + timeout_s, self.latest_deadline),
             received_at + (route.target_latency_s or timeout_s),
             route.priority,
             settings.version,
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -67,7 +67,10 @@
 RELOADABLE_FIELDS = frozenset({"service", "stop_timeout_s"})
 # Callers switch to another node after two failed readiness checks, a second apart.
 UNREADY_DELAY_S = 2.3
-STOP_MARGIN_S = 1.0
+# Time from the last answer until the process has ended.
+STOP_MARGIN_S = 0.6
+# Requests that arrive during a stop end this long before the last answer is due.
+ANSWER_MARGIN_S = 0.1
 # An entry that is not removed in time expires with its lease.
 WITHDRAW_TIMEOUT_S = 0.3
 
@@ -239,6 +242,8 @@
         started = boottime()
         end = started + self.settings.stop_timeout_s - STOP_MARGIN_S
         log.info("stopping", in_flight=self.ingress.in_flight)
+        self.ingress.latest_deadline = end - ANSWER_MARGIN_S
+        self.local.latest_deadline = end - ANSWER_MARGIN_S
         self.registration.update(is_stopping=True)
         await self._announce_endpoint_end()
         moves = [keeper.hand_over_all() for keeper in self.keepers.values()]
