Move the commands to an endpoint and its releases out of the keeper

The interface of the commands and its errors are now in ranges/commands.py, the release of keys in ranges/releasing.py.

--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -47,8 +47,9 @@
 from sesamepost.internal.forwarding.serving import PeerService
 from sesamepost.internal.identity import new_node_id
 from sesamepost.internal.ranges.balancing import RangeBalancer
+from sesamepost.internal.ranges.commands import EndpointCommands
 from sesamepost.internal.ranges.heartbeat_holds import HoldOrder, HoldReport
-from sesamepost.internal.ranges.keeper import EndpointCommands, RangeKeeper
+from sesamepost.internal.ranges.keeper import RangeKeeper
 from sesamepost.internal.ranges.messages import RangeUpdate, range_update
 from sesamepost.internal.ranges.table import LAST_KEY, Owner
 from sesamepost.internal.ranges.table_store import TableStore
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -4,13 +4,18 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from contextlib import suppress
-from typing import Protocol
 
 import structlog
 
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import EndpointInfo, NodeTable, Registration
 from sesamepost.internal.ranges.balance import Move
+from sesamepost.internal.ranges.commands import (
+    EndpointCommands,
+    EndpointGoneError,
+    EndpointUnconfirmedError,
+    EndpointUnresponsiveError,
+)
 from sesamepost.internal.ranges.grant_right import GrantRight
 from sesamepost.internal.ranges.heartbeat_holds import (
     ANSWER_DELAY_S,
@@ -24,6 +29,7 @@
     GrantCommand,
     HoldTracker,
 )
+from sesamepost.internal.ranges.releasing import EndpointReleaser
 from sesamepost.internal.ranges.table import (
     LAST_KEY,
     KeyRange,
@@ -38,9 +44,6 @@
 CHECK_INTERVAL_S = 0.25
 # Time that a new process waits for the endpoint before it hands its ranges over.
 FIRST_HEARTBEAT_TIMEOUT_S = 4.0
-RELEASE_RETRY_S = 0.3
-# Requests that take longer than this are cut off when their hold ends.
-TOTAL_RELEASE_TIMEOUT_S = HOLD_S + 1.0
 # An answer that orders nothing new waits this long for a change, so that a range which
 # moves here need not wait for the next heartbeat. It must arrive within a second, and
 # its holds run from when the heartbeat was sent.
@@ -50,37 +53,6 @@
 log = structlog.get_logger()
 
 
-class EndpointUnresponsiveError(Exception):
-    """The endpoint did not respond to a command, so it may execute it later."""
-
-
-class EndpointGoneError(Exception):
-    """Nothing listens at the endpoint's address, so its process has ended."""
-
-
-class EndpointUnconfirmedError(Exception):
-    """A grant was withheld because another incarnation could have accepted it."""
-
-
-class EndpointCommands(Protocol):
-    """Commands to the local endpoint.
-
-    Both commands raise ``EndpointUnresponsiveError`` or ``EndpointGoneError``. A grant
-    also raises ``EndpointUnconfirmedError`` if it would need a new connection and
-    ``may_connect`` does not allow one.
-    """
-
-    may_connect: Callable[[], bool]
-
-    async def grant(
-        self, first: int, last: int, fence: int, hold_s: float, handover: str
-    ) -> bool:
-        """Grant or renew a hold; return False if the endpoint saw a higher fence."""
-
-    async def release(self, first: int, last: int, fence: int) -> str:
-        """End a hold once its requests have finished; return the handover token."""
-
-
 class RangeKeeper(TaskOwner):
     """Manages the holds of the local endpoint of a partitioned service.
 
@@ -106,6 +78,7 @@
         self.registration = registration
         self.right = GrantRight(tables, registration)
         self.commands = commands
+        self.releaser = EndpointReleaser(commands)
         self.heartbeat_holds = HeartbeatHolds() if by_heartbeat else None
         # First key, last key and fence of each range of the last order, None if the
         # last answer renewed nothing.
@@ -117,7 +90,6 @@
         self.was_endpoint_seen = False
         self.is_confirmed = False
         self.inherited_until = self.started_at + HOLD_S
-        self.is_endpoint_gone = False
         self.is_leaving = False
         self.wake = asyncio.Event()
         self.granted = asyncio.Event()
@@ -167,18 +139,18 @@
         self.is_confirmed = is_confirmed
         incarnation = endpoint.incarnation if endpoint else None
         if endpoint is None:
-            is_gone |= self.is_endpoint_gone
+            is_gone |= self.releaser.is_gone
         elif incarnation != self.incarnation and self.incarnation is not None:
             self.holds = HoldTracker(self.holds.max_hold_s, self._held_until())
         self.incarnation = incarnation or self.incarnation
         self.endpoint = endpoint
         self.was_endpoint_seen |= endpoint is not None or is_gone
-        self.is_endpoint_gone = is_gone
+        self.releaser.is_gone = is_gone
         self.wake.set()
 
     def _held_until(self) -> float:
         """Return the time until which the known incarnation may hold any key."""
-        if self.is_endpoint_gone:
+        if self.releaser.is_gone:
             return 0.0
         return self.holds.possible_until(0, LAST_KEY)
 
@@ -573,12 +545,12 @@
             if r.last < first or r.first > last or r.owner != self.owner:
                 continue
             part = (max(first, r.first), min(last, r.last), r.fence)
-            tokens.append(await self._release_part(*part))
+            tokens.append(await self.releaser.release(holds, *part))
         if all(tokens) and tokens:
             # The endpoint may execute an unanswered grant after the release.
-            await self._sleep_until(holds.unanswered_until(first, last))
+            await self.releaser.sleep_until(holds.unanswered_until(first, last))
             return tokens[0] if len(tokens) == 1 else ""
-        await self._sleep_until(holds.possible_until(first, last))
+        await self.releaser.sleep_until(holds.possible_until(first, last))
         return ""
 
     async def _release_by_heartbeat(self, first: int, last: int) -> str:
@@ -588,7 +560,7 @@
         try:
             while not release.done():
                 remaining_s = end - boottime()
-                if remaining_s <= 0 or self.is_endpoint_gone:
+                if remaining_s <= 0 or self.releaser.is_gone:
                     return ""
                 timeout_s = min(remaining_s, CHECK_INTERVAL_S)
                 await asyncio.wait({release}, timeout=timeout_s)
@@ -596,31 +568,6 @@
         finally:
             release.cancel()
 
-    async def _release_part(self, first: int, last: int, fence: int) -> str:
-        holds = self.holds
-        end = min(
-            boottime() + TOTAL_RELEASE_TIMEOUT_S, holds.possible_until(first, last)
-        )
-        while boottime() < end and not self.is_endpoint_gone:
-            try:
-                async with asyncio.timeout(max(0.05, end - boottime())):
-                    return await self.commands.release(first, last, fence)
-            except EndpointGoneError:
-                return ""
-            except (EndpointUnresponsiveError, TimeoutError) as error:
-                log.info(
-                    "release_unanswered", first=first, last=last, error=repr(error)
-                )
-                await asyncio.sleep(RELEASE_RETRY_S)
-        return ""
-
-    async def _sleep_until(self, end: float) -> None:
-        while not self.is_endpoint_gone:
-            remaining_s = end - boottime()
-            if remaining_s <= 0:
-                return
-            await asyncio.sleep(min(remaining_s, CHECK_INTERVAL_S))
-
 
 def _with_token(r: KeyRange, token: str) -> KeyRange:
     return KeyRange(r.first, r.last, r.owner, r.fence, token)
--- a/src/sesamepost/platform/endpoint_commands.py
+++ b/src/sesamepost/platform/endpoint_commands.py
@@ -11,7 +11,7 @@
     EndpointConnection,
     EndpointResponse,
 )
-from sesamepost.internal.ranges.keeper import (
+from sesamepost.internal.ranges.commands import (
     EndpointGoneError,
     EndpointUnconfirmedError,
     EndpointUnresponsiveError,
--- a/tests/platform/test_endpoint_commands.py
+++ b/tests/platform/test_endpoint_commands.py
@@ -11,7 +11,7 @@
     RECENT_HEARTBEAT_S,
     EndpointWatch,
 )
-from sesamepost.internal.ranges.keeper import (
+from sesamepost.internal.ranges.commands import (
     EndpointUnconfirmedError,
     EndpointUnresponsiveError,
 )
