Restart the wait of a takeover after a new lease

The refusal of a takeover carries the lease record of the lost node. The next try took the new record as its condition, but the wait from before it, so a node that had returned and vanished again could lose ranges that its endpoint still held.

The wait now counts from when the present record was first seen. test_a_new_lease_that_a_refusal_shows_restarts_the_wait failed before.

--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -75,6 +75,8 @@
         self.last_joined_at = 0.0
         self.known_vms: set[str] = set()
         self.ended: set[Owner] = set()
+        # Revision of the lease record of each missing VM, and when it was first seen.
+        self.lease_records: dict[str, tuple[int, float]] = {}
         self.due_since: float | None = None
         self.cached_table: RangeTable | None = None
         self.cached_owners: set[Owner] = set()
@@ -154,14 +156,23 @@
     def _lost_owners(self, now: float) -> set[Owner]:
         table = self.tables.table
         present = set(self.nodes.nodes)
-        missing = {
-            vm: self.mirror.missing_since(self.nodes.node_key(vm), now)
-            for vm in {owner.vm for owner in self._owners_in(table)} - present
-        }
+        vms = {owner.vm for owner in self._owners_in(table)} - present
+        missing = {vm: self._missing_since(vm, now) for vm in vms}
+        self.lease_records = {vm: self.lease_records[vm] for vm in vms}
         if not missing and not self.ended:
             return set()
         return lost_owners(table, present, missing, now, self.ended)
 
+    def _missing_since(self, vm: str, now: float) -> float:
+        """Return the time since which a VM had neither an entry nor a new lease."""
+        missing_since = self.mirror.missing_since(self.nodes.node_key(vm), now)
+        revision = self.mirror.revision_of(LAST_LEASE_PREFIX + vm)
+        known, seen_at = self.lease_records.get(vm, (revision, missing_since))
+        if revision != known:
+            seen_at = now
+        self.lease_records[vm] = revision, seen_at
+        return max(missing_since, seen_at)
+
     def _owners_in(self, table: RangeTable) -> set[Owner]:
         """Return the owners in a table, cached since it may have hundreds of ranges."""
         if table is not self.cached_table:
--- a/tests/ranges/test_takeover.py
+++ b/tests/ranges/test_takeover.py
@@ -96,6 +96,24 @@
     assert set(tables.table.keys_by_owner()) == {A, B}
 
 
+async def test_a_new_lease_that_a_refusal_shows_restarts_the_wait(parts):
+    # Guards against two holders of a key. The refusal of a takeover shows that the node
+    # has had another lease, but not when it was lost again.
+    store, mirror, nodes, tables = parts
+    takeover = await prepare_takeover(*parts)
+    key = nodes.node_key(A.vm)
+    delete_entry(store, mirror, key, 0.0)
+    mirror.missing[key] = asyncio.get_running_loop().time() - 1e6
+    last_lease_key = LAST_LEASE_PREFIX + A.vm
+    store.revision += 1
+    store.items[last_lease_key] = Item(last_lease_key, b"2", store.revision)
+    await takeover.step()
+    mirror.offer(store.items[last_lease_key])
+    for _ in range(2):
+        await takeover.step()
+    assert set(tables.table.keys_by_owner()) == {A, B}
+
+
 async def test_nothing_is_taken_over_without_store_contact(parts):
     store, mirror, nodes, tables = parts
     takeover = await prepare_takeover(*parts)
