Ignore items that the watch has reported as deleted

The response to a write may arrive after the watch has reported that the key was removed. The item then came back into the mirror: a lost node stayed listed, and a node whose entry was taken away during its first write granted on without one.

An item older than the known deletion of its key is ignored, and a node that finds its entry removed after a write registers again. Both tests failed before.

--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -261,6 +261,8 @@
         held = self.items.get(event.key)
         if held is not None and event.revision <= held.revision:
             return
+        if held is None and event.revision < self.deleted.get(event.key, 0):
+            return
         match event:
             case Item():
                 self.items[event.key] = event
--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -214,10 +214,14 @@
                 self.written_entry = None
                 self.wake.set()
         else:
-            log.warning("own_entry_removed", revision=event.revision, lease=self.lease)
-            self.lease = 0
-            self.written_entry = None
-            self.wake.set()
+            self._note_entry_lost(event.revision)
+
+    def _note_entry_lost(self, revision: int) -> None:
+        """Write the entry again under a new lease."""
+        log.warning("own_entry_removed", revision=revision, lease=self.lease)
+        self.lease = 0
+        self.written_entry = None
+        self.wake.set()
 
     async def run(self) -> None:
         """Write the entry after each update and renew its lease in between."""
@@ -292,3 +296,6 @@
         self.recorded_lease = self.lease
         self.mirror.offer(Item(self.key, value, revision, self.lease))
         log.info("entry_written", revision=revision, lease=self.lease)
+        if self.mirror.revision_of(self.key) != revision:
+            # The watch has reported a later removal or write already.
+            self._note_entry_lost(self.mirror.revision)
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -28,6 +28,21 @@
         await until(lambda: value_of(mirror, "a") == b"2")
 
 
+async def test_an_item_that_was_deleted_meanwhile_does_not_return():
+    # Guards against a node entry that stays in the mirror after the node was lost: the
+    # response to a write may arrive after the watch has reported the deletion.
+    store = MemoryStore()
+    lease = await store.open_lease(5.0)
+    await store.commit(Transaction({"b": 0}, (Write("b", b"1", lease),)))
+    written = store.items["b"]
+    async with Mirror(store) as mirror:
+        await until(lambda: value_of(mirror, "b") == b"1")
+        await store.end_lease(lease)
+        await until(lambda: mirror.get("b") is None)
+        mirror.offer(written)
+        assert mirror.get("b") is None
+
+
 async def test_a_listing_after_lost_history_removes_deleted_keys():
     store = MemoryStore()
     await put(store, "a", b"1")
--- a/tests/coordination/test_registration.py
+++ b/tests/coordination/test_registration.py
@@ -11,11 +11,16 @@
     Registration,
     decode_node,
 )
-from sesamepost.internal.coordination.store import Item, StoreRejectedError
+from sesamepost.internal.coordination.store import (
+    Deletion,
+    Item,
+    StoreRejectedError,
+)
 from tests.coordination.memory_store import MemoryStore
 from tests.waiting import until
 
 ENDPOINT = EndpointInfo("desk", "i-1", 1, 6, "v1", True)
+KEY = "sesamepost/nodes/10.0.0.1"
 ENTRY = NodeEntry("10.0.0.1", "node-1", 77, 7600, "a", "r", ENDPOINT)
 
 
@@ -29,7 +34,7 @@
 
 
 def stored_entry(store: MemoryStore) -> NodeEntry | None:
-    item = store.items.get("sesamepost/nodes/10.0.0.1")
+    item = store.items.get(KEY)
     return None if item is None else decode_node(item)
 
 
@@ -37,7 +42,7 @@
     store = MemoryStore()
     async with registered(store):
         await until(lambda: stored_entry(store) == ENTRY)
-        assert store.items["sesamepost/nodes/10.0.0.1"].lease in store.leases
+        assert store.items[KEY].lease in store.leases
         assert store.items[LAST_LEASE_PREFIX + "10.0.0.1"].lease == 0
 
 
@@ -89,5 +94,29 @@
     mirror = Mirror(MemoryStore())
     nodes = NodeTable(mirror)
     mirror.offer(Item("sesamepost/nodes/10.0.0.9", b"\xc1 no entry", 3))
-    mirror.offer(Item("sesamepost/nodes/10.0.0.1", ENTRY.encode(), 4))
+    mirror.offer(Item(KEY, ENTRY.encode(), 4))
     assert set(nodes.nodes) == {"10.0.0.1"}
+
+
+async def test_an_entry_that_vanished_during_its_write_is_written_again():
+    # Guards against a node that grants on without an entry: the watch reported the
+    # removal before the response to the write had arrived, and the lease goes on.
+    class Store(MemoryStore):
+        async def commit(self, transaction):
+            revision = await super().commit(transaction)
+            if len(self.commits) == 1:
+                await self.remove(KEY)
+                await until(lambda: KEY in mirror.deleted)
+            return revision
+
+        async def remove(self, key):
+            del self.items[key]
+            self.revision += 1
+            self.events.append(Deletion(key, self.revision))
+            await self._notify()
+
+    store = Store()
+    mirror = Mirror(store)
+    async with mirror, Registration(store, mirror, ENTRY):
+        await until(lambda: len(store.commits) >= 2)
+        assert stored_entry(store) == ENTRY
