Release ranges at the endpoint that others were given

A range that vanished from the table without a move of this node, and that the endpoint may still hold, is now released there and logged as range_lost. A move that succeeded no longer marks its released range as usable, so it is released once; the rest of a split range keeps its hold. The subtraction of key spans stood twice and is in table.uncovered.

--- a/src/sesamepost/internal/ranges/heartbeat_holds.py
+++ b/src/sesamepost/internal/ranges/heartbeat_holds.py
@@ -28,7 +28,7 @@
     Hold,
     HoldTracker,
 )
-from sesamepost.internal.ranges.table import KeyRange
+from sesamepost.internal.ranges.table import KeyRange, uncovered
 
 # The endpoint ignores an answer that arrives later than this.
 ANSWER_TIMEOUT_S = 1.0
@@ -112,7 +112,7 @@
 class HeartbeatHolds:
     """Turns the holds of a ``HoldTracker`` into orders and reports into holds.
 
-    >>> from sesamepost.internal.ranges.table import KeyRange
+    >>> from sesamepost.internal.ranges.table import KeyRange, uncovered
     >>> holds = HoldTracker()
     >>> holds.set_ranges([KeyRange(0, 9, None, 3, "token")], now=0.0)
     >>> HeartbeatHolds().order(holds, [], may_grant_until=5.0, now=0.0).ranges
@@ -233,19 +233,9 @@
     """Return the parts of a hold that do not move."""
     key_range = hold.key_range
     handover = key_range.handover if hold.certain_until <= now else ""
-    spans = [(key_range.first, key_range.last)]
-    for begin, end in moving:
-        spans = [
-            part
-            for first, last in spans
-            for part in (
-                (first, min(last, begin - 1)),
-                (max(first, end + 1), last),
-            )
-            if part[0] <= part[1]
-        ]
     return [
-        OrderedRange(first, last, key_range.fence, handover) for first, last in spans
+        OrderedRange(first, last, key_range.fence, handover)
+        for first, last in uncovered(key_range.first, key_range.last, moving)
     ]
 
 
--- a/src/sesamepost/internal/ranges/holds.py
+++ b/src/sesamepost/internal/ranges/holds.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, replace
 
-from sesamepost.internal.ranges.table import KeyRange
+from sesamepost.internal.ranges.table import KeyRange, uncovered
 
 # A node may grant holds until this long after it sent the renewal of its lease.
 HOLD_S = 5.0
@@ -61,6 +61,8 @@
         self.holds: dict[tuple[int, int, int], Hold] = {}
         # Holds of ranges that this node no longer owns, until they certainly ended.
         self.past: list[Hold] = []
+        # Those of them that the endpoint was not told to release.
+        self.lost: list[Hold] = []
         # First and last key of the ranges in the last report of the endpoint, and the
         # time until which it may hold them by orders of any process of this node.
         self.reported: list[tuple[int, int, float]] = []
@@ -77,9 +79,25 @@
         for key_range in ranges:
             key = _key(key_range)
             self.holds[key] = self._carry_over_state(key_range, before)
-        wanted = set(self.holds)
-        self.past += [h for h in before if _key(h.key_range) not in wanted]
-        self.past = [h for h in self.past if h.possible_until > now]
+        dropped = [h for h in before if _key(h.key_range) not in self.holds]
+        self.past = [h for h in [*self.past, *dropped] if h.possible_until > now]
+        self.lost += [h for h in dropped if h in self.past and not h.is_releasing]
+
+    def take_lost(self) -> list[KeyRange]:
+        """Return the ranges that were given to others since the last call.
+
+        The endpoint may still hold them. Parts that this node owns again, under another
+        fence, are left out.
+        """
+        lost, self.lost = self.lost, []
+        owned = [(h.key_range.first, h.key_range.last) for h in self.holds.values()]
+        return [
+            replace(hold.key_range, first=first, last=last)
+            for hold in lost
+            for first, last in uncovered(
+                hold.key_range.first, hold.key_range.last, owned
+            )
+        ]
 
     def due_grants(self, may_grant_until: float, now: float) -> list[GrantCommand]:
         """Return the grants to send now."""
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -100,6 +100,7 @@
         self.retry_move_at: dict[tuple[int, int], float] = {}
         self.writes: dict[str, asyncio.Task] = {}
         self.grants: dict[tuple[int, int, int], asyncio.Task] = {}
+        self.reclaims: set[asyncio.Task] = set()
         self.counters: Counter[str] = Counter()
         self.on_moved: Callable[[int, int], None] = lambda first, last: None
         tables.mirror.changes.subscribe(self._on_change)
@@ -109,7 +110,7 @@
     async def __aexit__(self, *error) -> None:
         await super().__aexit__(*error)
         tasks = [*self.moves.values(), *self.writes.values(), *self.grants.values()]
-        for task in tasks:
+        for task in [*tasks, *self.reclaims]:
             task.cancel()
             with suppress(asyncio.CancelledError):
                 await task
@@ -288,8 +289,12 @@
     def _set_ranges(self, owned: list[KeyRange]) -> None:
         current = [r for r in owned if r.owner == self.owner]
         self.holds.set_ranges(current, boottime())
+        lost = self.holds.take_lost()
         if self.heartbeat_holds is not None:
+            # The next order leaves them out.
             return
+        for key_range in lost:
+            self._reclaim(key_range)
         for first, last in self.moves:
             self.holds.start_release(first, last)
 
@@ -513,7 +518,7 @@
             if is_moved:
                 self.on_moved(first, last)
         finally:
-            if self.heartbeat_holds is None:
+            if self.heartbeat_holds is None and not is_moved:
                 holds.stop_release(first, last)
             self.moves.pop((first, last), None)
             self.retry_move_at.pop((first, last), None)
@@ -526,12 +531,23 @@
                 self.retry_move_at[first, last] = boottime() + CHECK_INTERVAL_S
             self.wake.set()
 
-    async def _release(self, first: int, last: int) -> str:
-        """Release keys; return their token once the endpoint certainly holds none."""
-        if self.heartbeat_holds is not None:
-            return await self._release_by_heartbeat(first, last)
+    def _reclaim(self, key_range: KeyRange) -> None:
+        """Release a range at the endpoint that was given to another owner."""
+        first, last, fence = key_range.first, key_range.last, key_range.fence
+        log.warning("range_lost", first=first, last=last, fence=fence)
+        self.counters["ranges_lost"] += 1
         holds = self.holds
-        # A grant in flight could otherwise be accepted after the release.
+
+        async def release() -> None:
+            await self._wait_for_grants(first, last)
+            await self.releaser.release(holds, first, last, fence)
+
+        task = asyncio.ensure_future(release())
+        self.reclaims.add(task)
+        task.add_done_callback(self.reclaims.discard)
+
+    async def _wait_for_grants(self, first: int, last: int) -> None:
+        """Wait for grants in flight, which could be accepted after a release."""
         pending = [
             task
             for (begin, end, _), task in self.grants.items()
@@ -539,6 +555,13 @@
         ]
         if pending:
             await asyncio.wait(pending)
+
+    async def _release(self, first: int, last: int) -> str:
+        """Release keys; return their token once the endpoint certainly holds none."""
+        if self.heartbeat_holds is not None:
+            return await self._release_by_heartbeat(first, last)
+        holds = self.holds
+        await self._wait_for_grants(first, last)
         table = self.tables.table
         tokens = []
         for r in table.owned_by(self.vm) if table else []:
--- a/src/sesamepost/internal/ranges/table.py
+++ b/src/sesamepost/internal/ranges/table.py
@@ -4,7 +4,7 @@
 """
 
 from bisect import bisect_right
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
 import msgpack
@@ -235,6 +235,28 @@
     return table
 
 
+def uncovered(
+    first: int, last: int, spans: Iterable[tuple[int, int]]
+) -> list[tuple[int, int]]:
+    """Return the parts of the keys from ``first`` to ``last`` that no span covers.
+
+    >>> uncovered(0, 9, [(3, 5)])
+    [(0, 2), (6, 9)]
+    """
+    parts = [(first, last)]
+    for begin, end in spans:
+        parts = [
+            piece
+            for part_first, part_last in parts
+            for piece in (
+                (part_first, min(part_last, begin - 1)),
+                (max(part_first, end + 1), part_last),
+            )
+            if piece[0] <= piece[1]
+        ]
+    return parts
+
+
 def _validate_section(ranges: tuple[KeyRange, ...], begin: int) -> None:
     if not ranges or len(ranges) > MAX_RANGES or ranges[0].first != begin:
         raise ValueError(
--- a/tests/ranges/test_grant_rights.py
+++ b/tests/ranges/test_grant_rights.py
@@ -53,6 +53,24 @@
         assert order.ranges[0].first == TAKEN_LAST + 1
 
 
+async def test_a_range_that_others_got_is_released_at_the_endpoint():
+    # Guards against a hold that runs on for seconds after a node finds its range given
+    # to another owner.
+    async with running_keepers(MemoryStore(), OWNERS[:2]) as (keeper, other):
+        assert await other.tables.change("owners are gone", take_keys)
+        await until(lambda: keeper.commands.released)
+        await asyncio.sleep(0.1)
+        assert keeper.commands.released == [(TAKEN_FIRST, TAKEN_LAST, 1)]
+
+
+async def test_a_range_that_moves_is_released_once():
+    async with running_keepers(MemoryStore(), OWNERS[:2]) as (keeper, _):
+        keeper.move([Move(100, 199, OWNERS[1])], "test")
+        await until(lambda: not keeper.moves)
+        await asyncio.sleep(0.1)
+        assert keeper.commands.released == [(100, 199, 1)]
+
+
 async def start_unanswered_move(store: LateStore, keeper: RangeKeeper) -> None:
     """Let a keeper send a move that the store leaves unanswered."""
     store.is_late = True
