Let a test's endpoint work on after the deadline

test_a_timeout_after_sending_is_answered_as_unknown failed in 4 of 64 plays beside six busy processes: the stand-in answered 504 itself at the deadline, before the timer of the node, and that answer states that the request ran. Both outcomes are right; the test is about an endpoint that does not answer.

The stand-in can now ignore deadlines, and the test uses that; its assertion is the same.

--- a/src/sesamepost/standins/endpoint.py
+++ b/src/sesamepost/standins/endpoint.py
@@ -37,6 +37,7 @@
     """Behaviour that ``POST /control`` can change.
 
     ``freeze`` stops announcements and responses, like a stopped process.
+    ``ignore_deadlines`` continues work after the deadline of its request, and
     ``cut_answers`` closes the connection halfway through each response.
     ``reported_load`` replaces the actual load in announcements; ``report_lag_s`` delays
     the reported load. ``answer_bytes`` is the minimum size of a response body.
@@ -44,6 +45,7 @@
 
     work_ms: float = 0.0
     freeze: bool = False
+    ignore_deadlines: bool = False
     cut_answers: bool = False
     shed_all: bool = False
     reported_load: float | None = None
@@ -213,8 +215,9 @@
             self.counters["refused"] += 1
             return _not_run(reason)
         execution = self._start_execution(headers)
+        has_deadline = deadline is not None and not self.behaviour.ignore_deadlines
         try:
-            async with asyncio.timeout(deadline - received if deadline else None):
+            async with asyncio.timeout(deadline - received if has_deadline else None):
                 await self._simulate_work()
         except TimeoutError:
             self.counters["deadlines_passed"] += 1
--- a/tests/e2e/test_requests.py
+++ b/tests/e2e/test_requests.py
@@ -103,8 +103,11 @@
 
 
 async def test_a_timeout_after_sending_is_answered_as_unknown():
-    # Guards against the outcome "not run" for a request that is in progress.
+    # Guards against the outcome "not run" for a request that is in progress. The
+    # endpoint does not answer at the deadline itself, which would state that it ran.
     async with running_fleet(vms=2, work_ms=2000) as fleet:
+        for vm in fleet.vms:
+            vm.endpoint.control(ignore_deadlines=True)
         for vm in fleet.vms:
             reply = await fleet.send(vm, "slow", Sesamepost_Timeout_Ms="300")
             assert (reply.kind, reply.outcome) == ("outcome_unknown", "unknown")
