Subtract the time that a grant waits from its hold

A hold counts from the arrival of its grant, but its length was computed before the grant waited for one of four connections. With 16 ranges and a worker that answers after 0.2 s, holds of 4.0 s ended 4.6 s after the call. A takeover waits 0.4 s beyond the longest hold, so on a busy machine with many ranges two workers could hold a key.

--- a/src/sesamepost/internal/ranges/commands.py
+++ b/src/sesamepost/internal/ranges/commands.py
@@ -16,12 +16,16 @@
     """A grant was withheld because another incarnation could have accepted it."""
 
 
+class GrantDelayedError(Exception):
+    """A grant was not sent, because it had to wait too long for a connection."""
+
+
 class EndpointCommands(Protocol):
     """Commands to the local endpoint.
 
     Both commands raise ``EndpointUnresponsiveError`` or ``EndpointGoneError``. A grant
     also raises ``EndpointUnconfirmedError`` if it would need a new connection and
-    ``may_connect`` does not allow one.
+    ``may_connect`` does not allow one, and ``GrantDelayedError``.
     """
 
     may_connect: Callable[[], bool]
@@ -29,7 +33,11 @@
     async def grant(
         self, first: int, last: int, fence: int, hold_s: float, handover: str
     ) -> bool:
-        """Grant or renew a hold; return False if the endpoint saw a higher fence."""
+        """Grant or renew a hold; return False if the endpoint saw a higher fence.
+
+        The hold ends at most ``hold_s`` seconds after this call, although it counts
+        from when the endpoint receives the grant.
+        """
 
     async def release(self, first: int, last: int, fence: int) -> str:
         """End a hold once its requests have finished; return the handover token."""
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -15,6 +15,7 @@
     EndpointGoneError,
     EndpointUnconfirmedError,
     EndpointUnresponsiveError,
+    GrantDelayedError,
 )
 from sesamepost.internal.ranges.grant_right import GrantRight
 from sesamepost.internal.ranges.heartbeat_holds import (
@@ -443,7 +444,11 @@
             holds.note_unanswered(command, sent_at)
             log.info("grant_unanswered", first=r.first, fence=r.fence, error=str(error))
             return
-        except (EndpointGoneError, EndpointUnconfirmedError) as error:
+        except (
+            EndpointGoneError,
+            EndpointUnconfirmedError,
+            GrantDelayedError,
+        ) as error:
             self.counters["grants_not_sent"] += 1
             log.info("grant_not_sent", first=r.first, error=str(error))
             return
--- a/src/sesamepost/platform/endpoint_commands.py
+++ b/src/sesamepost/platform/endpoint_commands.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from sesamepost.errors import RouterError
+from sesamepost.internal.clock import boottime
 from sesamepost.internal.forwarding.endpoint_connection import (
     EndpointConnection,
     EndpointResponse,
@@ -15,7 +16,9 @@
     EndpointGoneError,
     EndpointUnconfirmedError,
     EndpointUnresponsiveError,
+    GrantDelayedError,
 )
+from sesamepost.internal.ranges.holds import MIN_HOLD_S
 from sesamepost.internal.wire.pool import Address
 from sesamepost.platform.names import (
     GRANT_PATH,
@@ -26,6 +29,10 @@
 
 GRANT_TIMEOUT_S = 1.0
 RELEASE_TIMEOUT_S = 6.0
+MAX_GRANTS_IN_FLIGHT = 4
+# A hold counts from the arrival of its grant. This is less than the time for which a
+# takeover waits beyond the longest hold.
+GRANT_CONNECT_TIMEOUT_S = 0.3
 # Responses to commands have empty or short bodies.
 MAX_BODY_BYTES = 64 << 10
 # Longer than the interval between renewals of grants, so that a connection lasts as
@@ -48,13 +55,19 @@
         self.base = f"http://{address.host}:{address.port}"
         self.session: aiohttp.ClientSession | None = None
         self.may_connect: Callable[[], bool] = lambda: True
+        self.grant_slots = asyncio.Semaphore(MAX_GRANTS_IN_FLIGHT)
 
     async def __aenter__(self) -> "WorkerCommands":
         trace = aiohttp.TraceConfig()
         trace.on_connection_create_start.append(self._on_connect)
         self.session = aiohttp.ClientSession(
             trace_configs=[trace],
-            connector=aiohttp.TCPConnector(limit=4, keepalive_timeout=KEEP_ALIVE_S),
+            connector=aiohttp.TCPConnector(
+                limit=MAX_GRANTS_IN_FLIGHT, keepalive_timeout=KEEP_ALIVE_S
+            ),
+            timeout=aiohttp.ClientTimeout(
+                total=GRANT_TIMEOUT_S, sock_connect=GRANT_CONNECT_TIMEOUT_S
+            ),
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
         )
@@ -67,7 +80,28 @@
     async def grant(
         self, first: int, last: int, fence: int, hold_s: float, handover: str
     ) -> bool:
-        """Grant or renew a hold; return False if the worker knows a higher fence."""
+        """Grant or renew a hold; return False if the worker knows a higher fence.
+
+        The hold ends at most ``hold_s`` seconds after this call. Time that the grant
+        waits for other grants is subtracted.
+        """
+        called_at = boottime()
+        try:
+            async with asyncio.timeout(GRANT_TIMEOUT_S):
+                await self.grant_slots.acquire()
+        except TimeoutError:
+            raise GrantDelayedError("other grants are not answered") from None
+        try:
+            remaining_s = called_at + hold_s - boottime()
+            if remaining_s < MIN_HOLD_S:
+                raise GrantDelayedError(f"{remaining_s:.2f} s of the hold are left")
+            return await self._send_grant(first, last, fence, remaining_s, handover)
+        finally:
+            self.grant_slots.release()
+
+    async def _send_grant(
+        self, first: int, last: int, fence: int, hold_s: float, handover: str
+    ) -> bool:
         body = {
             "from": first,
             "target": last,
@@ -76,7 +110,7 @@
         }
         if handover:
             body["handover"] = handover
-        status = await self._command(GRANT_PATH, body, GRANT_TIMEOUT_S)
+        status = await self._post_grant(body)
         if status == 409:
             return False
         if status != 200:
@@ -119,19 +153,19 @@
             connection.close()
 
     async def _on_connect(self, session, context, parameters) -> None:
-        if context.trace_request_ctx == GRANT_PATH and not self.may_connect():
+        if not self.may_connect():
             raise EndpointUnconfirmedError(
                 "the current incarnation of the worker is not confirmed"
             )
 
-    async def _command(self, path: str, body: dict, timeout_s: float) -> int:
+    async def _post_grant(self, body: dict) -> int:
+        """Send a grant over a kept connection and return the status."""
         try:
-            async with asyncio.timeout(timeout_s):
-                async with self.session.post(
-                    self.base + path, json=body, trace_request_ctx=path
-                ) as response:
-                    await _drain_body(response)
-                    return response.status
+            async with self.session.post(self.base + GRANT_PATH, json=body) as response:
+                await _drain_body(response)
+                return response.status
+        except aiohttp.ConnectionTimeoutError as error:
+            raise GrantDelayedError(repr(error)) from None
         except aiohttp.ClientConnectorError as error:
             if isinstance(error.os_error, ConnectionRefusedError):
                 raise EndpointGoneError(str(error)) from None
--- a/tests/platform/test_endpoint_commands.py
+++ b/tests/platform/test_endpoint_commands.py
@@ -15,6 +15,7 @@
     EndpointUnconfirmedError,
     EndpointUnresponsiveError,
 )
+from sesamepost.internal.ranges.holds import MARGIN_S
 from sesamepost.internal.wire.pool import Address
 from sesamepost.platform.endpoint_commands import WorkerCommands
 from tests.forwarding.test_endpoint_connection import EndlessEndpoint
@@ -73,6 +74,33 @@
             assert [grant["fence"] for grant in second.grants] == [2]
 
 
+class SlowWorker(Worker):
+    """Answers each grant after a while and records when its hold ends."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.hold_ends: list[float] = []
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        self.hold_ends.append(boottime() + (await request.json())["holdS"])
+        await asyncio.sleep(0.2)
+        return await super()._grant(request)
+
+
+async def test_a_grant_that_waits_for_a_connection_gives_no_longer_hold():
+    # Guards against holds that outlast the right of the node: a hold counts from the
+    # arrival of its grant, and a node with many ranges sends only a few at a time.
+    async with (
+        SlowWorker() as worker,
+        WorkerCommands(Address("127.0.0.1", worker.port)) as commands,
+    ):
+        started = boottime()
+        grants = [commands.grant(n, n, 1, 4.0, "") for n in range(16)]
+        assert all(await asyncio.gather(*grants))
+        assert len(worker.hold_ends) == 16
+        assert max(worker.hold_ends) - started <= 4.0 + MARGIN_S
+
+
 async def test_an_incarnation_is_current_from_its_heartbeat_until_its_connections_end():
     # Guards against grants that wait for the next heartbeat of an unchanged worker.
     async with Worker() as worker:
