--- a/src/sesamepost/internal/ranges/heartbeat_holds.py
+++ b/src/sesamepost/internal/ranges/heartbeat_holds.py
@@ -112,7 +112,7 @@
 class HeartbeatHolds:
     """Turns the holds of a ``HoldTracker`` into orders and reports into holds.
 
-    >>> from sesamepost.internal.ranges.table import KeyRange, uncovered
+    >>> from sesamepost.internal.ranges.table import KeyRange
     >>> holds = HoldTracker()
     >>> holds.set_ranges([KeyRange(0, 9, None, 3, "token")], now=0.0)
     >>> HeartbeatHolds().order(holds, [], may_grant_until=5.0, now=0.0).ranges
