Log which incarnation a grant is meant for and what each release rests on

The logs did not say which incarnation a grant was meant for, over which connection it went, why that connection was allowed, or what ended a hold early, so a grant that reached the next incarnation looked like a refused connection or a wrong report of an end.

Callers saw two workers answer for the same key. Nothing changes for them: only log lines and counters are new. `endpoint_ended` names the owner's VM as `owner_vm`; as `vm` it replaced the name of the node that wrote the line.

Renewals over a known connection write no line, unless they were answered after their incarnation had been replaced. - Heartbeats: `heartbeat_of_new_incarnation`, `heartbeat_rejected`, `heartbeat_after_end`. - Ends of holds: `released` with its proof, `holds_void`, `incarnation_replaced`, `release_refused`; `endpoint_not_listening` has the number of open connections, also when a leaving endpoint is probed. - Takeovers: `owner_lost` with the reason and the state of the owner's entry.

--- a/src/sesamepost/internal/forwarding/endpoint_pool.py
+++ b/src/sesamepost/internal/forwarding/endpoint_pool.py
@@ -56,6 +56,10 @@
             connection.close()
         self.idle.clear()
 
+    def count_open(self) -> int:
+        """Return how many connections to the endpoint are open."""
+        return sum(c.is_open for c in (*self.idle, *self.in_use))
+
     async def send(
         self,
         method: str,
@@ -82,6 +86,7 @@
             connection = await self._connect()
         except RouterError as error:
             is_closed = isinstance(error.__cause__, ConnectionRefusedError)
+            self.counters["probes_refused" if is_closed else "probes_failed"] += 1
             return Listening.NO if is_closed else Listening.UNKNOWN
         self._return_to_pool(connection)
         return Listening.YES
--- a/src/sesamepost/internal/forwarding/endpoint_watch.py
+++ b/src/sesamepost/internal/forwarding/endpoint_watch.py
@@ -56,11 +56,18 @@
         self.last_seen_at = 0.0
         self.last_heartbeat_at = float("-inf")
         self.is_suspect = False
+        # The incarnation that was last taken for ended, until it sends a heartbeat.
+        self.ended: tuple[str, int] | None = None
 
     def has_recent_heartbeat(self) -> bool:
         """Return whether the current incarnation has just sent a heartbeat."""
         return boottime() - self.last_heartbeat_at < RECENT_HEARTBEAT_S
 
+    def heartbeat_age_s(self) -> float | None:
+        """Return the time since the last accepted heartbeat, None if there was none."""
+        age_s = boottime() - self.last_heartbeat_at
+        return None if age_s == float("inf") else round(age_s, 3)
+
     def suspect(self) -> None:
         """Request a probe of the endpoint after a request to it has failed."""
         self.is_suspect = True
@@ -74,6 +81,7 @@
         current = self.endpoint
         if current is not None and info.incarnation == current.incarnation:
             if sequence <= self.last_sequence:
+                self._log_heartbeat("heartbeat_rejected", info, sequence, "sequence")
                 return False
             if self.has_left and info.is_ready:
                 # An incarnation that has sent a leave message stays unready.
@@ -81,7 +89,9 @@
         elif current is not None and info.born < current.born:
             is_silent = now - self.last_seen_at >= SILENT_INCARNATION_S
             if not is_silent:
+                self._log_heartbeat("heartbeat_rejected", info, sequence, "born")
                 return False
+        self._log_if_unexpected(info, sequence)
         if current is None or info.incarnation != current.incarnation:
             self.has_left = info.born <= self.departed.get(info.id, -1)
             if self.has_left:
@@ -95,6 +105,32 @@
         self._update(info, is_gone=False)
         return True
 
+    def _log_if_unexpected(self, info: EndpointInfo, sequence: int) -> None:
+        """Log an accepted heartbeat that changes which incarnation is known to run."""
+        current = self.endpoint
+        if self.ended == info.incarnation:
+            self._log_heartbeat("heartbeat_after_end", info, sequence)
+        elif current is None or info.incarnation != current.incarnation:
+            self._log_heartbeat("heartbeat_of_new_incarnation", info, sequence)
+        self.ended = None
+
+    def _log_heartbeat(
+        self, event: str, info: EndpointInfo, sequence: int, reason: str | None = None
+    ) -> None:
+        current = self.endpoint
+        log.info(
+            event,
+            endpoint=info.id,
+            born=info.born,
+            sequence=sequence,
+            ready=info.is_ready,
+            reason=reason,
+            current_endpoint=current and current.id,
+            current_born=current and current.born,
+            current_sequence=self.last_sequence,
+            heartbeat_age_s=self.heartbeat_age_s(),
+        )
+
     def note_leave(self, endpoint_id: str, born: int) -> None:
         """Process the leave message of the incarnation that was started at ``born``.
 
@@ -113,6 +149,7 @@
         info = self.endpoint
         if info is None or await self.pool.probe() is not Listening.NO:
             return False
+        self._log_not_listening(info, Listening.NO)
         self._update(replace(info, is_ready=False), is_gone=True)
         return True
 
@@ -150,6 +187,8 @@
                 is_confirmed=is_confirmed,
             )
         self.endpoint = info
+        if is_gone:
+            self.ended = info.incarnation
         self.is_confirmed = is_confirmed
         self.on_change(is_gone)
 
@@ -168,10 +207,17 @@
             self.is_suspect = False
             self.last_seen_at = boottime()
             return
+        self._log_not_listening(info, listening)
+        self._update(replace(info, is_ready=False), listening is Listening.NO)
+
+    def _log_not_listening(self, info: EndpointInfo, listening: Listening) -> None:
         log.warning(
             "endpoint_not_listening",
             endpoint=info.id,
+            born=info.born,
             listening=listening.value,
-            silent_s=round(silent_s, 2),
+            silent_s=round(boottime() - self.last_seen_at, 2),
+            heartbeat_age_s=self.heartbeat_age_s(),
+            # An open connection shows that the process had not ended.
+            open_connections=self.pool.count_open(),
         )
-        self._update(replace(info, is_ready=False), listening is Listening.NO)
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 
 import structlog
+from structlog.contextvars import bind_contextvars
 
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import EndpointInfo, NodeTable, Registration
@@ -140,9 +141,13 @@
         """
         self.is_confirmed = is_confirmed
         incarnation = endpoint.incarnation if endpoint else None
+        if is_gone and not self.releaser.is_gone:
+            self._log_holds("holds_void", "endpoint_gone")
         if endpoint is None:
             is_gone |= self.releaser.is_gone
         elif incarnation != self.incarnation and self.incarnation is not None:
+            proof = "endpoint_gone" if self.releaser.is_gone else None
+            self._log_holds("incarnation_replaced", proof, endpoint)
             self.holds = HoldTracker(self.holds.max_hold_s, self._held_until())
         self.incarnation = incarnation or self.incarnation
         self.endpoint = endpoint
@@ -150,6 +155,22 @@
         self.releaser.is_gone = is_gone
         self.wake.set()
 
+    def _log_holds(
+        self, event: str, proof: str | None, successor: EndpointInfo | None = None
+    ) -> None:
+        """Log how long the known incarnation may hold keys if ``proof`` is wrong."""
+        former = self.incarnation or (None, None)
+        possible_s = self.holds.possible_until(0, LAST_KEY) - boottime()
+        log.info(
+            event,
+            proof=proof,
+            endpoint=former[0],
+            born=former[1],
+            successor=successor and successor.id,
+            successor_born=successor and successor.born,
+            possible_s=round(max(0.0, possible_s), 2),
+        )
+
     def _held_until(self) -> float:
         """Return the time until which the known incarnation may hold any key."""
         if self.releaser.is_gone:
@@ -435,6 +456,14 @@
         holds = self.holds
         sent_at = boottime()
         self.counters["grants"] += 1
+        if r.owner is not None:
+            # The lines of this task name the incarnation that the grant is meant for.
+            bind_contextvars(
+                endpoint=r.owner.endpoint_id,
+                born=r.owner.born,
+                first=r.first,
+                fence=r.fence,
+            )
         try:
             is_granted = await self.commands.grant(
                 r.first, r.last, r.fence, command.hold_s, r.handover
@@ -456,7 +485,11 @@
             self.grants.pop(key, None)
         if is_granted:
             hold = holds.find(r.first)
-            if hold is not None and hold.certain_until < sent_at:
+            is_current = r.owner == self.owner
+            if not is_current:
+                self.counters["grants_of_former_incarnations"] += 1
+            is_start = hold is not None and hold.certain_until < sent_at
+            if is_start or not is_current:
                 log.info(
                     "granted",
                     first=r.first,
@@ -466,6 +499,8 @@
                     known_revision=self.tables.mirror.revision,
                     lease_revision=self.registration.lease_revision,
                     renewed_ago_s=round(boottime() - self.registration.renewed_at, 2),
+                    is_current=is_current,
+                    answered_after_s=round(boottime() - sent_at, 3),
                 )
             holds.note_granted(command, sent_at)
             self._note_granted()
@@ -544,8 +579,10 @@
         holds = self.holds
 
         async def release() -> None:
+            started_at = boottime()
             await self._wait_for_grants(first, last)
-            await self.releaser.release(holds, first, last, fence)
+            token = await self.releaser.release(holds, first, last, fence)
+            self._log_released(holds, first, last, bool(token), started_at)
 
         task = asyncio.ensure_future(release())
         self.reclaims.add(task)
@@ -561,11 +598,41 @@
         if pending:
             await asyncio.wait(pending)
 
+    def _log_released(
+        self,
+        holds: HoldTracker,
+        first: int,
+        last: int,
+        is_proven: bool,
+        started_at: float,
+    ) -> None:
+        """Log the proof that the endpoint holds none of these keys.
+
+        ``is_proven`` says that the endpoint answered each release with a token.
+        """
+        possible_s = holds.possible_until(first, last) - boottime()
+        if is_proven:
+            proof = "token"
+        elif self.releaser.is_gone:
+            proof = "endpoint_gone"
+        else:
+            proof = "hold_ended" if possible_s <= 0 else None
+        log.info(
+            "released",
+            first=first,
+            last=last,
+            proof=proof,
+            waited_s=round(boottime() - started_at, 3),
+            possible_s=round(max(0.0, possible_s), 2),
+        )
+
     async def _release(self, first: int, last: int) -> str:
         """Release keys; return their token once the endpoint certainly holds none."""
+        holds, started_at = self.holds, boottime()
         if self.heartbeat_holds is not None:
-            return await self._release_by_heartbeat(first, last)
-        holds = self.holds
+            token = await self._release_by_heartbeat(first, last)
+            self._log_released(holds, first, last, bool(token), started_at)
+            return token
         await self._wait_for_grants(first, last)
         table = self.tables.table
         tokens = []
@@ -574,12 +641,14 @@
                 continue
             part = (max(first, r.first), min(last, r.last), r.fence)
             tokens.append(await self.releaser.release(holds, *part))
-        if all(tokens) and tokens:
+        is_proven = bool(tokens) and all(tokens)
+        if is_proven:
             # The endpoint may execute an unanswered grant after the release.
             await self.releaser.sleep_until(holds.unanswered_until(first, last))
-            return tokens[0] if len(tokens) == 1 else ""
-        await self.releaser.sleep_until(holds.possible_until(first, last))
-        return ""
+        else:
+            await self.releaser.sleep_until(holds.possible_until(first, last))
+        self._log_released(holds, first, last, is_proven, started_at)
+        return tokens[0] if is_proven and len(tokens) == 1 else ""
 
     async def _release_by_heartbeat(self, first: int, last: int) -> str:
         """Wait for a heartbeat that proves the release, or until the hold has ended."""
--- a/src/sesamepost/internal/ranges/releasing.py
+++ b/src/sesamepost/internal/ranges/releasing.py
@@ -41,7 +41,8 @@
             try:
                 async with asyncio.timeout(max(0.05, end - boottime())):
                     return await self.commands.release(first, last, fence)
-            except EndpointGoneError:
+            except EndpointGoneError as error:
+                log.info("release_refused", first=first, last=last, error=str(error))
                 return ""
             except (EndpointUnresponsiveError, TimeoutError) as error:
                 log.info(
--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -81,11 +81,19 @@
         self.cached_table: RangeTable | None = None
         self.cached_owners: set[Owner] = set()
         self.has_unowned = False
+        # Owners whose loss was logged before the last write.
+        self.logged_lost: set[Owner] = set()
         self.on_assigned: Callable[[], None] = lambda: None
 
     def note_ended(self, owner: Owner) -> None:
         """Record the report of an endpoint's own node that it holds nothing."""
-        log.info("endpoint_ended", vm=owner.vm, endpoint=owner.endpoint_id)
+        log.info(
+            "endpoint_ended",
+            owner_vm=owner.vm,
+            endpoint=owner.endpoint_id,
+            born=owner.born,
+            **self._entry_state(owner),
+        )
         self.ended.add(owner)
 
     async def step(self) -> None:
@@ -106,6 +114,7 @@
             )
             return
         lost = self._fit_into_transaction(self._lost_owners(now))
+        self._log_lost(lost, now)
         conditions = {}
         for vm in {owner.vm for owner in lost if owner not in self.ended}:
             conditions[self.nodes.node_key(vm)] = 0
@@ -119,6 +128,35 @@
         if await self.tables.change("owners are gone", transform, conditions):
             self.on_assigned()
 
+    def _log_lost(self, lost: set[Owner], now: float) -> None:
+        """Log once why each of these owners counts as lost."""
+        for owner in lost - self.logged_lost:
+            missing_s = None
+            if owner.vm in self.lease_records:
+                missing_s = round(now - self._missing_since(owner.vm, now), 2)
+            log.info(
+                "owner_lost",
+                owner_vm=owner.vm,
+                endpoint=owner.endpoint_id,
+                born=owner.born,
+                is_reported_ended=owner in self.ended,
+                missing_s=missing_s,
+                **self._entry_state(owner),
+            )
+        self.logged_lost = lost
+
+    def _entry_state(self, owner: Owner) -> dict[str, object]:
+        """Return what the entry of an owner's VM says now, for the log."""
+        node = self.nodes.nodes.get(owner.vm)
+        endpoint = node.endpoint if node is not None else None
+        return {
+            "is_entry_present": node is not None,
+            "entry_endpoint": endpoint and endpoint.id,
+            "entry_born": endpoint and endpoint.born,
+            "entry_ready": endpoint and endpoint.is_ready,
+            "known_revision": self.mirror.revision,
+        }
+
     def _fit_into_transaction(self, lost: set[Owner]) -> set[Owner]:
         """Return as many lost owners as one transaction can name; the rest follow."""
         vms = sorted({owner.vm for owner in lost if owner not in self.ended})
--- a/src/sesamepost/platform/endpoint_commands.py
+++ b/src/sesamepost/platform/endpoint_commands.py
@@ -3,8 +3,13 @@
 import asyncio
 import json
 from collections.abc import Callable
+from contextvars import ContextVar
+from dataclasses import dataclass
+from weakref import WeakKeyDictionary
 
 import aiohttp
+import structlog
+from structlog.contextvars import bind_contextvars
 
 from sesamepost.errors import RouterError
 from sesamepost.internal.clock import boottime
@@ -39,6 +44,53 @@
 # long as the worker.
 KEEP_ALIVE_S = 30.0
 
+log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class GrantConnection:
+    """A connection for grants, for the log."""
+
+    number: int
+    opened_at: float
+
+
+@dataclass(slots=True)
+class GrantTrace:
+    """Which connection a grant was sent over, and when."""
+
+    connections: WeakKeyDictionary[asyncio.BaseProtocol, GrantConnection]
+    called_at: float
+    opened: GrantConnection | None = None
+
+    def note_sent(self, protocol: asyncio.BaseProtocol | None) -> None:
+        """Add the connection to all further log lines of the task."""
+        if protocol is None:
+            return
+        if self.opened is not None:
+            self.connections[protocol] = self.opened
+        used = self.connections.get(protocol)
+        if used is None:
+            return
+        now = boottime()
+        bind_contextvars(
+            connection=used.number,
+            connection_age_s=round(now - used.opened_at, 3),
+            sent_after_s=round(now - self.called_at, 3),
+        )
+
+
+current_grant: ContextVar[GrantTrace] = ContextVar("current_grant")
+
+
+class TracedResponse(aiohttp.ClientResponse):
+    """Records the connection of a grant before the answer is read."""
+
+    async def start(self, connection) -> "TracedResponse":
+        """Read the head of the answer to the grant, which has just been sent."""
+        current_grant.get().note_sent(connection.protocol)
+        return await super().start(connection)
+
 
 class WorkerCommands:
     """Sends commands over separate connections, so that requests do not delay them.
@@ -48,6 +100,9 @@
 
     ``may_connect`` returns whether a grant may open a connection. An open connection
     leads to the incarnation of the worker for which it was opened.
+
+    ``grant`` binds the connection as context of the log, so that the lines that its
+    task writes later name it too.
     """
 
     def __init__(self, address: Address) -> None:
@@ -56,12 +111,17 @@
         self.session: aiohttp.ClientSession | None = None
         self.may_connect: Callable[[], bool] = lambda: True
         self.grant_slots = asyncio.Semaphore(MAX_GRANTS_IN_FLIGHT)
+        self.connections: WeakKeyDictionary[asyncio.BaseProtocol, GrantConnection] = (
+            WeakKeyDictionary()
+        )
+        self.connections_opened = 0
 
     async def __aenter__(self) -> "WorkerCommands":
         trace = aiohttp.TraceConfig()
         trace.on_connection_create_start.append(self._on_connect)
         self.session = aiohttp.ClientSession(
             trace_configs=[trace],
+            response_class=TracedResponse,
             connector=aiohttp.TCPConnector(
                 limit=MAX_GRANTS_IN_FLIGHT, keepalive_timeout=KEEP_ALIVE_S
             ),
@@ -86,6 +146,8 @@
         waits for other grants is subtracted.
         """
         called_at = boottime()
+        trace = GrantTrace(self.connections, called_at)
+        current_grant.set(trace)
         try:
             async with asyncio.timeout(GRANT_TIMEOUT_S):
                 await self.grant_slots.acquire()
@@ -111,6 +173,8 @@
         if handover:
             body["handover"] = handover
         status = await self._post_grant(body)
+        if current_grant.get().opened is not None:
+            log.info("grant_over_new_connection", status=status)
         if status == 409:
             return False
         if status != 200:
@@ -157,6 +221,15 @@
             raise EndpointUnconfirmedError(
                 "the current incarnation of the worker is not confirmed"
             )
+        now = boottime()
+        self.connections_opened += 1
+        trace = current_grant.get()
+        trace.opened = GrantConnection(self.connections_opened, now)
+        log.info(
+            "grant_connection_opening",
+            connection=self.connections_opened,
+            waited_s=round(now - trace.called_at, 3),
+        )
 
     async def _post_grant(self, body: dict) -> int:
         """Send a grant over a kept connection and return the status."""
--- a/tests/forwarding/test_endpoint_watch.py
+++ b/tests/forwarding/test_endpoint_watch.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from structlog.testing import capture_logs
 
 from sesamepost.internal.coordination.nodes import EndpointInfo
 from sesamepost.internal.forwarding import endpoint_watch
@@ -113,3 +114,44 @@
     assert not watch.endpoint.is_ready
     watch.note_heartbeat(info(20), 1)
     assert watch.endpoint.is_ready
+
+
+def test_heartbeats_are_logged_only_if_they_contradict_what_is_known(watch):
+    # Guards against logs that do not tell whose heartbeat made the next incarnation the
+    # owner of the ranges of one that still holds them.
+    with capture_logs() as logs:
+        watch.note_heartbeat(info(10), 1)
+        watch.note_heartbeat(info(10), 2)
+        watch.note_heartbeat(info(10), 3)
+        watch.now[0] += 0.5
+        watch.note_heartbeat(info(10), 2)
+        watch.note_heartbeat(info(20, name="i-2"), 1)
+        watch.note_heartbeat(info(10), 4)
+    lines = [line for line in logs if line["event"].startswith("heartbeat")]
+    assert [(line["event"], line["reason"], line["born"]) for line in lines] == [
+        ("heartbeat_of_new_incarnation", None, 10),
+        ("heartbeat_rejected", "sequence", 10),
+        ("heartbeat_of_new_incarnation", None, 20),
+        ("heartbeat_rejected", "born", 10),
+    ]
+    assert [line["heartbeat_age_s"] for line in lines] == [None, 0.5, 0.5, 0.0]
+    assert lines[2]["current_born"] == 10
+
+
+async def test_a_heartbeat_of_an_incarnation_taken_for_ended_is_logged(
+    watch, monkeypatch
+):
+    # Guards against a refused connection that passes unseen for the end of a worker.
+    async def probe() -> Listening:
+        return Listening.NO
+
+    monkeypatch.setattr(watch.pool, "probe", probe)
+    with capture_logs() as logs:
+        watch.note_heartbeat(info(10), 1)
+        assert await watch.check_ended()
+        watch.note_heartbeat(info(10), 2)
+        watch.note_heartbeat(info(10), 3)
+    assert [line["event"] for line in logs].count("heartbeat_after_end") == 1
+    ended = next(line for line in logs if line["event"] == "endpoint_not_listening")
+    assert (ended["born"], ended["listening"]) == (10, "no")
+    assert ended["open_connections"] == 0
--- a/tests/platform/test_endpoint_commands.py
+++ b/tests/platform/test_endpoint_commands.py
@@ -4,6 +4,8 @@
 
 import pytest
 from aiohttp import web
+from structlog.contextvars import get_contextvars, merge_contextvars
+from structlog.testing import capture_logs
 
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.forwarding.endpoint_presence import EndpointPresence
@@ -179,3 +181,68 @@
             await endpoint.closed.wait()
     assert endpoint.sent < 8 << 20
     server.close()
+
+
+async def test_a_grant_over_a_new_connection_is_logged_with_its_connection_and_wait():
+    # Guards against logs that do not tell which incarnation of the worker a grant
+    # reached: incident OWNER left only two workers that held a key by the same fence.
+    async with (
+        Worker() as worker,
+        WorkerCommands(Address("127.0.0.1", worker.port)) as commands,
+    ):
+        with capture_logs([merge_contextvars]) as logs:
+            assert await commands.grant(0, 9, 1, 4.0, "")
+            assert await commands.grant(0, 9, 1, 4.0, "")
+            await worker.runner.cleanup()
+            async with Worker(worker.port):
+                assert await commands.grant(0, 9, 1, 4.0, "")
+    assert [(line["event"], line["connection"]) for line in logs] == [
+        ("grant_connection_opening", 1),
+        ("grant_over_new_connection", 1),
+        ("grant_connection_opening", 2),
+        ("grant_over_new_connection", 2),
+    ]
+    assert all(0 <= line["waited_s"] < 1 for line in logs[::2])
+    assert all(0 <= line["sent_after_s"] < 1 for line in logs[1::2])
+
+
+async def test_lines_after_a_grant_name_the_known_connection_that_it_was_sent_over():
+    # Guards against a hold that cannot be traced to the incarnation that holds it, if
+    # its first grant went over a connection that was open already.
+    async with (
+        Worker() as worker,
+        WorkerCommands(Address("127.0.0.1", worker.port)) as commands,
+    ):
+        assert await asyncio.create_task(commands.grant(0, 9, 1, 4.0, ""))
+        await asyncio.sleep(0.05)
+        assert await commands.grant(10, 19, 1, 4.0, "")
+        known = get_contextvars()
+    assert known["connection"] == 1
+    assert known["connection_age_s"] >= 0.05
+
+
+async def test_the_ground_on_which_a_new_connection_is_allowed_is_logged():
+    # Guards against logs that do not tell whether a heartbeat or the idle connection
+    # stood for the worker when a grant reached another incarnation.
+    async with Worker() as worker:
+        address = Address("127.0.0.1", worker.port)
+        watch = EndpointWatch(None, None, lambda is_gone: None)
+        async with EndpointPresence(address, watch) as presence:
+            watch.note_heartbeat(info(1), 1)
+            with capture_logs() as logs:
+                presence.is_current()
+                presence.note_heartbeat()
+                await until(lambda: presence.connection is not None)
+                watch.last_heartbeat_at = boottime() - 60.0
+                presence.is_current()
+                await worker.runner.cleanup()
+                await until(lambda: not presence.is_current())
+    by_heartbeat, opened, by_connection, lost = logs[0], logs[1], logs[2], logs[-1]
+    assert by_heartbeat["event"] == by_connection["event"] == "new_connection_allowed"
+    assert by_heartbeat["heartbeat_age_s"] < RECENT_HEARTBEAT_S
+    assert by_heartbeat["idle_connection_age_s"] is None
+    assert opened["event"] == "idle_connection_opened"
+    assert by_connection["heartbeat_age_s"] >= 60.0
+    assert by_connection["idle_connection_born"] == by_connection["current_born"] == 1
+    assert lost["event"] == "idle_connection_lost"
+    assert lost["born"] == 1
--- a/tests/ranges/test_keeper.py
+++ b/tests/ranges/test_keeper.py
@@ -3,11 +3,14 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+from structlog.contextvars import merge_contextvars
 from structlog.testing import capture_logs
 
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import EndpointInfo
 from sesamepost.internal.ranges.balance import Move
+from sesamepost.internal.ranges.commands import EndpointGoneError
 from sesamepost.internal.ranges.heartbeat_holds import (
     ANSWER_TIMEOUT_S,
     MAX_ORDER_BYTES,
@@ -185,3 +188,82 @@
         assert keeper.tables.table.find(5).owner == keeper.owner
         await send_heartbeat(keeper)
         await until(lambda: keeper.tables.table.find(5).owner == OWNERS[1])
+
+
+async def released_line(answer, change=None) -> dict:
+    """Move a range away and return the line that tells why that was allowed."""
+    async with running_keepers(MemoryStore(), OWNERS[:2]) as (keeper, _):
+        keeper.holds.assumed_until = boottime() + 0.5
+        keeper.commands.release = answer
+        with capture_logs() as logs:
+            keeper.move([Move(0, 9, OWNERS[1])], "test")
+            if change is not None:
+                change(keeper)
+            await until(lambda: not keeper.moves)
+    return next(line for line in logs if line["event"] == "released")
+
+
+@pytest.mark.parametrize("proof", ["token", "hold_ended", "endpoint_gone"])
+async def test_a_release_is_logged_with_its_proof(proof):
+    # Guards against logs that do not tell why keys went on while their former owner
+    # could still hold them.
+    async def release(first, last, fence):
+        if proof == "token":
+            return "token"
+        raise EndpointGoneError("connection refused")
+
+    def report_gone(keeper):
+        keeper.set_endpoint(keeper.endpoint, True)
+
+    line = await released_line(
+        release, report_gone if proof == "endpoint_gone" else None
+    )
+    assert (line["first"], line["last"], line["proof"]) == (0, 9, proof)
+    assert (line["possible_s"] > 0) == (proof != "hold_ended")
+    assert (line["waited_s"] >= 0.4) == (proof == "hold_ended")
+
+
+async def test_a_grant_is_logged_with_the_incarnation_that_it_is_meant_for():
+    # Guards against a grant for one incarnation that the next one at the address
+    # answered, with no line that tells the two apart.
+    with capture_logs([merge_contextvars]) as logs:
+        async with running_keepers(MemoryStore(), OWNERS[:1]) as (keeper,):
+            await until(lambda: keeper.holds.find(0).certain_until)
+            successor = replace(keeper.endpoint, id="i-next", born=99)
+            keeper.set_endpoint(successor, False)
+            granted = keeper.commands.granted
+            await until(lambda: any(r[0] == 0 and r[2] == 2 for r in granted))
+            await asyncio.sleep(0)
+    granted = [g for g in logs if g["event"] == "granted" and g["first"] == 0]
+    assert [(g["endpoint"], g["born"], g["fence"]) for g in granted] == [
+        ("i-1", 1, 1),
+        ("i-next", 99, 2),
+    ]
+    assert all(line["is_current"] for line in granted)
+    replaced = next(line for line in logs if line["event"] == "incarnation_replaced")
+    assert (replaced["born"], replaced["successor_born"]) == (1, 99)
+    assert replaced["proof"] is None
+    assert replaced["possible_s"] > 0
+
+
+async def test_a_grant_answered_after_its_incarnation_was_replaced_is_logged():
+    # Guards against renewals, which are not logged, that reach the next incarnation.
+    async with running_keepers(MemoryStore(), OWNERS[:1]) as (keeper,):
+        await until(lambda: keeper.holds.find(0).certain_until)
+        answer = asyncio.Event()
+
+        async def grant(first, last, fence, hold_s, handover):
+            await answer.wait()
+            return True
+
+        keeper.commands.grant = grant
+        keeper.holds.find(0).certain_until = boottime() + 0.1
+        keeper.wake.set()
+        await until(lambda: keeper.grants)
+        keeper.set_endpoint(replace(keeper.endpoint, id="i-next", born=99), False)
+        with capture_logs([merge_contextvars]) as logs:
+            answer.set()
+            await until(lambda: any(g["event"] == "granted" for g in logs))
+    line = next(line for line in logs if line["event"] == "granted")
+    assert (line["endpoint"], line["fence"], line["is_current"]) == ("i-1", 1, False)
+    assert keeper.counters["grants_of_former_incarnations"] >= 1
--- a/tests/ranges/test_takeover.py
+++ b/tests/ranges/test_takeover.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from structlog.testing import capture_logs
 
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import (
@@ -160,3 +161,27 @@
     for _ in range(3):
         await takeover.step()
     assert set(tables.table.keys_by_owner()) == {B}
+
+
+async def test_each_lost_owner_is_logged_with_the_reason_and_its_entry(parts):
+    # Guards against logs that do not tell a report that an endpoint ended from a node
+    # that was missing long enough.
+    store, mirror, nodes, _ = parts
+    third = Owner("10.0.0.3", "i-3", 3)
+    takeover = await prepare_takeover(*parts, owners=(A, B, third))
+    key = nodes.node_key(third.vm)
+    delete_entry(store, mirror, key, 0.0)
+    mirror.missing[key] = asyncio.get_running_loop().time() - 1e6
+    with capture_logs() as logs:
+        takeover.note_ended(A)
+        takeover.due_since = 0.0
+        await takeover.step()
+        await takeover.step()
+    lost = {line["endpoint"]: line for line in logs if line["event"] == "owner_lost"}
+    assert sum(line["event"] == "owner_lost" for line in logs) == 2
+    assert lost["i-1"]["is_reported_ended"]
+    assert lost["i-1"]["is_entry_present"]
+    assert (lost["i-1"]["entry_born"], lost["i-1"]["missing_s"]) == (1, None)
+    assert not lost["i-3"]["is_reported_ended"]
+    assert not lost["i-3"]["is_entry_present"]
+    assert lost["i-3"]["missing_s"] >= WAIT_S
