Let the soak replace workers and judge the fences of each life

The soak tracked one holder and one fence for each key, by the worker's id, so another life under the same id counted as the same worker, and the fence of an earlier holder was no longer compared once a third one had the key. Its faults gave workers new ids only, with a first heartbeat at once and no late ones, and the proxies closed no port.

The record now keeps the holds and the highest fence of each life, and reports a grant whose fence is not above those of all other lives, ended or not. The faults, lives and grants of a seed are written to events.log beside the logs of the nodes.

--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -12,9 +12,9 @@
 
 import aiohttp
 
-from sesamepost.internal.ranges.table import LAST_KEY
 from tests.platform.store_standin import StoreStandin
 from tests.platform.worker_standin import (
+    HEARTBEAT_S,
     HeartbeatWorkerStandin,
     Record,
     WorkerStandin,
@@ -110,6 +110,7 @@
 
     worker_type: type[WorkerStandin] = WorkerStandin
     routing = ROUTING
+    heartbeat_interval_s = HEARTBEAT_S
 
     def __init__(self, path: Path, nodes: int = 4) -> None:
         self.path = path
@@ -175,11 +176,19 @@
         """Return the port on which workers listen."""
         return self.ports["worker"]
 
-    async def start_worker(self, index: int) -> None:
-        """Start a new incarnation of a node's worker."""
+    async def start_worker(
+        self, index: int, worker_id: str = "", first_heartbeat_s: float = 0.0
+    ) -> None:
+        """Start a new incarnation of a node's worker, under a given id if there is one.
+
+        It sends its first heartbeat ``first_heartbeat_s`` after it listens.
+        """
         worker = self.worker_type(
             self.ip(index), self.ports, self.service(index), self.record
         )
+        worker.id = worker_id or worker.id
+        worker.heartbeat_interval_s = self.heartbeat_interval_s
+        worker.first_heartbeat_s = first_heartbeat_s
         worker.listening_port = self.listening_port()
         self.workers[index] = await worker.__aenter__()
 
@@ -187,7 +196,13 @@
         """Stop a worker without a leave message."""
         worker = self.workers.pop(index)
         await worker.__aexit__()
-        self.record.note_release(worker.id, 0, LAST_KEY)
+        self.record.note_end(worker.life)
+
+    async def crash_worker(self, index: int) -> WorkerStandin:
+        """End a worker at once and return it."""
+        worker = self.workers.pop(index)
+        await worker.crash()
+        return worker
 
     async def start(self, index: int) -> None:
         """Start the process of a node."""
--- a/tests/platform/worker_standin.py
+++ b/tests/platform/worker_standin.py
@@ -5,55 +5,112 @@
 import time
 from contextlib import suppress
 from dataclasses import dataclass, field
+from datetime import UTC, datetime
+from enum import Enum
 
 import aiohttp
 from aiohttp import web
 
 HEARTBEAT_S = 0.3
+# Nodes give up an unanswered grant earlier.
+UNANSWERED_S = 30.0
 # The next heartbeat after an answer that left out a held range.
 RELEASE_HEARTBEAT_S = 0.05
 START_TIMES_MS = itertools.count(1_700_000_000_000)
 
 
+class GrantFault(Enum):
+    """A fault of the answers to grants; each grant is carried out in all cases."""
+
+    NONE = "none"
+    LATE_ANSWER = "late_answer"
+    NO_ANSWER = "no_answer"
+    # Carried out late, without an answer. The hold counts from the arrival.
+    CARRIED_OUT_LATE = "carried_out_late"
+
+
 @dataclass
 class Record:
     """Events seen by all workers of a test, which fails if ``problems`` is not empty.
 
-    ``holders`` maps each probed key to the worker, the end of its hold and the highest
-    fence. ``runs`` maps each request to the workers that executed it.
+    Grants are recorded for each life of a worker, since another life under the same id
+    counts as another worker. ``fences`` maps each probed key to the highest fence with
+    which each life has had it, ``hold_ends`` to the end of the hold of each life. A
+    life that has ended holds nothing, but its fences still count. ``runs`` maps each
+    request to the workers that executed it. ``events`` lists the lives and their grants
+    with the time of day, so that they can be compared with the logs of the nodes.
     """
 
-    holders: dict[int, tuple[str, float, int]] = field(default_factory=dict)
+    fences: dict[int, dict[str, int]] = field(default_factory=dict)
+    hold_ends: dict[int, dict[str, float]] = field(default_factory=dict)
+    ended: set[str] = field(default_factory=set)
     runs: dict[str, list[str]] = field(default_factory=dict)
     handovers: list[str] = field(default_factory=list)
     problems: list[str] = field(default_factory=list)
+    events: list[str] = field(default_factory=list)
+    noted: set[str] = field(default_factory=set)
     probed_keys: tuple[int, ...] = (0, 9000, 20000, 33000, 45000, 60000, 65535)
 
-    def note_grant(self, worker: str, first: int, last: int, fence: int, end: float):
-        """Record a grant and report a conflict with another worker's hold."""
+    def note_grant(self, life: str, first: int, last: int, fence: int, end: float):
+        """Record a grant; report a hold of another life and a fence not above all."""
+        if life in self.ended:
+            return
+        self.note_once(f"{life} takes {first}-{last} with fence {fence}")
         now = time.monotonic()
         for key in self.probed_keys:
             if not first <= key <= last:
                 continue
-            holder, until, highest_fence = self.holders.get(key, ("", 0.0, 0))
-            if holder not in ("", worker) and until > now:
-                self.problems.append(f"{worker} was granted {key}, held by {holder}")
-            if holder not in ("", worker) and fence <= highest_fence:
-                self.problems.append(
-                    f"{worker} was granted {key} with the old fence {fence}"
-                )
-            self.holders[key] = worker, end, max(fence, highest_fence)
-
-    def note_release(self, worker: str, first: int, last: int) -> None:
-        """Record that a worker no longer holds these keys."""
-        for key in self.probed_keys:
-            holder, _, highest_fence = self.holders.get(key, ("", 0.0, 0))
-            if first <= key <= last and holder == worker:
-                self.holders[key] = worker, 0.0, highest_fence
+            hold_ends = self.hold_ends.setdefault(key, {})
+            for other, until in hold_ends.items():
+                if other != life and until > now:
+                    self._report(f"{life} was granted {key}, held by {other}")
+            fences = self.fences.setdefault(key, {})
+            for other, other_fence in fences.items():
+                if other != life and fence <= other_fence:
+                    self._report(
+                        f"{life} was granted {key} with the old fence {fence}; "
+                        f"{other} had it with fence {other_fence}"
+                    )
+            hold_ends[life] = max(end, hold_ends.get(life, end))
+            fences[life] = max(fence, fences.get(life, fence))
+
+    def note_release(self, life: str, first: int, last: int) -> None:
+        """Record that a life of a worker no longer holds these keys."""
+        self.note(f"{life} releases {first}-{last}")
+        for key, hold_ends in self.hold_ends.items():
+            if first <= key <= last:
+                hold_ends.pop(life, None)
+
+    def note_end(self, life: str) -> None:
+        """Record that a life of a worker has ended, which ends its holds."""
+        self.note(f"{life} has ended")
+        self.ended.add(life)
+        for hold_ends in self.hold_ends.values():
+            hold_ends.pop(life, None)
+
+    def note(self, event: str) -> None:
+        """Append an event with the time of day."""
+        now = datetime.now(UTC).isoformat(timespec="milliseconds")
+        self.events.append(f"{now} {event}")
+
+    def note_once(self, event: str) -> None:
+        """Append an event unless it has occurred before, as with renewals."""
+        if event not in self.noted:
+            self.noted.add(event)
+            self.note(event)
+
+    def _report(self, problem: str) -> None:
+        # Each renewal of a wrong grant is the same problem.
+        if problem not in self.problems:
+            self.problems.append(problem)
+            self.note(f"PROBLEM: {problem}")
 
 
 class WorkerStandin:
-    """One incarnation of the worker beside the node at ``ip``."""
+    """One incarnation of the worker beside the node at ``ip``.
+
+    It sends its first heartbeat ``first_heartbeat_s`` after it listens.
+    """
 
     def __init__(self, ip: str, ports: dict, service: str, record: Record) -> None:
         self.ip = ip
@@ -65,6 +122,10 @@
         self.born = next(START_TIMES_MS)
         self.state = "ready"
         self.sequence = 0
+        self.heartbeat_interval_s = HEARTBEAT_S
+        self.first_heartbeat_s = 0.0
+        self.grant_fault = GrantFault.NONE
+        self.grant_delay_s = 0.0
         self.holds: list[tuple[int, int, int, float]] = []
         self.needs_hold = service == "keyed"
         self.work_s = 0.01
@@ -80,6 +141,7 @@
         self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self.runner.setup()
         await web.TCPSite(self.runner, self.ip, self.listening_port).start()
+        self.record.note(f"{self.life} listens")
         self.heartbeat_task = asyncio.create_task(self._send_heartbeats())
         return self
 
@@ -87,16 +149,34 @@
         self.heartbeat_task.cancel()
         await self.runner.cleanup()
 
-    async def _send_heartbeats(self) -> None:
+    @property
+    def life(self) -> str:
+        """The id and the start of this incarnation, which no other one shares."""
+        return f"{self.id}, born {self.born}"
+
+    async def crash(self) -> None:
+        """End at once: reset all connections and answer nothing more."""
+        self.record.note_end(self.life)
+        for connection in self.runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        await self.__aexit__()
+
+    def next_heartbeat(self) -> tuple[str, dict]:
+        """Return the URL and the body of the next heartbeat."""
+        self.sequence += 1
         url = f"http://{self.ip}:{self.ports['control']}/Instances.Heartbeat/{self.id}"
+        return url, self._heartbeat()
+
+    async def _send_heartbeats(self) -> None:
+        await asyncio.sleep(self.first_heartbeat_s)
         async with aiohttp.ClientSession() as session:
             while True:
-                self.sequence += 1
-                pause_s = HEARTBEAT_S
+                pause_s = self.heartbeat_interval_s
                 with suppress(aiohttp.ClientError, TimeoutError):
                     timeout = aiohttp.ClientTimeout(total=1)
                     sent_at = time.monotonic()
-                    body = self._heartbeat()
+                    url, body = self.next_heartbeat()
                     async with session.post(url, json=body, timeout=timeout) as answer:
                         pause_s = self._take_answer(await answer.json(), sent_at)
                 await asyncio.sleep(pause_s)
@@ -120,27 +200,40 @@
 
     def _take_answer(self, answer: dict, sent_at: float) -> float:
         """Process the answer to a heartbeat; return the seconds until the next one."""
-        return HEARTBEAT_S
+        return self.heartbeat_interval_s
 
     async def _grant(self, request: web.Request) -> web.Response:
         body = await request.json()
+        until = time.monotonic() + body["holdS"]
+        fault, delay_s = self.grant_fault, self.grant_delay_s
+        if fault is GrantFault.CARRIED_OUT_LATE:
+            await asyncio.sleep(delay_s)
+        status = self._carry_out_grant(body, until)
+        if fault is GrantFault.LATE_ANSWER:
+            await asyncio.sleep(delay_s)
+        elif fault is not GrantFault.NONE and request.transport is not None:
+            await asyncio.sleep(UNANSWERED_S)
+        return web.Response(status=status)
+
+    def _carry_out_grant(self, body: dict, until: float) -> int:
+        """Take the keys until ``until`` and return the status of the answer."""
         first, last, fence = body["from"], body["target"], body["fence"]
         for begin, end, held_fence, _ in self.holds:
             if begin <= last and first <= end and held_fence > fence:
-                return web.Response(status=409)
-        until = time.monotonic() + body["holdS"]
+                return 409
         if body.get("handover"):
             self.record.handovers.append(body["handover"])
-        self.record.note_grant(self.id, first, last, fence, until)
-        self.holds.append((first, last, fence, until))
-        return web.Response()
+        if until > time.monotonic():
+            self.record.note_grant(self.life, first, last, fence, until)
+            self.holds.append((first, last, fence, until))
+        return 200
 
     async def _release(self, request: web.Request) -> web.Response:
         body = await request.json()
         first, last = body["from"], body["target"]
         self.holds = [self._shrink_hold(hold, first, last) for hold in self.holds]
         await asyncio.sleep(self.work_s)
-        self.record.note_release(self.id, first, last)
+        self.record.note_release(self.life, first, last)
         return web.Response(headers={"Handover": f"token-{self.id}-{first}"})
 
     @staticmethod
@@ -194,19 +287,19 @@
     def _take_answer(self, answer: dict, sent_at: float) -> float:
         self.released = []
         if "holds" not in answer:
-            return HEARTBEAT_S
+            return self.heartbeat_interval_s
         until = sent_at + answer["holdS"]
         before, self.holds = self.holds, []
         for first, last, fence, handover in answer["holds"]:
             if handover:
                 self.record.handovers.append(handover)
-            self.record.note_grant(self.id, first, last, fence, until)
+            self.record.note_grant(self.life, first, last, fence, until)
             self.holds.append((first, last, fence, until))
         for first, last, _, _ in before:
             for begin, end in self._gaps(first, last):
-                self.record.note_release(self.id, begin, end)
+                self.record.note_release(self.life, begin, end)
                 self.released.append((begin, end, f"token-{self.id}-{begin}"))
-        return RELEASE_HEARTBEAT_S if self.released else HEARTBEAT_S
+        return RELEASE_HEARTBEAT_S if self.released else self.heartbeat_interval_s
 
     def _gaps(self, first: int, last: int) -> list[tuple[int, int]]:
         """Return the parts of a range that are no longer held."""
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -20,13 +20,17 @@
 
 
 class Link:
-    """One proxied connection, which forwards nothing once it is silenced."""
+    """One proxied connection, which forwards nothing once it is silenced.
+
+    A silenced link that ``outlives_target`` stays open when the target closes it.
+    """
 
     def __init__(self, proxy: "FaultProxy", client, server) -> None:
         self.proxy = proxy
         self.client = client
         self.server = server
         self.is_silenced = False
+        self.outlives_target = False
 
     async def run(self) -> None:
         """Forward bytes in both directions until one side closes."""
@@ -61,6 +65,12 @@
                 await self._wait_while_blocked(blocked_by)
                 writer.write(data)
                 await writer.drain()
+        if reader is self.server[0] and self.outlives_target:
+            await self._wait_until_client_closes()
+
+    async def _wait_until_client_closes(self) -> None:
+        while not self.client[1].is_closing():  # noqa: ASYNC110
+            await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _wait_while_blocked(self, blocked_by: LinkFault) -> None:
         # Both conditions are plain fields without an event to wait for.
@@ -83,14 +93,25 @@
         self.server: asyncio.Server | None = None
 
     async def __aenter__(self) -> "FaultProxy":
-        self.server = await asyncio.start_server(self._accept, *self.address)
-        self.address = self.server.sockets[0].getsockname()[:2]
+        await self.listen()
         return self
 
     async def __aexit__(self, *error) -> None:
-        self.server.close()
+        self.refuse()
         self.reset_all()
 
+    async def listen(self) -> None:
+        """Accept connections, if the port is closed."""
+        if self.server is None:
+            self.server = await asyncio.start_server(self._accept, *self.address)
+            self.address = self.server.sockets[0].getsockname()[:2]
+
+    def refuse(self) -> None:
+        """Close the port; open connections go on."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
     def reset_all(self) -> None:
         """Reset every open connection."""
         for link in list(self.links):
@@ -101,6 +122,12 @@
         for link in self.links:
             link.is_silenced = True
 
+    def outlive_target(self) -> None:
+        """Silence all open connections, which stay open when the target ends."""
+        self.silence_all()
+        for link in self.links:
+            link.outlives_target = True
+
     async def _accept(self, reader, writer) -> None:
         try:
             server = await asyncio.open_connection(*self.target)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,7 +2,8 @@
 
 ``python -m tests.soak.soak --seeds 50`` runs the seeds 1 to 50. ``--first`` selects
 another first seed, ``--nodes`` the size of the fleet and ``--seconds`` the duration of
-the faults. With ``--by-heartbeat``, workers take keys by heartbeats. A seed determines
+the faults. With ``--by-heartbeat``, workers take keys by heartbeats. With ``--lives``,
+the faults are those of ``lives.py``, most of which replace a worker. A seed determines
 the faults with their times and targets; the scheduling of the processes still differs
 from run to run.
 """
@@ -12,6 +13,7 @@
 import sys
 import tempfile
 import traceback
+from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from pathlib import Path
@@ -19,7 +21,9 @@
 import defopt
 
 from tests.platform.fleet import Fleet, HeartbeatFleet
+from tests.platform.worker_standin import WorkerStandin
 from tests.soak.faults import FAULTS, Fault, Target
+from tests.soak.lives import HEARTBEAT_INTERVALS_S, LIFE_FAULTS
 from tests.soak.proxy import FaultProxy
 from tests.soak.traffic import Outcome, Traffic, find_violations
 
@@ -40,7 +44,9 @@
     fault: Fault
 
 
-def schedule(seed: int, seconds: float) -> list[PlannedFault]:
+def schedule(
+    seed: int, seconds: float, faults: Sequence[Fault] = FAULTS
+) -> list[PlannedFault]:
     """Return the faults of a seed, which come in series and may overlap."""
     rng = random.Random(seed)
     planned = []
@@ -48,7 +54,7 @@
     while at_s < seconds:
         at_s += rng.choice([0.1, 0.5, 1.0, 2.0, 3.0])
         duration_s = rng.uniform(0.2, MAX_FAULT_S)
-        planned.append(PlannedFault(at_s, duration_s, rng.choice(FAULTS)))
+        planned.append(PlannedFault(at_s, duration_s, rng.choice(faults)))
     return planned
 
 
@@ -58,6 +64,7 @@
     nodes: int = 4,
     seconds: float = 12.0,
     by_heartbeat: bool = False,
+    lives: bool = False,
 ):
     """Run one seed and return the violations and the outcomes of all requests."""
     async with AsyncExitStack() as stack:
@@ -65,11 +72,16 @@
         fleet = fleet_type(path, nodes)
         target = Target(fleet, random.Random(seed))
         fleet.target, fleet.proxy_stack = target, stack
+        planned = schedule(seed, seconds)
+        if lives:
+            planned = schedule(seed, seconds, LIFE_FAULTS)
+            fleet.heartbeat_interval_s = target.random.choice(HEARTBEAT_INTERVALS_S)
         await stack.enter_async_context(fleet)
         traffic = Traffic(fleet, seed, nodes * CALLERS_PER_NODE)
         traffic.start()
         stack.push_async_callback(traffic.stop)
-        await _inject(target, schedule(seed, seconds))
+        stack.callback(_write_events, fleet)
+        await _inject(target, planned)
         problems = await _check_recovery(target)
         await traffic.stop()
         problems += find_violations(fleet, traffic.outcomes)
@@ -77,13 +89,22 @@
         return problems + target.problems, traffic.outcomes
 
 
+def _write_events(fleet: Fleet) -> None:
+    """Write the faults, the lives of workers and their grants beside the logs."""
+    text = "".join(f"{event}\n" for event in fleet.record.events)
+    (fleet.path / "events.log").write_text(text)
+
+
 async def _inject(target: Target, planned: list[PlannedFault]) -> None:
     began = asyncio.get_running_loop().time()
 
     async def run(item: PlannedFault) -> None:
         left_s = began + item.at_s - asyncio.get_running_loop().time()
         await asyncio.sleep(max(0.0, left_s))
+        name = item.fault.__name__
+        target.fleet.record.note(f"fault {name} for {item.duration_s:.2f} s")
         await item.fault(target, item.duration_s)
+        target.fleet.record.note(f"fault {name} has ended")
 
     await asyncio.gather(*(run(item) for item in planned))
 
@@ -138,7 +159,9 @@
     target: Target
     proxy_stack: AsyncExitStack
 
-    async def start_worker(self, index: int) -> None:
+    async def start_worker(
+        self, index: int, worker_id: str = "", first_heartbeat_s: float = 0.0
+    ) -> None:
         """Start a worker behind a proxy of its own."""
         if index not in self.target.worker_proxies:
             port = self.ports["worker"]
@@ -146,7 +169,13 @@
             proxy = FaultProxy(address, (self.ip(index), self.proxied_port))
             self.target.worker_proxies[index] = proxy
             await self.proxy_stack.enter_async_context(proxy)
-        await super().start_worker(index)
+        await self.target.worker_proxies[index].listen()
+        await super().start_worker(index, worker_id, first_heartbeat_s)
+
+    async def crash_worker(self, index: int) -> WorkerStandin:
+        """End a worker at once; its port is closed until the next one starts."""
+        self.target.worker_proxies[index].refuse()
+        return await super().crash_worker(index)
 
     async def start(self, index: int) -> None:
         """Start a node that reaches the store through a proxy of its own."""
@@ -182,6 +211,7 @@
     nodes: int = 4,
     seconds: float = 12,
     by_heartbeat: bool = False,
+    lives: bool = False,
 ):
     """Run seeds one after the other.
 
@@ -190,13 +220,14 @@
     :param nodes: number of nodes, each a process
     :param seconds: duration of fault injection
     :param by_heartbeat: whether workers take their keys by heartbeats
+    :param lives: whether the faults are those that replace workers
     """
     failed = 0
     for seed in range(first, first + seeds):
         path = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         try:
             problems, outcomes = asyncio.run(
-                run_seed(seed, path, nodes, seconds, by_heartbeat)
+                run_seed(seed, path, nodes, seconds, by_heartbeat, lives)
             )
         except Exception:
             problems, outcomes = [traceback.format_exc()], []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from tests.soak.lives import LIFE_FAULTS
 from tests.soak.soak import run_seed, schedule
 
 SHORT_S = 5.0
@@ -42,3 +43,21 @@
     # Guards against regression seeds that no longer reproduce their faults.
     assert schedule(7, 12.0) == schedule(7, 12.0)
     assert schedule(7, 12.0) != schedule(8, 12.0)
+
+
+def test_the_faults_around_lives_leave_the_schedules_of_older_seeds_unchanged():
+    # Guards against regression seeds that change when faults are added for --lives.
+    planned = [item.fault.__name__ for item in schedule(14, 12.0)]
+    assert planned == [
+        "change_settings",
+        "fail_store",
+        "terminate",
+        "change_settings",
+        "terminate",
+        "fail_store",
+        "fail_store",
+        "restart_worker",
+    ]
+    names = {item.fault.__name__ for item in schedule(14, 12.0, LIFE_FAULTS)}
+    assert names != set(planned)
+    assert schedule(7, 12.0, LIFE_FAULTS) == schedule(7, 12.0, LIFE_FAULTS)
