Add failing tests of real processes for the lives of workers

Callers and workers saw keys that two workers served, or a generation number that was not above the former one.

The worker remembers the fences of released keys, so that it refuses late grants as the protocol says, and keeps both parts around a release. A new fault carries a grant of a killed process out late.

Ports of a fleet are below those of outgoing connections: one of 13 tests ended with "address already in use" in its set-up.

--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -3,11 +3,12 @@
 import asyncio
 import itertools
 import os
+import random
 import signal
 import socket
 import sys
 from collections.abc import Awaitable, Callable
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 
 import aiohttp
@@ -21,6 +22,7 @@
 )
 
 ROOT = Path(__file__).parents[2]
+PORT_RANGE = (20_000, 32_000)
 PORT_NAMES = ("callers", "ready", "control", "inbound", "worker", "peer", "metrics")
 READY_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.05
@@ -93,15 +95,15 @@
 
 
 def free_ports() -> dict[str, int]:
-    """Return a port for each name; those of peer and metrics are consecutive.
+    """Return consecutive ports, one for each name, and leave the one after them free.
 
-    Only the first port is known to be free.
+    They are below the range from which the kernel takes the ports of outgoing
+    connections, one of which could have a port when a process is to listen there.
     """
     while True:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            base = probe.getsockname()[1]
-        if base < 60_000:
+        base = random.randrange(*PORT_RANGE, len(PORT_NAMES) + 1)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(("127.0.0.1", base))
             return {name: base + i for i, name in enumerate(PORT_NAMES)}
 
 
--- a/tests/platform/worker_standin.py
+++ b/tests/platform/worker_standin.py
@@ -34,7 +34,7 @@
     """Events seen by all workers of a test, which fails if ``problems`` is not empty.
 
     Grants are recorded for each life of a worker, since another life under the same id
-    counts as another worker. ``fences`` maps each probed key to the highest fence with
+    counts as another worker. ``fences`` maps each judged key to the highest fence with
     which each life has had it, ``hold_ends`` to the end of the hold of each life. A
     life that has ended holds nothing, but its fences still count. ``runs`` maps each
     request to the workers that executed it. ``events`` lists the lives and their grants
@@ -50,6 +50,8 @@
     events: list[str] = field(default_factory=list)
     noted: set[str] = field(default_factory=set)
     probed_keys: tuple[int, ...] = (0, 9000, 20000, 33000, 45000, 60000, 65535)
+    # Requests are sent for the probed keys only, but ranges without any move as well.
+    judged_keys: tuple[int, ...] = (*range(0, 1 << 16, 512), 65535)
 
     def note_grant(self, life: str, first: int, last: int, fence: int, end: float):
         """Record a grant; report a hold of another life and a fence not above all."""
@@ -57,19 +59,19 @@
             return
         self.note_once(f"{life} takes {first}-{last} with fence {fence}")
         now = time.monotonic()
-        for key in self.probed_keys:
+        for key in self.judged_keys:
             if not first <= key <= last:
                 continue
             hold_ends = self.hold_ends.setdefault(key, {})
             for other, until in hold_ends.items():
                 if other != life and until > now:
-                    self._report(f"{life} was granted {key}, held by {other}")
+                    self._report(f"{life} was granted {first}-{last}, held by {other}")
             fences = self.fences.setdefault(key, {})
             for other, other_fence in fences.items():
                 if other != life and fence <= other_fence:
                     self._report(
-                        f"{life} was granted {key} with the old fence {fence}; "
-                        f"{other} had it with fence {other_fence}"
+                        f"{life} was granted {first}-{last} with the old fence "
+                        f"{fence}; {other} had keys of it with fence {other_fence}"
                     )
             hold_ends[life] = max(end, hold_ends.get(life, end))
             fences[life] = max(fence, fences.get(life, fence))
@@ -127,6 +129,11 @@
         self.grant_fault = GrantFault.NONE
         self.grant_delay_s = 0.0
         self.holds: list[tuple[int, int, int, float]] = []
+        # First key, last key and fence of all grants that were accepted.
+        self.seen_fences: set[tuple[int, int, int]] = set()
+        # The bodies of the grants that are carried out late, and the ends of their
+        # holds.
+        self.late_grants: list[tuple[dict, float]] = []
         self.needs_hold = service == "keyed"
         self.work_s = 0.01
         self.heartbeat_task: asyncio.Task | None = None
@@ -207,20 +214,22 @@
         until = time.monotonic() + body["holdS"]
         fault, delay_s = self.grant_fault, self.grant_delay_s
         if fault is GrantFault.CARRIED_OUT_LATE:
+            self.late_grants.append((body, until))
             await asyncio.sleep(delay_s)
-        status = self._carry_out_grant(body, until)
+        status = self.carry_out_grant(body, until)
         if fault is GrantFault.LATE_ANSWER:
             await asyncio.sleep(delay_s)
         elif fault is not GrantFault.NONE and request.transport is not None:
             await asyncio.sleep(UNANSWERED_S)
         return web.Response(status=status)
 
-    def _carry_out_grant(self, body: dict, until: float) -> int:
+    def carry_out_grant(self, body: dict, until: float) -> int:
         """Take the keys until ``until`` and return the status of the answer."""
         first, last, fence = body["from"], body["target"], body["fence"]
-        for begin, end, held_fence, _ in self.holds:
-            if begin <= last and first <= end and held_fence > fence:
+        for begin, end, seen_fence in self.seen_fences:
+            if begin <= last and first <= end and seen_fence > fence:
                 return 409
+        self.seen_fences.add((first, last, fence))
         if body.get("handover"):
             self.record.handovers.append(body["handover"])
         if until > time.monotonic():
@@ -231,21 +240,21 @@
     async def _release(self, request: web.Request) -> web.Response:
         body = await request.json()
         first, last = body["from"], body["target"]
-        self.holds = [self._shrink_hold(hold, first, last) for hold in self.holds]
+        self.holds = [
+            part for hold in self.holds for part in self._without(hold, first, last)
+        ]
         await asyncio.sleep(self.work_s)
         self.record.note_release(self.life, first, last)
         return web.Response(headers={"Handover": f"token-{self.id}-{first}"})
 
     @staticmethod
-    def _shrink_hold(hold, first: int, last: int):
+    def _without(hold, first: int, last: int) -> list[tuple[int, int, int, float]]:
+        """Return the parts of a hold outside of the keys that are released."""
         begin, end, fence, until = hold
-        if first <= begin and end <= last:
-            return begin, end, fence, 0.0
-        if begin < first <= end:
-            return begin, first - 1, fence, until
-        if begin <= last < end:
-            return last + 1, end, fence, until
-        return hold
+        if end < first or last < begin:
+            return [hold]
+        parts = ((begin, first - 1), (last + 1, end))
+        return [(b, e, fence, until) for b, e in parts if b <= e]
 
     async def _health(self, request: web.Request) -> web.Response:
         status = 200 if self.state == "ready" else 503
@@ -256,7 +265,7 @@
         headers = {"Request-Id": request_id}
         if request.headers.get("Expected-Instance") != self.id:
             return web.Response(status=421, headers={**headers, "Not-Executed": "1"})
-        if self.needs_hold and not self._holds(int(request.headers["Shard-Key"])):
+        if self.needs_hold and not self.holds_key(int(request.headers["Shard-Key"])):
             return web.Response(status=421, headers={**headers, "Not-Executed": "1"})
         self.record.runs.setdefault(request_id, []).append(self.id)
         body = await request.read()
@@ -266,7 +275,8 @@
         text = f"{request.method} {request.rel_url} {caller} {body.decode()}"
         return web.Response(text=text, headers=headers)
 
-    def _holds(self, key: int) -> bool:
+    def holds_key(self, key: int) -> bool:
+        """Return whether the worker holds a key now."""
         now = time.monotonic()
         return any(f <= key <= last and end > now for f, last, _, end in self.holds)
 
--- a/tests/soak/lives.py
+++ b/tests/soak/lives.py
@@ -35,6 +35,12 @@
 # The longest time by which a heartbeat of the former life follows its crash.
 MAX_LATE_S = 3.0
 MAX_GRANT_DELAY_S = 6.0
+# A grant of a killed process is carried out this long after its arrival. Its hold of
+# at most 5 s has not ended by then.
+KEPT_GRANT_S = (1.5, 4.5)
+# Nodes renew the grants of a range every two seconds.
+RENEWAL_TIMEOUT_S = 2.5
+POLL_INTERVAL_S = 0.02
 # A node that is paused answers a queued heartbeat only after the pause.
 QUEUED_HEARTBEAT_TIMEOUT_S = 15.0
 
@@ -195,6 +201,43 @@
     await replacing
 
 
+async def kill_with_unanswered_grant(target: Target, duration_s: float) -> None:
+    """Kill a node whose grant is carried out after the next process moved the keys."""
+    plan = plan_replacement(target)
+    if plan is None:
+        return
+    rng, fleet, node = target.random, target.fleet, plan.node
+    delay_s = rng.uniform(*KEPT_GRANT_S)
+    drain_after_s = rng.uniform(1.0, 2.5)
+    worker = fleet.workers[node]
+    await _keep_grant_back(worker, delay_s)
+    if node in target.restarting:
+        return
+    loop = asyncio.get_running_loop()
+    target.restarting.add(node)
+    began = loop.time()
+    await fleet.kill(node)
+    await fleet.start(node)
+    target.disruptions.append((node, began, loop.time()))
+    target.restarting.discard(node)
+    await asyncio.sleep(drain_after_s)
+    worker.state = "draining"
+    await asyncio.sleep(max(duration_s, KEPT_GRANT_S[1] - drain_after_s))
+    if fleet.workers.get(node) is worker:
+        await replace_worker(fleet, plan)
+
+
+async def _keep_grant_back(worker: WorkerStandin, delay_s: float) -> None:
+    """Wait until a worker has received a grant, which it carries out late."""
+    count = len(worker.late_grants)
+    worker.grant_fault, worker.grant_delay_s = GrantFault.CARRIED_OUT_LATE, delay_s
+    with suppress(TimeoutError):
+        async with asyncio.timeout(RENEWAL_TIMEOUT_S):
+            while len(worker.late_grants) == count:  # noqa: ASYNC110
+                await asyncio.sleep(POLL_INTERVAL_S)
+    worker.grant_fault = GrantFault.NONE
+
+
 async def refuse_connections(target: Target, duration_s: float) -> None:
     """Close a worker's port; the worker lives and its open connections go on."""
     plan = plan_replacement(target)
@@ -233,6 +276,7 @@
     crash_beside_paused_node,
     crash_beside_killed_node,
     crash_beside_killed_node,
+    kill_with_unanswered_grant,
     refuse_connections,
     delay_grants,
     kill,
