Test closed ports without relying on the number of connections

Two tests replace it: heartbeats that stop for longer than the node waits, and connections that are reset, both while the port is closed and the worker lives. Callers see two workers that serve the same keys.

--- a/tests/platform/test_lives.py
+++ b/tests/platform/test_lives.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from sesamepost.internal.forwarding.endpoint_watch import HEARTBEAT_TIMEOUT_S
 from tests.platform.fleet import Fleet
 from tests.platform.worker_standin import GrantFault, WorkerStandin
 from tests.soak.faults import Target
@@ -92,12 +93,12 @@
     assert fleet.record.problems == []
 
 
-async def send_requests(fleet: Fleet, seconds: float, count: int = 1) -> None:
-    """Send requests for all probed keys, ``count`` of each key at once."""
+async def send_requests(fleet: Fleet, seconds: float) -> None:
+    """Send requests for all probed keys, one after the other."""
     end = time.monotonic() + seconds
     while time.monotonic() < end:
         for key in fleet.record.probed_keys:
-            await asyncio.gather(*(fleet.is_served(1, key) for _ in range(count)))
+            await fleet.is_served(1, key)
 
 
 @KEEPS_ID
@@ -203,14 +204,31 @@
     await check_holds(shared_fleet)
 
 
-async def test_a_worker_that_refuses_connections_keeps_its_holds(shared_fleet):
+async def test_a_worker_that_refuses_connections_and_is_silent_keeps_its_holds(
+    shared_fleet,
+):
     # Guards against two holders: a refused connection is taken for the proof that the
-    # worker has ended, although it lives and its open connections go on.
+    # worker has ended, although it lives, its heartbeats are late and its open
+    # connections go on.
+    await wait_for_heartbeat(shared_fleet.workers[CRASHING])
     shared_fleet.target.worker_proxies[CRASHING].refuse()
-    # Several requests at once need new connections, which fail.
-    shared_fleet.workers[CRASHING].work_s = 0.2
-    await send_requests(shared_fleet, WATCH_S, 8)
-    await shared_fleet.target.worker_proxies[CRASHING].listen()
+    shared_fleet.workers[CRASHING].heartbeat_task.cancel()
+    await asyncio.sleep(HEARTBEAT_TIMEOUT_S + WATCH_S)
+    await check_holds(shared_fleet)
+
+
+async def test_a_worker_that_resets_and_refuses_connections_keeps_its_holds(
+    shared_fleet,
+):
+    # Guards against two holders: a request fails and the next connection is refused,
+    # which is taken for the proof that the worker has ended, although its heartbeats
+    # arrive.
+    proxy = shared_fleet.target.worker_proxies[CRASHING]
+    await wait_for_grant(shared_fleet.workers[CRASHING])
+    proxy.refuse()
+    proxy.reset_all()
+    await send_requests(shared_fleet, WATCH_S)
+    await proxy.listen()
     await check_holds(shared_fleet)
 
 
