Wait for grants of the former process before a release counts

Cause: a node process was killed while a grant of it was unanswered. The next process knows nothing of that grant. When the worker left soon after, the release was answered with a token and the range moved on at once; then the worker carried the older grant out.

Change: the token of a release counts at once only if the endpoint has accepted a fence of this process, as it then refuses lower ones. Otherwise the range waits until grants of the former process have certainly ended. test_a_release_does_not_rest_on_its_token_while_older_grants_may_follow failed before.

--- a/src/sesamepost/internal/ranges/holds.py
+++ b/src/sesamepost/internal/ranges/holds.py
@@ -46,7 +46,8 @@
     is_refused: bool = False
     is_releasing: bool = False
     # The highest fence of a grant of this process that the endpoint has accepted for
-    # these keys.
+    # these keys. It refuses grants with lower fences, such as late ones of the previous
+    # process.
     accepted_fence: int | None = None
 
     @property
@@ -153,7 +154,12 @@
     def note_unanswered(self, command: GrantCommand, sent_at: float) -> None:
         """Record that a grant was not answered, so it may be executed much later."""
         until = sent_at + command.hold_s * CLOCK_DRIFT_FACTOR + MARGIN_S
-        for hold in self._overlapping(command.key_range.first, command.key_range.last):
+        first, last = command.key_range.first, command.key_range.last
+        # A range that was lost meanwhile may get these keys again.
+        for hold in [
+            *self._overlapping(first, last),
+            *self._past_overlapping(first, last),
+        ]:
             hold.unanswered_until = max(hold.unanswered_until, until)
             hold.possible_until = max(hold.possible_until, until)
 
@@ -216,9 +222,17 @@
         return max([self.assumed_until, *reported, *(h.possible_until for h in holds)])
 
     def unanswered_until(self, first: int, last: int) -> float:
-        """Return the time until which an unanswered grant may still give these keys."""
-        holds = [*self._overlapping(first, last), *self._past_overlapping(first, last)]
-        return max((h.unanswered_until for h in holds), default=0.0)
+        """Return the time until which an unanswered grant may still give these keys.
+
+        The previous process may have sent grants that nobody knows of, which the
+        endpoint executes unless it has seen a higher fence.
+        """
+        current = self._overlapping(first, last)
+        holds = [*current, *self._past_overlapping(first, last)]
+        until = max((h.unanswered_until for h in holds), default=0.0)
+        if current and all(hold.accepted_fence is not None for hold in current):
+            return until
+        return max(until, self.assumed_until)
 
     def _overlapping(self, first: int, last: int) -> list[Hold]:
         return [h for h in self.holds.values() if _overlaps(h, first, last)]
--- a/tests/ranges/test_keeper.py
+++ b/tests/ranges/test_keeper.py
@@ -10,7 +10,10 @@
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import EndpointInfo
 from sesamepost.internal.ranges.balance import Move
-from sesamepost.internal.ranges.commands import EndpointGoneError
+from sesamepost.internal.ranges.commands import (
+    EndpointGoneError,
+    EndpointUnresponsiveError,
+)
 from sesamepost.internal.ranges.heartbeat_holds import (
     ANSWER_TIMEOUT_S,
     MAX_ORDER_BYTES,
@@ -305,3 +308,43 @@
                 await asyncio.sleep(0.005)
         assert keeper.may_run(0)
         assert keeper.holds.find(0).accepted_fence > before
+
+
+class SilentEndpoint(FencedEndpoint):
+    """Answers releases, but no grants."""
+
+    async def grant(self, first, last, fence, hold_s, handover, may_send):
+        raise EndpointUnresponsiveError("no answer")
+
+
+async def test_a_release_does_not_rest_on_its_token_while_older_grants_may_follow():
+    # Guards against OWNER: a node is killed while a grant is unanswered. Its next
+    # process moves the range at once, as the endpoint leaves, and then the grant is
+    # executed, since the endpoint has seen no higher fence.
+    store = MemoryStore()
+    async with running_keepers(store, OWNERS[:2]) as (keeper, other):
+        info = EndpointInfo(SERVICE, OWNERS[1].endpoint_id, 2, 3, "v", True)
+        keeper.nodes.nodes[other.vm] = replace(entry(OWNERS[1]), endpoint=info)
+        keeper.commands.__class__ = SilentEndpoint
+        possible_until = boottime() + 1.0
+        keeper.holds = HoldTracker(10.0, possible_until)
+        with capture_logs() as logs:
+            keeper.set_endpoint(replace(keeper.endpoint, is_ready=False), False)
+            await until(lambda: keeper.tables.table.find(5).owner == OWNERS[1])
+        assert boottime() >= possible_until
+    waited = [line for line in logs if line["event"] == "released"]
+    assert all(line["proof"] == "token" for line in waited)
+
+
+async def test_a_release_rests_on_its_token_once_the_endpoint_took_a_new_fence():
+    # Guards against keys that wait for seconds whenever they move after a restart.
+    async with running_keepers(
+        MemoryStore(), OWNERS[:2], endpoint_type=FencedEndpoint
+    ) as (keeper, _):
+        await until(lambda: keeper.may_run(0))
+        keeper.holds.assumed_until = boottime() + 5.0
+        keeper.move([Move(0, 9, OWNERS[1])], "test")
+        await until(lambda: not keeper.moves)
+        assert keeper.tables.table.find(5).owner == OWNERS[1]
+        assert boottime() < keeper.holds.assumed_until - 3.0
+        assert not keeper.commands.execute_grant(0, LAST_KEY, 1)
