Take an endpoint for ended only if no connection to it is open

Two workers held keys for up to 5 s (OWNER): a worker refused connections while its open ones went on, and its keys were given to others at once.

Cause: one refused connection was the proof that a process had ended, both when heartbeats are overdue and when a node stops. The end of a process also closes all its connections, so an open one contradicts that.

--- a/src/sesamepost/internal/forwarding/connection_groups.py
+++ b/src/sesamepost/internal/forwarding/connection_groups.py
@@ -140,6 +140,10 @@
         self.ended_at = float("-inf")
         self.begin_at = 0.0
 
+    def count_open(self) -> int:
+        """Return how many connections to the endpoint are open."""
+        return sum(c.is_open for c in (*self.members, *self.newcomers))
+
     async def take(self) -> CommandConnection:
         """Return an idle connection of the group; begin a group if there is none.
 
--- a/src/sesamepost/internal/forwarding/endpoint_pool.py
+++ b/src/sesamepost/internal/forwarding/endpoint_pool.py
@@ -24,7 +24,8 @@
 class Listening(Enum):
     """Whether something listens at the endpoint's address.
 
-    ``NO`` proves that the endpoint's process has ended; a timeout does not.
+    ``NO`` means that its port is closed. Its process has ended if no connection to it
+    is open either.
     """
 
     YES = "yes"
--- a/src/sesamepost/internal/forwarding/endpoint_watch.py
+++ b/src/sesamepost/internal/forwarding/endpoint_watch.py
@@ -43,6 +43,8 @@
         self.pool = pool
         self.names = names
         self.on_change = on_change
+        # The open connections to the endpoint; those of commands are not in the pool.
+        self.count_open: Callable[[], int] = pool.count_open if pool else lambda: 0
         self.endpoint: EndpointInfo | None = None
         self.is_confirmed = True
         self.has_left = False
@@ -149,9 +151,9 @@
         info = self.endpoint
         if info is None or await self.pool.probe() is not Listening.NO:
             return False
-        self._log_not_listening(info, Listening.NO)
-        self._update(replace(info, is_ready=False), is_gone=True)
-        return True
+        is_gone = self._note_not_listening(info, Listening.NO)
+        self._update(replace(info, is_ready=False), is_gone)
+        return is_gone
 
     async def restore_endpoint(self, info: EndpointInfo, health_path: str) -> None:
         """Use the endpoint known to the previous process if it still answers.
@@ -207,10 +209,16 @@
             self.is_suspect = False
             self.last_seen_at = boottime()
             return
-        self._log_not_listening(info, listening)
-        self._update(replace(info, is_ready=False), listening is Listening.NO)
+        is_gone = self._note_not_listening(info, listening)
+        self._update(replace(info, is_ready=False), is_gone)
+
+    def _note_not_listening(self, info: EndpointInfo, listening: Listening) -> bool:
+        """Log that the endpoint does not listen; return whether its process has ended.
 
-    def _log_not_listening(self, info: EndpointInfo, listening: Listening) -> None:
+        The end of a process closes its port and all its connections. A closed port
+        alone proves nothing, since the endpoint may go on over its open connections.
+        """
+        open_connections = self.count_open()
         log.warning(
             "endpoint_not_listening",
             endpoint=info.id,
@@ -218,6 +226,6 @@
             listening=listening.value,
             silent_s=round(boottime() - self.last_seen_at, 2),
             heartbeat_age_s=self.heartbeat_age_s(),
-            # An open connection shows that the process had not ended.
-            open_connections=self.pool.count_open(),
+            open_connections=open_connections,
         )
+        return listening is Listening.NO and not open_connections
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -142,6 +142,7 @@
         self.watch = EndpointWatch(self.endpoint_pool, self.names, self._on_endpoint)
         self.local.on_suspicion = self.watch.suspect
         self.commands.may_begin = self.watch.has_heartbeat_since
+        self.watch.count_open = self._count_open
         self.loads = LoadTracker(settings.failure_domain, settings.region)
         self.nodes.listeners.append(self._on_node)
         self.forwarder = Forwarder(
@@ -383,6 +384,9 @@
         path = self._health_path(info.service)
         self._spawn(self.watch.restore_endpoint(info, path))
 
+    def _count_open(self) -> int:
+        return self.endpoint_pool.count_open() + self.commands.count_open()
+
     def _health_path(self, name: str) -> str:
         service = self.index and self.index.settings.services.get(name)
         return service.health_path if service else DEFAULT_HEALTH_PATH
--- a/src/sesamepost/internal/ranges/commands.py
+++ b/src/sesamepost/internal/ranges/commands.py
@@ -48,6 +48,9 @@
     def set_health_path(self, path: str) -> None:
         """Set the path at which the endpoint answers without a command."""
 
+    def count_open(self) -> int:
+        """Return how many connections to the endpoint are open."""
+
     def end_group(self) -> None:
         """End the present group, since another incarnation is known to have started."""
 
--- a/src/sesamepost/platform/endpoint_commands.py
+++ b/src/sesamepost/platform/endpoint_commands.py
@@ -71,6 +71,10 @@
         """Set the path at which the worker answers without a command."""
         self.groups.health_path = path
 
+    def count_open(self) -> int:
+        """Return how many connections for grants are open."""
+        return self.groups.count_open()
+
     def end_group(self) -> None:
         """Close the connections for grants, which lead to an earlier incarnation."""
         self.groups.close_all()
--- a/tests/forwarding/test_endpoint_watch.py
+++ b/tests/forwarding/test_endpoint_watch.py
@@ -155,3 +155,25 @@
     ended = next(line for line in logs if line["event"] == "endpoint_not_listening")
     assert (ended["born"], ended["listening"]) == (10, "no")
     assert ended["open_connections"] == 0
+
+
+async def test_a_closed_port_is_no_end_while_connections_to_the_endpoint_are_open(
+    watch, monkeypatch
+):
+    # Guards against OWNER: an endpoint that refuses connections goes on over its open
+    # ones, while its keys are given to others.
+    ends: list[bool] = []
+
+    async def probe() -> Listening:
+        return Listening.NO
+
+    monkeypatch.setattr(watch.pool, "probe", probe)
+    watch.on_change = ends.append
+    watch.note_heartbeat(info(10), 1)
+    watch.count_open = lambda: 1
+    assert not await watch.check_ended()
+    assert not watch.endpoint.is_ready
+    watch.note_heartbeat(info(10), 2)
+    watch.count_open = lambda: 0
+    assert await watch.check_ended()
+    assert ends == [False, False, False, True]
