--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -94,6 +94,12 @@
 
 
 async def test_a_leaving_endpoint_hands_its_keys_over(fleet):
+    async def owns_keys() -> bool:
+        worker = fleet.workers[0]
+        return any(worker.holds_key(key) for key in fleet.record.probed_keys)
+
+    # A node that starts late has no share in the first table.
+    await fleet.wait_until(owns_keys, LOSS_TARGET_S)
     fleet.workers[0].state = "draining"
 
     async def is_handed_over() -> bool:
