Bound the bytes of all unfinished answers of an endpoint

Each answer of an endpoint was limited to 8 MiB, but all of them together were not. An endpoint that sent bodies without end in 60 answers made the process grow by 476 MiB, on a machine with 300 MB, which kills it with the requests of all callers.

Unfinished answers may now use a sixth of the memory of the settings file together. The body is collected in one buffer in place of a list of parts.

Callers saw closed connections when the process was killed.

--- a/src/sesamepost/internal/forwarding/endpoint_connection.py
+++ b/src/sesamepost/internal/forwarding/endpoint_connection.py
@@ -12,6 +12,7 @@
 
 from sesamepost.errors import ErrorKind, RouterError
 from sesamepost.internal.dispatch.headers import forwarded_headers
+from sesamepost.internal.forwarding.answer_budget import AnswerBudget
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
 
 MAX_ANSWER_BYTES = 8 << 20
@@ -48,21 +49,28 @@
 
 
 class EndpointConnection(asyncio.Protocol):
-    """Sends one request at a time and reads the response that belongs to it."""
+    """Sends one request at a time and reads the response that belongs to it.
+
+    ``budget`` bounds the memory of this response and of others together.
+    """
 
     def __init__(
-        self, names: HeaderNames, max_body_bytes: int = MAX_ANSWER_BYTES
+        self,
+        names: HeaderNames,
+        max_body_bytes: int = MAX_ANSWER_BYTES,
+        budget: AnswerBudget | None = None,
     ) -> None:
         self.names = names
         self.max_body_bytes = max_body_bytes
+        self.budget = budget or AnswerBudget()
+        self.is_held_back = False
         self.transport: asyncio.Transport | None = None
         self.parser: h11.Connection | None = None
         self.request: h11.Request | None = None
         self.request_id = ""
         self.waiter: asyncio.Future | None = None
         self.head: h11.Response | None = None
-        self.chunks: list[bytes] = []
-        self.body_size = 0
+        self.body = bytearray()
         # Bytes since the previous response, and responses skipped for this request.
         self.received_bytes = 0
         self.skipped_for_request = 0
@@ -91,12 +99,14 @@
             self._read_events()
         except h11.RemoteProtocolError as error:
             self._fail(ErrorKind.ANSWER_CUT_OFF, f"invalid HTTP response: {error}")
-        if self.received_bytes - self.body_size > MAX_OVERHEAD_BYTES + self.body_size:
+        body_size = len(self.body)
+        if self.received_bytes - body_size > MAX_OVERHEAD_BYTES + body_size:
             detail = (
-                f"received {self.received_bytes} bytes for a body of "
-                f"{self.body_size} bytes"
+                f"received {self.received_bytes} bytes for a body of {body_size} bytes"
             )
             self._fail(ErrorKind.ANSWER_CUT_OFF, detail)
+        if self.waiter is not None and not self.waiter.done():
+            self.budget.charge(self, self.received_bytes)
 
     def eof_received(self) -> bool:
         """Handle the end of the stream, which completes a response without a length."""
@@ -116,6 +126,18 @@
         self.is_open = False
         self._fail(self._disconnect_error_kind(), f"the endpoint closed: {error!r}")
 
+    def hold_back(self) -> None:
+        """Leave further bytes unread, since all responses together are too large."""
+        if self.is_open and not self.is_held_back:
+            self.is_held_back = True
+            self.transport.pause_reading()
+
+    def read_on(self) -> None:
+        """Read further bytes after ``hold_back``."""
+        if self.is_open and self.is_held_back:
+            self.is_held_back = False
+            self.transport.resume_reading()
+
     def close(self) -> None:
         """Close the connection at once; the endpoint drops the request in flight."""
         self.is_open = False
@@ -148,6 +170,9 @@
             raise
         finally:
             self.waiter = None
+            self.body = bytearray()
+            self.budget.release(self)
+            self.read_on()
             if self.parser.our_state is not h11.DONE:
                 self.close()
 
@@ -156,8 +181,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
         )
         self.head = None
-        self.chunks = []
-        self.body_size = 0
+        self.body = bytearray()
         self.received_bytes = 0
         return self.parser.send(self.request)
 
@@ -168,23 +192,23 @@
                 case h11.Response():
                     self.head = event
                 case h11.Data():
-                    self._append_body(bytes(event.data))
+                    self._append_body(event.data)
                 case h11.EndOfMessage():
                     self._complete()
                 case h11.ConnectionClosed() | h11.NEED_DATA | h11.PAUSED:
                     return
 
-    def _append_body(self, data: bytes) -> None:
-        self.body_size += len(data)
-        if self.body_size > self.max_body_bytes:
-            self._fail(ErrorKind.ANSWER_TOO_LARGE, f"more than {self.body_size} bytes")
+    def _append_body(self, data: bytes | bytearray) -> None:
+        size = len(self.body) + len(data)
+        if size > self.max_body_bytes:
+            self._fail(ErrorKind.ANSWER_TOO_LARGE, f"more than {size} bytes")
             self.close()
             return
-        self.chunks.append(data)
+        self.body += data
 
     def _complete(self) -> None:
         answer = EndpointResponse(
-            self.head.status_code, list(self.head.headers), b"".join(self.chunks)
+            self.head.status_code, list(self.head.headers), bytes(self.body)
         )
         trailing, closed = self.parser.trailing_data
         is_reusable = self.parser.their_state is h11.DONE and not closed
--- a/src/sesamepost/internal/forwarding/endpoint_pool.py
+++ b/src/sesamepost/internal/forwarding/endpoint_pool.py
@@ -6,7 +6,9 @@
 
 from sesamepost.errors import ErrorKind, RouterError
 from sesamepost.internal.clock import boottime
+from sesamepost.internal.forwarding.answer_budget import AnswerBudget
 from sesamepost.internal.forwarding.endpoint_connection import (
+    MAX_ANSWER_BYTES,
     EndpointConnection,
     EndpointResponse,
 )
@@ -33,11 +35,17 @@
 
 
 class EndpointPool:
-    """Opens connections on demand and reuses the most recently used one."""
+    """Opens connections on demand and reuses the most recently used one.
 
-    def __init__(self, address: Address, names: HeaderNames) -> None:
+    ``budget`` bounds the memory of all responses that are being received.
+    """
+
+    def __init__(
+        self, address: Address, names: HeaderNames, budget: AnswerBudget | None = None
+    ) -> None:
         self.address = address
         self.names = names
+        self.budget = budget or AnswerBudget()
         self.idle: list[EndpointConnection] = []
         self.in_use: set[EndpointConnection] = set()
         self.counters: Counter[str] = Counter()
@@ -109,7 +117,10 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: EndpointConnection(self.names), *self.address
+                    lambda: EndpointConnection(
+                        self.names, MAX_ANSWER_BYTES, self.budget
+                    ),
+                    *self.address,
                 )
         except (OSError, TimeoutError) as error:
             self.counters["connection_failures"] += 1
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -29,6 +29,7 @@
     Transaction,
     Write,
 )
+from sesamepost.internal.forwarding.answer_budget import AnswerBudget
 from sesamepost.internal.forwarding.endpoint import LocalEndpoint
 from sesamepost.internal.forwarding.endpoint_pool import EndpointPool
 from sesamepost.internal.forwarding.endpoint_presence import EndpointPresence
@@ -72,6 +73,10 @@
 STOP_MARGIN_S = 0.6
 # Requests that arrive during a stop end this long before the last answer is due.
 ANSWER_MARGIN_S = 0.1
+# The part of the memory that unfinished answers of the endpoint may use together. The
+# process needs about a quarter for itself, and each answer exceeds its share by up to
+# one read of 256 KiB.
+ANSWER_MEMORY_DIVISOR = 6
 # An entry that is not removed in time expires with its lease.
 WITHDRAW_TIMEOUT_S = 0.3
 
@@ -137,7 +142,11 @@
         self.feed = ReaderFeed(entry, self.nodes, self.mirror, self.store)
         self.mirror.feed = self.feed
         self.endpoint_pool = await enter(
-            EndpointPool(settings.endpoint_address, self.names)
+            EndpointPool(
+                settings.endpoint_address,
+                self.names,
+                AnswerBudget(settings.memory_bytes // ANSWER_MEMORY_DIVISOR),
+            )
         )
         self.local = await enter(LocalEndpoint(self.endpoint_pool, self.names))
         self.watch = EndpointWatch(self.endpoint_pool, self.names, self._on_endpoint)
--- a/src/sesamepost/internal/forwarding/node_settings.py
+++ b/src/sesamepost/internal/forwarding/node_settings.py
@@ -11,7 +11,8 @@
 
     ``service`` is the service of the local endpoint when the node started.
     ``max_hold_s`` limits how long a hold lasts, and ``stop_timeout_s`` is the time from
-    SIGTERM until the process is killed.
+    SIGTERM until the process is killed. A process that uses more than ``memory_bytes``
+    is killed.
     """
 
     name: str
@@ -28,3 +29,4 @@
     store_url: str
     max_hold_s: float
     stop_timeout_s: float
+    memory_bytes: int
--- a/src/sesamepost/platform/settings.py
+++ b/src/sesamepost/platform/settings.py
@@ -8,6 +8,8 @@
 
 DEFAULT_MAX_HOLD_S = 10.0
 DEFAULT_STOP_TIMEOUT_S = 6.0
+DEFAULT_MEMORY_MB = 300
+BYTES_PER_MB = 1_000_000
 PEER_PORT_OFFSET = 0
 METRICS_PORT_OFFSET = 1
 
@@ -35,6 +37,7 @@
     listen = fields["listenAddresses"]
     first_port = int(fields["internalPortRange"][0])
     bounds = fields.get("bounds", {})
+    memory_mb = fields.get("limits", {}).get("memoryMb", DEFAULT_MEMORY_MB)
     return NodeSettings(
         name=fields["nodeName"],
         vm=fields["ip"],
@@ -50,6 +53,7 @@
         store_url="http://" + fields["platform"]["address"],
         max_hold_s=float(bounds.get("maxHoldS", DEFAULT_MAX_HOLD_S)),
         stop_timeout_s=float(bounds.get("gracePeriodS", DEFAULT_STOP_TIMEOUT_S)),
+        memory_bytes=int(memory_mb) * BYTES_PER_MB,
     )
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -78,6 +78,13 @@
     assert settings.peer_port == 7600
     assert settings.max_hold_s == 10.0
     assert settings.store_url == "http://10.200.1.7:8627"
+    assert settings.memory_bytes == 300_000_000
+
+
+def test_the_memory_limit_is_read(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS + "[limits]\nmemoryMb = 512\n")
+    assert read_settings(path).memory_bytes == 512_000_000
 
 
 @pytest.mark.parametrize(
