Parse the answers of an endpoint in parts that stop no other work

The parser took 11 us for each chunk and 16 us for each interim response, and all bytes of a read, up to 256 KiB, were parsed in one turn of the event loop. An endpoint that sent chunks of 5 bytes without end therefore stopped the loop, and nothing ended the answer before its deadline. A head of 10,000 lines was accepted and took 4 MB.

Parsing now uses at most half of each 10 ms at once; beyond that, one part of one answer is parsed for about 1 ms in each turn of the loop, and reading of that answer pauses. An answer is invalid with more than 32 interim responses, more than 1000 header lines in an incomplete head, or more than 4096 chunks with a mean below 128 bytes. Bytes that arrive between a complete answer and the return of its request close the connection; before, they were dropped, which could part a late copy.

Callers of all services saw late answers and missed renewals while the loop stood still. The callers of the faulty answers get answer_cut_off, whose outcome is unknown.

--- a/src/sesamepost/internal/forwarding/endpoint_connection.py
+++ b/src/sesamepost/internal/forwarding/endpoint_connection.py
@@ -6,13 +6,16 @@
 """
 
 import asyncio
+import math
 from dataclasses import dataclass
 
 import h11
 
 from sesamepost.errors import ErrorKind, RouterError
+from sesamepost.internal.clock import boottime
 from sesamepost.internal.dispatch.headers import forwarded_headers
 from sesamepost.internal.forwarding.answer_budget import AnswerBudget
+from sesamepost.internal.forwarding.parse_queue import MAX_PART_S, ParseQueue
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
 
 MAX_ANSWER_BYTES = 8 << 20
@@ -20,6 +23,18 @@
 # Bytes beyond the body: headers, interim responses and chunk framing. Framing may add
 # as many bytes as the body has; the response of an endpoint that sends more is invalid.
 MAX_OVERHEAD_BYTES = 2 * MAX_HEADER_BYTES
+# The parser gets at most this much of a head or of chunks at a time, since limits are
+# checked only between these slices. It only copies the bytes of other bodies.
+PARSE_SLICE_BYTES = 8 << 10
+# An ordinary response has fewer events, so that it needs no reading of the clock.
+EVENTS_PER_CLOCK_CHECK = 16
+# A parsed line takes 2 us and 400 bytes, however short it is.
+MAX_HEADER_LINES = 1000
+# Parsing a chunk or a response takes about 15 us, however short it is.
+MAX_INTERIM_RESPONSES = 32
+MAX_SHORT_CHUNKS = 4096
+# Further chunks must have this size on average.
+MIN_MEAN_CHUNK_BYTES = 128
 # Responses to earlier requests that are skipped while waiting for one response.
 MAX_SKIPPED_ANSWERS = 8
 # A connection with this many failed requests is closed, as it remembers their ids.
@@ -51,7 +66,8 @@
 class EndpointConnection(asyncio.Protocol):
     """Sends one request at a time and reads the response that belongs to it.
 
-    ``budget`` bounds the memory of this response and of others together.
+    ``budget`` bounds the memory of this response and of others together, and
+    ``parse_queue`` the time for which parsing them stops the event loop.
     """
 
     def __init__(
@@ -59,11 +75,19 @@
         names: HeaderNames,
         max_body_bytes: int = MAX_ANSWER_BYTES,
         budget: AnswerBudget | None = None,
+        parse_queue: ParseQueue | None = None,
     ) -> None:
         self.names = names
         self.max_body_bytes = max_body_bytes
         self.budget = budget or AnswerBudget()
+        self.parse_queue = parse_queue or ParseQueue()
+        # Reading stops while the response does not fit into the budget, and while
+        # received bytes are still to be parsed.
         self.is_held_back = False
+        self.is_queued = False
+        self.is_reading = True
+        self.last_slice = b""
+        self.unparsed = memoryview(b"")
         self.transport: asyncio.Transport | None = None
         self.parser: h11.Connection | None = None
         self.request: h11.Request | None = None
@@ -71,6 +95,9 @@
         self.waiter: asyncio.Future | None = None
         self.head: h11.Response | None = None
         self.body = bytearray()
+        self.header_lines = 0
+        self.chunk_count = 0
+        self.interim_responses = 0
         # Bytes since the previous response, and responses skipped for this request.
         self.received_bytes = 0
         self.skipped_for_request = 0
@@ -90,30 +117,65 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse response data; close the connection if no request is in flight."""
-        if self.waiter is None:
+        if self.waiter is None or self.waiter.done():
             self.close()
             return
         self.received_bytes += len(data)
+        if self.unparsed:
+            self.unparsed = memoryview(bytes(self.unparsed) + data)
+        else:
+            self._feed(data[:PARSE_SLICE_BYTES])
+            self.unparsed = memoryview(data)[PARSE_SLICE_BYTES:]
+        now = boottime()
+        if self.is_queued or self.parse_queue.is_busy(now):
+            self._queue_parsing()
+        else:
+            self._parse(now)
+        if not self.waiter.done():
+            self.budget.charge(self, self.received_bytes)
+
+    def _queue_parsing(self) -> None:
+        if not self.is_queued:
+            self.is_queued = True
+            self._update_reading()
+            self.parse_queue.add(self._parse_queued)
+
+    def _parse_queued(self) -> None:
+        self.is_queued = False
+        if self.waiter is not None and not self.waiter.done():
+            self._parse(boottime())
+        self._update_reading()
+
+    def _parse(self, now: float) -> None:
+        """Parse received bytes for a short time; queue the parsing of the others."""
         try:
-            self.parser.receive_data(data)
-            self._read_events()
+            is_parsed = self._read_events(now + MAX_PART_S)
         except h11.RemoteProtocolError as error:
             self._fail(ErrorKind.ANSWER_CUT_OFF, f"invalid HTTP response: {error}")
+            is_parsed = True
+        self.parse_queue.note_parsed(boottime() - now)
+        if is_parsed:
+            self._check_overhead()
+        else:
+            self._queue_parsing()
+
+    def _check_overhead(self) -> None:
         body_size = len(self.body)
         if self.received_bytes - body_size > MAX_OVERHEAD_BYTES + body_size:
             detail = (
                 f"received {self.received_bytes} bytes for a body of {body_size} bytes"
             )
             self._fail(ErrorKind.ANSWER_CUT_OFF, detail)
-        if self.waiter is not None and not self.waiter.done():
-            self.budget.charge(self, self.received_bytes)
 
     def eof_received(self) -> bool:
-        """Handle the end of the stream, which completes a response without a length."""
+        """Handle the end of the stream, which completes a response without a length.
+
+        Reading stops while bytes are to be parsed, so all have been parsed by now.
+        """
         if self.waiter is not None:
             try:
                 self.parser.receive_data(b"")
-                self._read_events()
+                self._read_events(math.inf)
             except h11.RemoteProtocolError as error:
                 self._fail(
                     self._disconnect_error_kind(), f"the response ended early: {error}"
@@ -128,15 +190,23 @@
 
     def hold_back(self) -> None:
         """Leave further bytes unread, since all responses together are too large."""
-        if self.is_open and not self.is_held_back:
-            self.is_held_back = True
-            self.transport.pause_reading()
+        self.is_held_back = True
+        self._update_reading()
 
     def read_on(self) -> None:
         """Read further bytes after ``hold_back``."""
-        if self.is_open and self.is_held_back:
-            self.is_held_back = False
+        self.is_held_back = False
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        is_reading = not (self.is_held_back or self.is_queued)
+        if is_reading == self.is_reading or not self.is_open:
+            return
+        self.is_reading = is_reading
+        if is_reading:
             self.transport.resume_reading()
+        else:
+            self.transport.pause_reading()
 
     def close(self) -> None:
         """Close the connection at once; the endpoint drops the request in flight."""
@@ -171,6 +241,8 @@
         finally:
             self.waiter = None
             self.body = bytearray()
+            self.last_slice = b""
+            self.unparsed = memoryview(b"")
             self.budget.release(self)
             self.read_on()
             if self.parser.our_state is not h11.DONE:
@@ -182,21 +254,71 @@
         )
         self.head = None
         self.body = bytearray()
+        self.last_slice = b""
+        self.header_lines = 0
+        self.chunk_count = 0
+        self.interim_responses = 0
         self.received_bytes = 0
         return self.parser.send(self.request)
 
-    def _read_events(self) -> None:
-        while self.waiter is not None and not self.waiter.done():
+    def _read_events(self, until: float) -> bool:
+        """Parse received bytes; return whether all were parsed before ``until``."""
+        count = 0
+        while not self.waiter.done():
             event = self.parser.next_event()
             match event:
+                case h11.InformationalResponse():
+                    self._count_interim_response()
                 case h11.Response():
                     self.head = event
                 case h11.Data():
                     self._append_body(event.data)
+                    if event.chunk_end:
+                        self._count_chunk()
                 case h11.EndOfMessage():
                     self._complete()
+                case h11.NEED_DATA if self.unparsed:
+                    self._check_header_lines()
+                    self._feed_slice()
                 case h11.ConnectionClosed() | h11.NEED_DATA | h11.PAUSED:
-                    return
+                    self._check_header_lines()
+                    return True
+            count += 1
+            if count % EVENTS_PER_CLOCK_CHECK == 0 and boottime() >= until:
+                return self.waiter.done()
+        return True
+
+    def _feed(self, data: bytes) -> None:
+        self.last_slice = data
+        self.parser.receive_data(data)
+
+    def _feed_slice(self) -> None:
+        size = len(self.unparsed)
+        if self.head is None or _is_chunked(self.head):
+            size = PARSE_SLICE_BYTES
+        self._feed(bytes(self.unparsed[:size]))
+        self.unparsed = self.unparsed[size:]
+
+    def _check_header_lines(self) -> None:
+        """Fail if an incomplete head has too many lines; it is parsed as a whole."""
+        if self.head is not None:
+            return
+        self.header_lines += self.last_slice.count(b"\n")
+        self.last_slice = b""
+        if self.header_lines > MAX_HEADER_LINES:
+            self._fail(ErrorKind.ANSWER_CUT_OFF, f"{self.header_lines} header lines")
+
+    def _count_interim_response(self) -> None:
+        self.interim_responses += 1
+        if self.interim_responses > MAX_INTERIM_RESPONSES:
+            self._fail(ErrorKind.ANSWER_CUT_OFF, "too many interim responses")
+
+    def _count_chunk(self) -> None:
+        self.chunk_count += 1
+        long_chunks = len(self.body) // MIN_MEAN_CHUNK_BYTES
+        if self.chunk_count > MAX_SHORT_CHUNKS + long_chunks:
+            detail = f"{self.chunk_count} chunks for {len(self.body)} bytes"
+            self._fail(ErrorKind.ANSWER_CUT_OFF, detail)
 
     def _append_body(self, data: bytes | bytearray) -> None:
         size = len(self.body) + len(data)
@@ -222,7 +344,7 @@
             self.failed_ids.add(answered_id)
         # A copy of a response without an id could not be told from the next response.
         is_traceable = answered_id and len(self.failed_ids) <= MAX_FAILED_IDS
-        if not is_reusable or trailing or not is_traceable:
+        if not is_reusable or trailing or self.unparsed or not is_traceable:
             self.close()
         self._parse_keep_alive(answer.header("keep-alive"))
         self.waiter.set_result(answer)
@@ -240,9 +362,8 @@
             return
         # The request is not sent again, but the new parser must expect its response.
         self._start_parser()
-        if trailing:
-            self.received_bytes = len(trailing)
-            self.parser.receive_data(trailing)
+        self.unparsed = memoryview(trailing + bytes(self.unparsed))
+        self.received_bytes = len(self.unparsed)
 
     def _parse_keep_alive(self, value: str) -> None:
         for part in value.split(","):
@@ -256,3 +377,7 @@
     def _fail(self, kind: ErrorKind, detail: str) -> None:
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_exception(RouterError(kind, detail))
+
+
+def _is_chunked(head: h11.Response) -> bool:
+    return any(name == b"transfer-encoding" for name, _ in head.headers)
--- a/src/sesamepost/internal/forwarding/endpoint_pool.py
+++ b/src/sesamepost/internal/forwarding/endpoint_pool.py
@@ -12,6 +12,7 @@
     EndpointConnection,
     EndpointResponse,
 )
+from sesamepost.internal.forwarding.parse_queue import ParseQueue
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
 from sesamepost.internal.wire.pool import Address
 
@@ -46,6 +47,7 @@
         self.address = address
         self.names = names
         self.budget = budget or AnswerBudget()
+        self.parse_queue = ParseQueue()
         self.idle: list[EndpointConnection] = []
         self.in_use: set[EndpointConnection] = set()
         self.counters: Counter[str] = Counter()
@@ -118,7 +120,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
                     lambda: EndpointConnection(
-                        self.names, MAX_ANSWER_BYTES, self.budget
+                        self.names, MAX_ANSWER_BYTES, self.budget, self.parse_queue
                     ),
                     *self.address,
                 )
