Bound the responses of the store in bytes

The client of the store read each response to its end. A response without end was limited only by the timeout of 0.8 s: 12 calls at once made the process grow by 660 to 867 MiB, on a machine with 300 MB.

A response may now have 8 MiB, all that are read together 24 MiB. A call whose response exceeds a limit fails like one without an answer, which the mirror answers by listing the items anew in pages.

Callers lost their requests when the process was killed for its memory.

Not changed: aiohttp parses a whole read of 256 KiB in one turn of the loop, so 12 responses in chunks of 5 bytes still stop it for 0.6 s and 12 with interim responses for 1.3 s; the test does not bound these two.

--- a/src/sesamepost/platform/store.py
+++ b/src/sesamepost/platform/store.py
@@ -33,6 +33,12 @@
 KEEP_ALIVE_PROBES = 2
 USER_TIMEOUT_MS = 2000
 
+# A page has 1 MB or one item, whose value has up to 1 MiB before base64. A watch may
+# return many changes at once; if they are too large, the caller lists all items anew.
+MAX_RESPONSE_BYTES = 8 << 20
+# All responses that are being read together.
+MAX_BYTES_IN_FLIGHT = 24 << 20
+
 # Statuses that guarantee that the store has not executed the call.
 REJECTED_STATUSES = frozenset({429, 503})
 
@@ -70,6 +76,7 @@
     def __init__(self, url: str) -> None:
         self.url = url
         self.session: aiohttp.ClientSession | None = None
+        self.bytes_in_flight = 0
         self.counters: Counter[str] = Counter()
 
     async def __aenter__(self) -> "PlatformStore":
@@ -199,7 +206,7 @@
                 async with self.session.request(
                     method, self.url + path, params=query, data=data, headers=headers
                 ) as response:
-                    content = await response.read()
+                    content = await self._read(response)
                     status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise StoreSilentError(f"{method} {path}: {error!r}") from None
@@ -209,6 +216,25 @@
             raise StoreSilentError(f"{method} {path}: status {status}: {content[:80]}")
         return status, content
 
+    async def _read(self, response: aiohttp.ClientResponse) -> bytes:
+        """Return the body; raise ``StoreSilentError`` if it exceeds a limit."""
+        content = bytearray()
+        try:
+            async for part in response.content.iter_any():
+                content += part
+                self.bytes_in_flight += len(part)
+                if (
+                    len(content) > MAX_RESPONSE_BYTES
+                    or self.bytes_in_flight > MAX_BYTES_IN_FLIGHT
+                ):
+                    response.close()
+                    raise StoreSilentError(
+                        f"the response exceeds a limit after {len(content)} bytes"
+                    )
+        finally:
+            self.bytes_in_flight -= len(content)
+        return bytes(content)
+
 
 def _fields(content: bytes, status: int) -> ResponseFields:
     """Return the fields of a response; only a refusal may lack them."""
