Stop reading heartbeats that are too large

A message to the heartbeat port could have 1 MiB, and after its rejection the rest was read for up to 10 s. 30 heartbeats without end at once made the process grow by 190 MiB with a length and 131 MiB in long chunks (both tests failed).

A message may now have 512 KiB, more than the largest valid heartbeat, and its connection closes once it is rejected. The worker gets 413 as before.

The tests of endless messages run on uvloop now, as the router process does: on asyncio's own loop, the two tests did not fail.

Not changed: aiohttp keeps up to 32 reads of 256 KiB for each connection whose head is invalid, so 30 connections with one endless header line still cost 255 MiB; in chunks of 5 bytes they stop the loop for 0.2 s.

--- a/src/sesamepost/platform/control_plane.py
+++ b/src/sesamepost/platform/control_plane.py
@@ -33,6 +33,8 @@
 )
 
 MAX_REPORTED_RANGES = 4096
+# A heartbeat with the largest number of ranges and of tokens has about 400 KB.
+MAX_MESSAGE_BYTES = 512 << 10
 
 Key = Annotated[int, Meta(ge=0, le=LAST_KEY)]
 
@@ -190,10 +192,15 @@
         await self.stack.aclose()
 
     async def _listen(self, address: Address, routes: list) -> None:
-        app = web.Application()
+        app = web.Application(client_max_size=MAX_MESSAGE_BYTES)
         app.add_routes(routes)
         runner = web.AppRunner(
-            app, handle_signals=False, access_log=None, shutdown_timeout=0.2
+            app,
+            handle_signals=False,
+            access_log=None,
+            shutdown_timeout=0.2,
+            # A message that is too large is not read to its end.
+            lingering_time=0.0,
         )
         await runner.setup()
         self.stack.push_async_callback(runner.cleanup)
--- a/tests/forwarding/test_answers_without_end.py
+++ b/tests/forwarding/test_answers_without_end.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest
+import uvloop
 
 from sesamepost.errors import ANSWERS, Outcome, RouterError
 from sesamepost.internal.forwarding.answer_budget import AnswerBudget
@@ -24,6 +25,12 @@
 MAX_STOP_S = 0.1
 
 
+@pytest.fixture(scope="module")
+def event_loop_policy() -> uvloop.EventLoopPolicy:
+    """Run the tests on the event loop of the router process."""
+    return uvloop.EventLoopPolicy()
+
+
 async def failure(pool: EndpointPool) -> RouterError | TimeoutError:
     with pytest.raises((RouterError, TimeoutError)) as caught:
         async with asyncio.timeout(REQUEST_TIMEOUT_S):
--- a/tests/platform/test_endless_messages.py
+++ b/tests/platform/test_endless_messages.py
@@ -6,6 +6,7 @@
 from base64 import b64encode
 
 import pytest
+import uvloop
 
 from sesamepost.internal.coordination.store import StoreSilentError
 from sesamepost.platform.store import PlatformStore
@@ -31,6 +32,12 @@
 }
 
 
+@pytest.fixture(scope="module")
+def event_loop_policy() -> uvloop.EventLoopPolicy:
+    """Run the tests on the event loop of the router process."""
+    return uvloop.EventLoopPolicy()
+
+
 @pytest.mark.parametrize("where", ENDLESS)
 async def test_responses_of_the_store_are_bounded(where):
     # Guards against a store, or a machine in between, whose response fills the memory
