--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -28,6 +28,7 @@
     HoldOrder,
     HoldReport,
 )
+from sesamepost.internal.ranges.hold_log import log_end, log_release, release_proof
 from sesamepost.internal.ranges.holds import (
     HOLD_S,
     LONGEST_HOLD_S,
@@ -147,12 +148,14 @@
         self.is_confirmed = is_confirmed
         incarnation = endpoint.incarnation if endpoint else None
         if is_gone and not self.releaser.is_gone:
-            self._log_holds("holds_void", "endpoint_gone")
+            log_end(self.holds, self.incarnation, "holds_void", "endpoint_gone")
         if endpoint is None:
             is_gone |= self.releaser.is_gone
         elif incarnation != self.incarnation and self.incarnation is not None:
             proof = "endpoint_gone" if self.releaser.is_gone else None
-            self._log_holds("incarnation_replaced", proof, endpoint)
+            log_end(
+                self.holds, self.incarnation, "incarnation_replaced", proof, endpoint
+            )
             self.holds = HoldTracker(self.holds.max_hold_s, self._held_until())
         self.incarnation = incarnation or self.incarnation
         self.endpoint = endpoint
@@ -160,22 +163,6 @@
         self.releaser.is_gone = is_gone
         self.wake.set()
 
-    def _log_holds(
-        self, event: str, proof: str | None, successor: EndpointInfo | None = None
-    ) -> None:
-        """Log how long the known incarnation may hold keys if ``proof`` is wrong."""
-        former = self.incarnation or (None, None)
-        possible_s = self.holds.possible_until(0, LAST_KEY) - boottime()
-        log.info(
-            event,
-            proof=proof,
-            endpoint=former[0],
-            born=former[1],
-            successor=successor and successor.id,
-            successor_born=successor and successor.born,
-            possible_s=round(max(0.0, possible_s), 2),
-        )
-
     def _held_until(self) -> float:
         """Return the time until which the known incarnation may hold any key."""
         if self.releaser.is_gone:
@@ -648,32 +635,10 @@
             await asyncio.wait(pending)
 
     def _log_released(
-        self,
-        holds: HoldTracker,
-        first: int,
-        last: int,
-        is_proven: bool,
-        started_at: float,
+        self, holds: HoldTracker, first: int, last: int, is_proven: bool, since: float
     ) -> None:
-        """Log the proof that the endpoint holds none of these keys.
-
-        ``is_proven`` says that the endpoint answered each release with a token.
-        """
-        possible_s = holds.possible_until(first, last) - boottime()
-        if is_proven:
-            proof = "token"
-        elif self.releaser.is_gone:
-            proof = "endpoint_gone"
-        else:
-            proof = "hold_ended" if possible_s <= 0 else None
-        log.info(
-            "released",
-            first=first,
-            last=last,
-            proof=proof,
-            waited_s=round(boottime() - started_at, 3),
-            possible_s=round(max(0.0, possible_s), 2),
-        )
+        is_gone = self.releaser.is_gone
+        log_release(holds, first, last, release_proof(is_proven, is_gone), since)
 
     async def _release(self, first: int, last: int) -> str:
         """Release keys; return their token once the endpoint certainly holds none."""
