--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -39,6 +39,21 @@
     assert any(outcome.status == 200 for outcome in outcomes)
 
 
+LIFE_SEEDS = [
+    # Silent connections stood for a worker that had ended.
+    pytest.param(10, 12.0, id="silent-connections"),
+    # A heartbeat that had been queued at a paused node stood for its sender.
+    pytest.param(9, 12.0, id="paused-node"),
+]
+
+
+@pytest.mark.parametrize(("seed", "seconds"), LIFE_SEEDS)
+async def test_no_promise_is_broken_while_workers_are_replaced(seed, seconds, tmp_path):
+    problems, outcomes = await run_seed(seed, tmp_path, seconds=seconds, lives=True)
+    assert problems == []
+    assert any(outcome.status == 200 for outcome in outcomes)
+
+
 def test_a_seed_determines_the_faults():
     # Guards against regression seeds that no longer reproduce their faults.
     assert schedule(7, 12.0) == schedule(7, 12.0)
