Forget the end of an endpoint whose node publishes it again

Its node's later entry with the same incarnation, ready, now contradicts the report. The test failed before: no such step existed.

--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -75,6 +75,8 @@
         self.last_joined_at = 0.0
         self.known_vms: set[str] = set()
         self.ended: set[Owner] = set()
+        # Revision of the entry of an ended owner's VM when the end was reported.
+        self.ended_at: dict[Owner, int] = {}
         # Revision of the lease record of each missing VM, and when it was first seen.
         self.lease_records: dict[str, tuple[int, float]] = {}
         self.due_since: float | None = None
@@ -95,13 +97,22 @@
             **self._entry_state(owner),
         )
         self.ended.add(owner)
+        self.ended_at[owner] = self.mirror.revision_of(self.nodes.node_key(owner.vm))
+
+    def _forget_wrong_reports(self, available: list[Owner]) -> None:
+        """Forget the end of owners whose node has published them again since."""
+        for owner in self.ended.intersection(available):
+            revision = self.mirror.revision_of(self.nodes.node_key(owner.vm))
+            if revision != self.ended_at[owner]:
+                log.warning("ended_endpoint_returned", owner_vm=owner.vm)
+                self.ended.discard(owner)
 
     async def step(self) -> None:
         """Distribute ranges without a live owner if it is this node's turn."""
         now = boottime()
-        owners = [
-            owner for owner in self._available_owners() if owner not in self.ended
-        ]
+        available = self._available_owners()
+        self._forget_wrong_reports(available)
+        owners = [owner for owner in available if owner not in self.ended]
         if not self.mirror.in_contact or not owners or not self._is_due(now):
             return
         if not self._is_my_turn(now):
--- a/tests/ranges/test_takeover.py
+++ b/tests/ranges/test_takeover.py
@@ -185,3 +185,18 @@
     assert not lost["i-3"]["is_reported_ended"]
     assert not lost["i-3"]["is_entry_present"]
     assert lost["i-3"]["missing_s"] >= WAIT_S
+
+
+async def test_an_endpoint_that_was_reported_as_ended_and_lives_on_is_an_owner(parts):
+    # Guards against OWNER: the ranges of an endpoint whose end was reported by mistake
+    # were given to others at every step without a wait.
+    store, mirror, nodes, tables = parts
+    takeover = await prepare_takeover(store, mirror, nodes, tables)
+    takeover.note_ended(A)
+    key = nodes.node_key(A.vm)
+    await put_and_mirror(store, mirror, key, entry(A, ready=False).encode())
+    takeover._forget_wrong_reports(takeover._available_owners())
+    assert A in takeover._lost_owners(0.0)
+    await put_and_mirror(store, mirror, key, entry(A).encode())
+    takeover._forget_wrong_reports(takeover._available_owners())
+    assert takeover._lost_owners(0.0) == set()
