Send grants to a worker that accepts one connection only

Where a worker resets all further connections, the anchor was the only one left: no grant was sent, some 1,600 connections a second were opened, and the keys of the worker went without service. The anchor now carries commands if no other connection can be had, and a connection that is lost before it joined pauses further ones. A connection that was opened before a group began no longer joins it, and a cancelled opening leaves none behind.

--- a/src/sesamepost/internal/forwarding/connection_groups.py
+++ b/src/sesamepost/internal/forwarding/connection_groups.py
@@ -5,18 +5,20 @@
 late, and a connection that looks open may have gone silent. Two facts are certain:
 
 - A connection leads to the same process for as long as it lasts.
-- If that process answers on it after another connection was opened, the other one leads
-  to the same process, since only one process listens at an address.
+- If that process answers on it after another connection was opened, the later one leads
+  to the same process, since the process that serves an address also listens there.
 
 So answers join connections to a group. Commands may stay unanswered, so one connection
-of the group, the anchor, carries none. It is asked for the endpoint's health while
-connections wait for an answer that joins them. A group ends with its last connection.
-The next connection begins another group, which may or may not lead to the same process.
+of the group, the anchor, carries none if others can be had. It is asked for the
+endpoint's health while connections wait for an answer that joins them. A group ends
+with its last connection. The next connection begins another group, which may or may not
+lead to the same process.
 """
 
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 
 import structlog
 
@@ -106,6 +108,8 @@
         self.may_begin = may_begin
         self.health_path = DEFAULT_HEALTH_PATH
         self.group = 0
+        # The place in the order of events at which the group's first one was opened.
+        self.begun = 0
         self.members: set[CommandConnection] = set()
         self.anchor: CommandConnection | None = None
         # Members for commands that are not in use, the least recently used one first.
@@ -159,12 +163,19 @@
                     continue
                 self._open_further(min(MAX_CONNECTIONS, self.waiting + 1))
                 self._ask_anchor()
-                changed = self.changed
-                await changed.wait()
+                self._use_lone_anchor()
+                if not self.idle:
+                    await self._wait_for_change()
             return self.idle.pop(0)
         finally:
             self.waiting -= 1
 
+    async def _wait_for_change(self) -> None:
+        changed = self.changed
+        with suppress(TimeoutError):
+            async with asyncio.timeout(REOPEN_PAUSE_S):
+                await changed.wait()
+
     def note_sent(self) -> int:
         """Record that a command is being sent; return its place in the order."""
         self.events += 1
@@ -176,7 +187,7 @@
             return
         self.begin_at = 0.0
         self.begin_pause_s = MIN_BEGIN_PAUSE_S
-        for newcomer in [n for n in self.newcomers if n.opened < sent]:
+        for newcomer in [n for n in self.newcomers if self.begun < n.opened < sent]:
             self.newcomers.remove(newcomer)
             self._join(newcomer)
             log.info(
@@ -208,6 +219,16 @@
                 self._ask(self.anchor, ANCHOR_TIMEOUT_S)
             )
 
+    def _use_lone_anchor(self) -> None:
+        """Use the anchor for commands if the endpoint accepts no other connection."""
+        is_opening = self.opening is not None and not self.opening.done()
+        is_asking = self.asking is not None and not self.asking.done()
+        if self.anchor is None or self.newcomers or is_opening or is_asking:
+            return
+        if self.members == {self.anchor} and boottime() < self.reopen_at:
+            self.idle.append(self.anchor)
+            self.anchor = None
+
     async def _ask(self, anchor: CommandConnection, timeout_s: float) -> None:
         """Join all open connections to the group if the anchor is answered."""
         self.counters["anchor_calls"] += 1
@@ -237,10 +258,15 @@
             # They may have gone silent with the others.
             self._drop(list(self.newcomers))
             anchor = await self._open()
-            await self._add_newcomers(min(MAX_CONNECTIONS, self.waiting + 1) - 1)
+            try:
+                await self._add_newcomers(min(MAX_CONNECTIONS, self.waiting + 1) - 1)
+            except asyncio.CancelledError:
+                anchor.close()
+                raise
             self.begin_at = boottime() + self.begin_pause_s
             self.begin_pause_s = min(MAX_BEGIN_PAUSE_S, self.begin_pause_s * 2)
             self.group += 1
+            self.begun = anchor.opened
             self.counters["groups"] += 1
             log.info(
                 "command_group_begun",
@@ -256,7 +282,9 @@
             await asyncio.wait({self.asking})
             if not self.members:
                 # Nothing was sent over the group yet, so it may lead anywhere.
-                self._join(await self._open())
+                first = await self._open()
+                self.begun = first.opened
+                self._join(first)
 
     def _ended_ago_s(self) -> float | None:
         """Return the time since the endpoint closed the last group, if it did."""
@@ -295,19 +323,17 @@
             self.opening = asyncio.ensure_future(self._add_newcomers(missing))
 
     async def _add_newcomers(self, count: int) -> None:
-        opened = await asyncio.gather(
-            *(self._open() for _ in range(count)), return_exceptions=True
-        )
-        for result in opened:
-            match result:
-                case CommandConnection():
-                    if result.is_open:
-                        self.newcomers.append(result)
-                        self._note_change()
-                case EndpointGoneError() | GrantDelayedError():
-                    self.reopen_at = boottime() + REOPEN_PAUSE_S
-                case BaseException():
-                    raise result
+        await asyncio.gather(*(self._add_newcomer() for _ in range(count)))
+
+    async def _add_newcomer(self) -> None:
+        try:
+            connection = await self._open()
+        except (EndpointGoneError, GrantDelayedError):
+            self.reopen_at = boottime() + REOPEN_PAUSE_S
+            return
+        if connection.is_open:
+            self.newcomers.append(connection)
+            self._note_change()
 
     def _join(self, connection: CommandConnection) -> None:
         connection.group = self.group
@@ -334,6 +360,9 @@
 
     def _on_lost(self, connection: CommandConnection) -> None:
         is_member = connection in self.members
+        if not is_member and connection.is_ended_by_peer:
+            # The endpoint accepts no further connections, or is about to end.
+            self.reopen_at = boottime() + REOPEN_PAUSE_S
         self._remove(connection)
         if is_member and not self.members and connection.is_ended_by_peer:
             self.ended_at = boottime()
--- a/tests/platform/test_endpoint_commands.py
+++ b/tests/platform/test_endpoint_commands.py
@@ -1,6 +1,7 @@
 """Grants reach only the incarnation of the worker that they are meant for."""
 
 import asyncio
+from contextlib import suppress
 
 import pytest
 from aiohttp import web
@@ -182,6 +183,71 @@
         assert groups.group == 1
 
 
+async def test_a_connection_to_a_former_process_does_not_join_a_later_group():
+    # Guards against a fence that reaches two incarnations: a connection that was being
+    # opened when a group ended leads to the former process.
+    async with (
+        Worker() as worker,
+        WorkerCommands(Address("127.0.0.1", worker.port)) as commands,
+    ):
+        groups = commands.groups
+        former = await groups._open()
+        for _ in range(2):
+            assert await grant(commands, FenceGroups(), 1)
+        groups.newcomers.append(former)
+        assert await grant(commands, FenceGroups(), 1)
+        assert groups.group == 1
+        assert former not in groups.members
+
+
+class LimitedWorker:
+    """Answers on one connection and resets all others, as a full worker does."""
+
+    def __init__(self) -> None:
+        self.accepted = 0
+        self.grants = 0
+        self.tasks: list[asyncio.Task] = []
+
+    async def __aenter__(self) -> "LimitedWorker":
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        self.server.close()
+        await asyncio.wait(self.tasks)
+
+    async def _serve(self, reader, writer) -> None:
+        self.tasks.append(asyncio.current_task())
+        self.accepted += 1
+        if self.accepted > 1:
+            writer.transport.abort()
+            return
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if head.startswith(b"POST"):
+                    await reader.readuntil(b"}")
+                    self.grants += 1
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        writer.close()
+
+
+async def test_a_worker_that_accepts_one_connection_gets_its_grants_over_it():
+    # Guards against keys without service, and against connections without pause, while
+    # a worker resets all new connections.
+    fences = FenceGroups()
+    async with (
+        LimitedWorker() as worker,
+        WorkerCommands(Address("127.0.0.1", worker.port)) as commands,
+    ):
+        for _ in range(10):
+            assert await grant(commands, fences, 1)
+            await asyncio.sleep(0.05)
+        assert worker.grants == 10
+        assert worker.accepted <= 8
+
+
 class HoldingBackWorker(Worker):
     """Executes grants without answering them while ``is_silent``."""
 
