Open spare connections beside a worker without free slots

A group whose first connection gets no answer in 0.3 s begins with another one. The connections opened before that one can never join, but counted as spare ones, so a single unanswered grant ended the group, and all ranges needed higher fences. They are closed now, as are those from before a group. The new test failed before, as did the assertion added to the other one.

--- a/src/sesamepost/internal/forwarding/connection_groups.py
+++ b/src/sesamepost/internal/forwarding/connection_groups.py
@@ -187,7 +187,9 @@
             return
         self.begin_at = 0.0
         self.begin_pause_s = MIN_BEGIN_PAUSE_S
-        for newcomer in [n for n in self.newcomers if self.begun < n.opened < sent]:
+        # Those that were opened before the group may lead to another process.
+        self._drop([n for n in self.newcomers if n.opened < self.begun])
+        for newcomer in [n for n in self.newcomers if n.opened < sent]:
             self.newcomers.remove(newcomer)
             self._join(newcomer)
             log.info(
@@ -282,6 +284,7 @@
             await asyncio.wait({self.asking})
             if not self.members:
                 # Nothing was sent over the group yet, so it may lead anywhere.
+                self._drop(list(self.newcomers))
                 first = await self._open()
                 self.begun = first.opened
                 self._join(first)
--- a/tests/platform/test_endpoint_commands.py
+++ b/tests/platform/test_endpoint_commands.py
@@ -9,7 +9,10 @@
 from structlog.testing import capture_logs
 
 from sesamepost.internal.clock import boottime
-from sesamepost.internal.forwarding.connection_groups import MIN_CONNECTIONS
+from sesamepost.internal.forwarding.connection_groups import (
+    FIRST_ANSWER_TIMEOUT_S,
+    MIN_CONNECTIONS,
+)
 from sesamepost.internal.forwarding.endpoint_watch import EndpointWatch
 from sesamepost.internal.ranges.commands import (
     EndpointGoneError,
@@ -39,6 +42,7 @@
         app = web.Application()
         app.router.add_post("/grant", self._grant)
         app.router.add_post("/release", self._release)
+        self.add_routes(app)
         self.runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self.runner.setup()
         site = web.TCPSite(self.runner, "127.0.0.1", self.port, reuse_address=True)
@@ -49,6 +53,9 @@
     async def __aexit__(self, *error) -> None:
         await self.runner.cleanup()
 
+    def add_routes(self, app: web.Application) -> None:
+        """Add the routes of a derived worker."""
+
     async def _grant(self, request: web.Request) -> web.Response:
         self.grants.append(await request.json())
         return web.Response()
@@ -198,6 +205,34 @@
         assert await grant(commands, FenceGroups(), 1)
         assert groups.group == 1
         assert former not in groups.members
+        assert former not in groups.newcomers
+
+
+class SlowHealthWorker(Worker):
+    """Answers the question for its health only after a while, as a full worker does."""
+
+    def add_routes(self, app: web.Application) -> None:
+        app.router.add_get("/health", self._health)
+
+    async def _health(self, request: web.Request) -> web.Response:
+        await asyncio.sleep(2 * FIRST_ANSWER_TIMEOUT_S)
+        return web.Response()
+
+
+async def test_a_group_has_a_spare_connection_beside_a_worker_without_free_slots():
+    # Guards against a group that one unanswered grant ends, as its other connections
+    # were opened before its first one and never join.
+    fences = FenceGroups()
+    async with (
+        SlowHealthWorker() as worker,
+        WorkerCommands(Address("127.0.0.1", worker.port)) as commands,
+    ):
+        groups = commands.groups
+        for _ in range(20):
+            assert await grant(commands, fences, 1)
+            await asyncio.sleep(0.05)
+        assert groups.group == 1
+        assert len(groups.members) == MIN_CONNECTIONS
 
 
 class LimitedWorker:
