Log the first grant of a raised fence

A range keeps its hold while its fence is raised, so the line `granted` was not written for the new fence and group. The test failed without it.

--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -498,8 +498,9 @@
             is_current = r.owner == self.owner
             if not is_current:
                 self.counters["grants_of_former_incarnations"] += 1
+            is_new = hold is not None and not hold.is_accepted
             is_start = hold is not None and hold.certain_until < sent_at
-            if is_start or not is_current:
+            if is_new or is_start or not is_current:
                 log.info(
                     "granted",
                     first=r.first,
--- a/tests/ranges/test_keeper.py
+++ b/tests/ranges/test_keeper.py
@@ -302,11 +302,14 @@
         keeper.commands.group = 2
         keeper.holds.find(0).certain_until = boottime() + 1.0
         keeper.wake.set()
-        async with asyncio.timeout(5):
-            while keeper.holds.find(0).accepted_fence == before:
-                assert keeper.may_run(0)
-                await asyncio.sleep(0.005)
+        with capture_logs() as logs:
+            async with asyncio.timeout(5):
+                while keeper.holds.find(0).accepted_fence == before:
+                    assert keeper.may_run(0)
+                    await asyncio.sleep(0.005)
         assert keeper.may_run(0)
+        granted = [line for line in logs if line["event"] == "granted"]
+        assert any(line["first"] == 0 and line["fence"] > before for line in granted)
         assert keeper.holds.find(0).accepted_fence > before
 
 
