Log when a grant was planned and whether a table write may still come

`granted` and `grant_unanswered` now have `planned_ago_s`, the time since the length of the hold was computed; `range_table_write_failed` has `is_unanswered` and the revisions on which the write was based. No logic changed.

--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -451,9 +451,11 @@
             if key in self.grants:
                 continue
             self.holds.note_sent(command, now)
-            self.grants[key] = asyncio.ensure_future(self._grant(key, command))
+            self.grants[key] = asyncio.ensure_future(self._grant(key, command, now))
 
-    async def _grant(self, key: tuple[int, int, int], command: GrantCommand) -> None:
+    async def _grant(
+        self, key: tuple[int, int, int], command: GrantCommand, planned_at: float
+    ) -> None:
         r = command.key_range
         holds = self.holds
         sent_at = boottime()
@@ -478,7 +480,13 @@
         except EndpointUnresponsiveError as error:
             self.counters["grants_unanswered"] += 1
             holds.note_unanswered(command, sent_at)
-            log.info("grant_unanswered", first=r.first, fence=r.fence, error=str(error))
+            log.info(
+                "grant_unanswered",
+                first=r.first,
+                fence=r.fence,
+                planned_ago_s=round(boottime() - planned_at, 3),
+                error=str(error),
+            )
             return
         except FenceBoundError as error:
             self._require_fences_for(error.group)
@@ -511,6 +519,7 @@
                     lease_revision=self.registration.lease_revision,
                     renewed_ago_s=round(boottime() - self.registration.renewed_at, 2),
                     is_current=is_current,
+                    planned_ago_s=round(boottime() - planned_at, 3),
                     answered_after_s=round(boottime() - sent_at, 3),
                 )
             holds.note_granted(command, sent_at)
--- a/src/sesamepost/internal/ranges/table_store.py
+++ b/src/sesamepost/internal/ranges/table_store.py
@@ -276,9 +276,16 @@
             await self._sync_after_conflict(error, based_on)
             return False
         except StoreError as error:
-            if isinstance(error, StoreSilentError):
+            is_unanswered = isinstance(error, StoreSilentError)
+            if is_unanswered:
                 self.unanswered.update(based_on)
-            log.info("range_table_write_failed", reasons=reasons, error=str(error))
+            log.info(
+                "range_table_write_failed",
+                reasons=reasons,
+                based_on=list(based_on.values()),
+                is_unanswered=is_unanswered,
+                error=str(error),
+            )
             await asyncio.sleep(WRITE_RETRY_S)
             await self._sync_from_store(based_on)
             return False
