--- a/tests/coordination/test_relay.py
+++ b/tests/coordination/test_relay.py
@@ -31,6 +31,13 @@
         raise StoreRejectedError("busy")
 
 
+class SilentStore(MemoryStore):
+    """Leaves every call unanswered, and may execute it later."""
+
+    def _check(self) -> None:
+        raise StoreSilentError("no answer")
+
+
 @asynccontextmanager
 async def two_nodes(first_store, second_store):
     names = ("127.0.0.1", "127.0.0.2")
@@ -67,6 +74,14 @@
         assert len(store.commits) == 1
 
 
+async def test_an_unanswered_write_that_a_peer_rejects_is_not_reported_as_rejected():
+    # Guards against OWNER: a node that gives a move up grants the range again under its
+    # fence, although the store still carries out the direct call, which was unanswered.
+    async with two_nodes(SilentStore(), RejectingStore()) as (relayed, _, _):
+        with pytest.raises(StoreSilentError):
+            await relayed.commit(Transaction({"a": 0}, (Write("a", b"1"),)))
+
+
 async def test_a_relayed_watch_ends_when_the_peer_disconnects():
     # Guards against a watch that runs until its timeout although the peer disconnected,
     # which delayed settings by seconds.
