--- a/tests/platform/test_stopped_node.py
+++ b/tests/platform/test_stopped_node.py
@@ -54,7 +54,7 @@
 
 @pytest.fixture
 async def parts(clock):
-    """A worker and its keeper, which has granted all keys to it."""
+    """Yield a worker and its keeper, which has granted all keys to it."""
     async with TimedWorker() as worker, RecordedCommands(worker) as commands:
         running = running_keepers(
             MemoryStore(), OWNERS[:1], endpoint_type=lambda: commands
