Compute the length of a grant when it is sent

Cause: the command carried a relative time, hold_s, across points where the process can stand still. Class: a relative time that is used later than it was computed.

The command now carries the end of the hold on the node's clock. The length is computed in the same turn of the event loop in which the bytes are handed to the transport. possible_until and unanswered_until are that end, so they do not depend on when the grant is sent. If the process stands still between that and the write, the grant counts as unanswered with the later end, so that moves of the node wait for it.

The bound of test_a_grant_that_waits_for_a_connection_gives_no_longer_hold is tighter by the margin.

--- a/src/sesamepost/internal/forwarding/endpoint_connection.py
+++ b/src/sesamepost/internal/forwarding/endpoint_connection.py
@@ -105,6 +105,8 @@
         self.received_bytes = 0
         self.skipped_for_request = 0
         self.is_open = False
+        # When the last request had been handed to the transport.
+        self.sent_at = 0.0
         self.idle_since = 0.0
         self.idle_limit_s: float | None = None
         self.answers = 0
@@ -235,6 +237,7 @@
             data += self.parser.send(h11.Data(data=body))
         data += self.parser.send(h11.EndOfMessage())
         self.transport.write(data)
+        self.sent_at = boottime()
         try:
             return await self.waiter
         except BaseException:
--- a/src/sesamepost/internal/ranges/commands.py
+++ b/src/sesamepost/internal/ranges/commands.py
@@ -5,7 +5,14 @@
 
 
 class EndpointUnresponsiveError(Exception):
-    """The endpoint did not respond to a command, so it may execute it later."""
+    """The endpoint did not respond to a command, so it may execute it later.
+
+    ``hold_end`` is the latest end of the hold of a grant, 0 for other commands.
+    """
+
+    def __init__(self, detail: str, hold_end: float = 0.0) -> None:
+        super().__init__(detail)
+        self.hold_end = hold_end
 
 
 class EndpointGoneError(Exception):
@@ -59,15 +66,17 @@
         first: int,
         last: int,
         fence: int,
-        hold_s: float,
+        end: float,
         handover: str,
         may_send: Callable[[int], bool],
     ) -> bool:
         """Grant or renew a hold; return False if the endpoint saw a higher fence.
 
-        The hold ends at most ``hold_s`` seconds after this call, although it counts
-        from when the endpoint receives the grant. ``may_send`` is called with the group
-        right before the grant is sent, and prevents that by returning False.
+        The hold counts from when the endpoint receives the grant. It ends at ``end`` on
+        the clock of ``internal/clock`` at the latest, so its length is computed last. A
+        grant that was sent too late for that is reported as unanswered. ``may_send`` is
+        called with the group right before the grant is sent, and prevents that by
+        returning False.
         """
 
     async def release(self, first: int, last: int, fence: int) -> str:
--- a/src/sesamepost/internal/ranges/heartbeat_holds.py
+++ b/src/sesamepost/internal/ranges/heartbeat_holds.py
@@ -21,12 +21,13 @@
 from dataclasses import dataclass
 
 from sesamepost.internal.ranges.holds import (
-    CLOCK_DRIFT_FACTOR,
     LONGEST_HOLD_S,
     MARGIN_S,
     MIN_HOLD_S,
     Hold,
     HoldTracker,
+    hold_end,
+    hold_s_until,
 )
 from sesamepost.internal.ranges.table import KeyRange, uncovered
 
@@ -182,8 +183,7 @@
 
         ``moving`` are key ranges that are to be released.
         """
-        hold_s = (may_grant_until - now - MARGIN_S) / CLOCK_DRIFT_FACTOR
-        hold_s = min(hold_s, holds.max_hold_s)
+        hold_s = min(hold_s_until(may_grant_until, now), holds.max_hold_s)
         if hold_s < MIN_HOLD_S:
             return None
         holds.released_keys = tuple(moving)
@@ -243,8 +243,7 @@
     if hold.certain_until <= now:
         hold.certain_from = now + ANSWER_DELAY_S
     hold.certain_until = now + hold_s - ANSWER_TIMEOUT_S - MARGIN_S
-    until = now + hold_s * CLOCK_DRIFT_FACTOR + MARGIN_S
-    hold.possible_until = max(hold.possible_until, until)
+    hold.possible_until = max(hold.possible_until, hold_end(hold_s, now))
 
 
 def _is_whole(key: tuple[int, int, int], moving: Collection[tuple[int, int]]) -> bool:
--- a/src/sesamepost/internal/ranges/holds.py
+++ b/src/sesamepost/internal/ranges/holds.py
@@ -24,12 +24,33 @@
 GRANT_RETRY_S = 0.25
 
 
+def hold_s_until(end: float, now: float) -> float:
+    """Return the length in seconds of a hold that has certainly ended at ``end``.
+
+    It begins at ``now``, and its endpoint measures it with a clock that may run slow.
+    """
+    return (end - now - MARGIN_S) / CLOCK_DRIFT_FACTOR
+
+
+def hold_end(hold_s: float, now: float) -> float:
+    """Return the time at which a hold that begins at ``now`` has certainly ended."""
+    return now + hold_s * CLOCK_DRIFT_FACTOR + MARGIN_S
+
+
 @dataclass(frozen=True, slots=True)
 class GrantCommand:
-    """A command to hold ``key_range`` for ``hold_s`` seconds from its arrival."""
+    """A command to hold ``key_range`` until ``end`` at the latest.
+
+    Its length is computed when it is sent. A length from an earlier time would be too
+    long by all that passes until then, such as a stop of the process.
+    """
 
     key_range: KeyRange
-    hold_s: float
+    end: float
+
+    def hold_s_at(self, now: float) -> float:
+        """Return the length in seconds of the hold if it begins at ``now``."""
+        return hold_s_until(self.end, now)
 
 
 @dataclass(slots=True)
@@ -111,8 +132,8 @@
 
     def due_grants(self, may_grant_until: float, now: float) -> list[GrantCommand]:
         """Return the grants to send now."""
-        hold_s = (may_grant_until - now - MARGIN_S) / CLOCK_DRIFT_FACTOR
-        hold_s = min(hold_s, self.max_hold_s)
+        end = min(may_grant_until, hold_end(self.max_hold_s, now))
+        hold_s = hold_s_until(end, now)
         if hold_s < MIN_HOLD_S:
             return []
         commands = []
@@ -124,36 +145,37 @@
             # The endpoint should see a new fence soon, even if it holds the keys.
             if hold.is_accepted and (is_long or hold_s < remaining_s + MIN_HOLD_S):
                 continue
-            commands.append(GrantCommand(hold.key_range, hold_s))
+            commands.append(GrantCommand(hold.key_range, end))
         return commands
 
     def note_sent(self, command: GrantCommand, now: float) -> None:
-        """Record that a grant is being sent, so the endpoint may hold the range."""
+        """Record that a grant will be sent, so the endpoint may hold the range."""
         hold = self.holds.get(_key(command.key_range))
         if hold is None:
             return
-        until = now + command.hold_s * CLOCK_DRIFT_FACTOR + MARGIN_S
-        hold.possible_until = max(hold.possible_until, until)
+        hold.possible_until = max(hold.possible_until, command.end)
         if not hold.is_accepted:
             # It replaces the hold under the former fence, which may be longer.
-            sure_until = now + command.hold_s - MARGIN_S
-            hold.certain_until = min(hold.certain_until, sure_until)
+            hold.certain_until = min(hold.certain_until, _certain_end(command, now))
         hold.retry_at = now + GRANT_RETRY_S
 
     def note_granted(self, command: GrantCommand, sent_at: float) -> None:
-        """Record that the endpoint accepted a grant that was sent at ``sent_at``."""
+        """Record that the endpoint accepted a grant that was sent after ``sent_at``."""
         hold = self.holds.get(_key(command.key_range))
         if hold is None:
             return
-        hold.certain_until = max(
-            hold.certain_until, sent_at + command.hold_s - MARGIN_S
-        )
+        certain_until = _certain_end(command, sent_at)
+        hold.certain_until = max(hold.certain_until, certain_until)
         hold.retry_at = 0.0
         hold.accepted_fence = hold.key_range.fence
 
-    def note_unanswered(self, command: GrantCommand, sent_at: float) -> None:
-        """Record that a grant was not answered, so it may be executed much later."""
-        until = sent_at + command.hold_s * CLOCK_DRIFT_FACTOR + MARGIN_S
+    def note_unanswered(self, command: GrantCommand, end: float) -> None:
+        """Record that a grant was not answered, so it may be executed much later.
+
+        ``end`` is the latest end of its hold, which is later than that of the command
+        if the grant was sent too late.
+        """
+        until = max(end, command.end)
         first, last = command.key_range.first, command.key_range.last
         # A range that was lost meanwhile may get these keys again.
         for hold in [
@@ -255,6 +277,14 @@
         return Hold(key_range)
 
 
+def _certain_end(command: GrantCommand, now: float) -> float:
+    """Return until when the endpoint certainly holds a range that it is granted.
+
+    The grant is sent at ``now`` or later; the later it is, the later its hold ends.
+    """
+    return now + command.hold_s_at(now) - MARGIN_S
+
+
 def _key(key_range: KeyRange) -> tuple[int, int, int]:
     return key_range.first, key_range.last, key_range.fence
 
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -473,13 +473,13 @@
                 r.first,
                 r.last,
                 r.fence,
-                command.hold_s,
+                command.end,
                 r.handover,
                 partial(self._may_send, r),
             )
         except EndpointUnresponsiveError as error:
             self.counters["grants_unanswered"] += 1
-            holds.note_unanswered(command, sent_at)
+            holds.note_unanswered(command, error.hold_end)
             log.info(
                 "grant_unanswered",
                 first=r.first,
--- a/src/sesamepost/platform/endpoint_commands.py
+++ b/src/sesamepost/platform/endpoint_commands.py
@@ -22,7 +22,12 @@
     FenceBoundError,
     GrantDelayedError,
 )
-from sesamepost.internal.ranges.holds import MIN_HOLD_S
+from sesamepost.internal.ranges.holds import (
+    CLOCK_DRIFT_FACTOR,
+    MIN_HOLD_S,
+    hold_end,
+    hold_s_until,
+)
 from sesamepost.internal.wire.pool import Address
 from sesamepost.platform.names import (
     GRANT_PATH,
@@ -84,14 +89,14 @@
         first: int,
         last: int,
         fence: int,
-        hold_s: float,
+        end: float,
         handover: str,
         may_send: Callable[[int], bool],
     ) -> bool:
         """Grant or renew a hold; return False if the worker knows a higher fence.
 
-        The hold ends at most ``hold_s`` seconds after this call. Time that the grant
-        waits for a connection is subtracted.
+        The hold ends at ``end`` at the latest, so time that the grant waits for a
+        connection is subtracted.
         """
         called_at = boottime()
         try:
@@ -100,38 +105,38 @@
         except TimeoutError:
             raise GrantDelayedError("other grants are not answered") from None
         try:
-            remaining_s = called_at + hold_s - boottime()
-            if remaining_s < MIN_HOLD_S:
-                raise GrantDelayedError(f"{remaining_s:.2f} s of the hold are left")
             _bind_to_log(connection, called_at)
             if not may_send(connection.group):
                 raise FenceBoundError(connection.group)
-            body = {
-                "from": first,
-                "target": last,
-                "fence": fence,
-                "holdS": round(remaining_s, 3),
-            }
+            body = {"from": first, "target": last, "fence": fence}
             if handover:
                 body["handover"] = handover
-            return await self._send_grant(connection, body)
+            return await self._send_grant(connection, body, end)
         finally:
             self.groups.give_back(connection)
 
-    async def _send_grant(self, connection: CommandConnection, body: dict) -> bool:
+    async def _send_grant(
+        self, connection: CommandConnection, body: dict, end: float
+    ) -> bool:
+        """Send a grant whose hold has ended at ``end``; no task runs in between."""
         sent = self.groups.note_sent()
+        hold_s = hold_s_until(end, boottime())
+        if hold_s < MIN_HOLD_S:
+            raise GrantDelayedError(f"{hold_s:.2f} s of the hold are left")
+        body["holdS"] = round(hold_s, 3)
         try:
             async with asyncio.timeout(GRANT_TIMEOUT_S):
                 response = await self._post(connection, GRANT_PATH, body)
         except (RouterError, TimeoutError) as error:
-            raise EndpointUnresponsiveError(repr(error)) from None
+            raise _unanswered(repr(error), connection, hold_s) from None
         self.groups.note_answer(connection, sent)
         if response.status == 409:
             return False
         if response.status != 200:
-            raise EndpointUnresponsiveError(
-                f"the worker answered a grant with status {response.status}"
-            )
+            detail = f"the worker answered a grant with status {response.status}"
+            raise _unanswered(detail, connection, hold_s)
+        if connection.sent_at + hold_s * CLOCK_DRIFT_FACTOR > end:
+            raise _unanswered("the grant was sent too late", connection, hold_s)
         return True
 
     async def release(self, first: int, last: int, fence: int) -> str:
@@ -173,6 +178,13 @@
         return await connection.send("POST", path, headers, data, "")
 
 
+def _unanswered(
+    detail: str, connection: CommandConnection, hold_s: float
+) -> EndpointUnresponsiveError:
+    """Return the error of a grant that was sent and may be executed much later."""
+    return EndpointUnresponsiveError(detail, hold_end(hold_s, connection.sent_at))
+
+
 def _bind_to_log(connection: CommandConnection, called_at: float) -> None:
     now = boottime()
     bind_contextvars(
--- a/tests/platform/test_endpoint_commands.py
+++ b/tests/platform/test_endpoint_commands.py
@@ -22,7 +22,6 @@
     GrantDelayedError,
 )
 from sesamepost.internal.ranges.fence_groups import FenceGroups
-from sesamepost.internal.ranges.holds import MARGIN_S
 from sesamepost.internal.wire.pool import Address
 from sesamepost.platform.endpoint_commands import WorkerCommands
 from tests.forwarding.test_endpoint_connection import EndlessEndpoint
@@ -66,7 +65,7 @@
 
 async def grant(commands: WorkerCommands, fences: FenceGroups, fence: int) -> bool:
     return await commands.grant(
-        0, 9, fence, 4.0, "", lambda group: fences.claim(fence, group)
+        0, 9, fence, boottime() + 4.0, "", lambda group: fences.claim(fence, group)
     )
 
 
@@ -338,11 +337,12 @@
     ):
         started = boottime()
         grants = [
-            commands.grant(n, n, 1, 4.0, "", lambda group: True) for n in range(16)
+            commands.grant(n, n, 1, started + 4.0, "", lambda group: True)
+            for n in range(16)
         ]
         assert all(await asyncio.gather(*grants))
         assert len(worker.hold_ends) == 16
-        assert max(worker.hold_ends) - started <= 4.0 + MARGIN_S
+        assert max(worker.hold_ends) - started <= 4.0
 
 
 async def test_a_group_begins_after_a_heartbeat_that_follows_the_end_of_the_last_one():
--- a/tests/platform/test_stopped_node.py
+++ b/tests/platform/test_stopped_node.py
@@ -1,5 +1,7 @@
 """Grants of a node that stands still between two lines of its code."""
 
+from collections.abc import Callable
+
 import pytest
 from aiohttp import web
 
@@ -37,6 +39,11 @@
     def __init__(self, worker: Worker) -> None:
         super().__init__(Address("127.0.0.1", worker.port))
         self.granted = worker.grants
+        self.before_post: Callable[[], None] = lambda: None
+
+    async def _post(self, connection, path, body):
+        self.before_post()
+        return await super()._post(connection, path, body)
 
 
 def renew(keeper: RangeKeeper) -> None:
@@ -99,3 +106,22 @@
     await until(lambda: worker.hold_ends)
     assert clock.stopped_s == STOP_S
     assert keeper.holds.possible_until(0, LAST_KEY) >= max(worker.hold_ends)
+
+
+async def test_a_node_that_stops_right_before_it_sends_a_grant_knows_when_it_ends(
+    parts, clock
+):
+    # Guards against OWNER: as above, if the node stands still after the length of the
+    # hold was computed. The hold outlasts the right then, but no move of the node.
+    worker, keeper = parts
+
+    def stop_once() -> None:
+        if clock.stopped_s == 0:
+            clock.stop(STOP_S)
+
+    keeper.commands.before_post = stop_once
+    renew(keeper)
+    await until(lambda: worker.hold_ends and not keeper.grants)
+    assert clock.stopped_s == STOP_S
+    assert keeper.holds.possible_until(0, LAST_KEY) >= max(worker.hold_ends)
+    assert keeper.holds.unanswered_until(0, LAST_KEY) >= max(worker.hold_ends)
--- a/tests/ranges/keepers.py
+++ b/tests/ranges/keepers.py
@@ -32,7 +32,7 @@
         self.granted: list[tuple[int, int, int]] = []
         self.released: list[tuple[int, int, int]] = []
 
-    async def grant(self, first, last, fence, hold_s, handover, may_send):
+    async def grant(self, first, last, fence, end, handover, may_send):
         self.granted.append((first, last, fence))
         return True
 
@@ -51,7 +51,7 @@
         super().__init__()
         self.group = 1
 
-    async def grant(self, first, last, fence, hold_s, handover, may_send):
+    async def grant(self, first, last, fence, end, handover, may_send):
         if not may_send(self.group):
             raise FenceBoundError(self.group)
         return self.execute_grant(first, last, fence)
--- a/tests/ranges/test_holds.py
+++ b/tests/ranges/test_holds.py
@@ -31,17 +31,20 @@
     assert not holds.may_run(100, 0.1)
 
 
-@given(st.floats(0, 100), st.floats(0.0, HOLD_S))
-def test_every_hold_ends_before_another_node_may_take_over(renewed_at, delay):
+@given(st.floats(0, 100), st.floats(0.0, HOLD_S), st.floats(0.0, HOLD_S))
+def test_every_hold_ends_before_another_node_may_take_over(renewed_at, delay, stop_s):
     # Guards against two holders of a key: the endpoint's clock may run two percent
-    # slow, and the entry of this node may disappear right after its renewal.
+    # slow, the entry of this node may disappear right after its renewal, and the node
+    # may stand still before it sends the grant.
     holds = HoldTracker()
     now = renewed_at + delay
     holds.set_ranges([RANGE], now)
     for command in holds.due_grants(renewed_at + HOLD_S, now):
-        assert (
-            now + command.hold_s * SLOW_CLOCK < renewed_at + HOLD_S + TAKEOVER_SLACK_S
-        )
+        sent_at = now + stop_s
+        hold_end = sent_at + command.hold_s_at(sent_at) * SLOW_CLOCK
+        assert hold_end < renewed_at + HOLD_S + TAKEOVER_SLACK_S
+        holds.note_sent(command, now)
+        assert hold_end <= holds.possible_until(0, 99)
 
 
 def test_no_grant_is_sent_when_the_right_to_grant_has_almost_ended():
@@ -101,7 +104,7 @@
     holds.note_unanswered(command, 0.0)
     holds.set_ranges([], 0.5)
     assert holds.unanswered_until(0, 99) == pytest.approx(holds.possible_until(0, 99))
-    assert holds.possible_until(0, 99) >= command.hold_s * SLOW_CLOCK
+    assert holds.possible_until(0, 99) >= command.hold_s_at(0.0) * SLOW_CLOCK
     assert holds.possible_until(100, 200) == 0.0
 
 
@@ -115,7 +118,7 @@
     (answered,) = holds.due_grants(1.0 + HOLD_S, 1.0)
     holds.note_sent(answered, 1.0)
     holds.note_granted(answered, 1.0)
-    assert holds.unanswered_until(0, 99) >= unanswered.hold_s * SLOW_CLOCK
+    assert holds.unanswered_until(0, 99) >= unanswered.hold_s_at(0.0) * SLOW_CLOCK
 
 
 def test_a_new_process_assumes_grants_of_the_previous_process():
--- a/tests/ranges/test_keeper.py
+++ b/tests/ranges/test_keeper.py
@@ -261,7 +261,7 @@
         await until(lambda: keeper.holds.find(0).certain_until)
         answer = asyncio.Event()
 
-        async def grant(first, last, fence, hold_s, handover, may_send):
+        async def grant(first, last, fence, end, handover, may_send):
             await answer.wait()
             return True
 
@@ -316,7 +316,7 @@
 class SilentEndpoint(FencedEndpoint):
     """Answers releases, but no grants."""
 
-    async def grant(self, first, last, fence, hold_s, handover, may_send):
+    async def grant(self, first, last, fence, end, handover, may_send):
         raise EndpointUnresponsiveError("no answer")
 
 
