Report a transaction as unanswered if any attempt was

Callers could see OWNER: a node gives up a move whose write was unanswered, grants the range again under the same fence, and the store carries the write out seconds later, so that the new owner holds the keys too.

Cause: RelayedStore sends a failed call again through up to three peers and raised the error of the last one. If a peer answers that it has no contact either, that is StoreRejectedError, which promises that the call had no effect, although the direct call or another relayed one may still be executed. TableStore then does not ask for a higher fence (has_unanswered_write). Class: the outcome of one attempt is taken for that of all.

A transaction is now reported as unanswered if any of its attempts was. Reads and renewals are as before.

--- a/src/sesamepost/internal/coordination/relay.py
+++ b/src/sesamepost/internal/coordination/relay.py
@@ -205,6 +205,11 @@
     async def _call_through_peers(
         self, operation: str, arguments: list, failure: StoreError
     ):
+        """Call the store through a peer; ``failure`` is the error of the direct call.
+
+        If an unanswered transaction may still be executed, that is what is raised, even
+        if a later attempt is rejected.
+        """
         peers = self.peers()
         random.shuffle(peers)
         # The peer that relayed the last call probably still has contact.
@@ -215,7 +220,8 @@
             except CONCLUSIVE_ERRORS:
                 raise
             except StoreError as error:
-                failure = error
+                if not _may_be_executed(operation, failure):
+                    failure = error
                 self.preferred_peer = ""
         # No peer can relay the call, so retry the store directly soon.
         self.direct_retry_at = min(
@@ -300,6 +306,11 @@
         return await self._call_direct(operation, arguments)
 
 
+def _may_be_executed(operation: str, failure: StoreError) -> bool:
+    """Return whether the store may execute a transaction after its failed call."""
+    return operation == "commit" and isinstance(failure, StoreSilentError)
+
+
 async def perform(store: CoordinationStore, operation: str, arguments: list):
     """Call ``store`` with arguments and a result that msgpack can encode."""
     match operation, arguments:
