End the lease of an absent node before its ranges are taken

Callers could see OWNER: the store removes the entry of a node, but not the lease to which it is bound. The node goes on renewing the lease, and with it the holds of its endpoint, until its watch shows the removal, 3 s later or more. Others counted the longest hold from the removal and took the ranges while the former owner still served them and renewed with the lower fence.

Cause: a renewal that the store answers was the proof that the entry exists, and a missing entry the proof that nothing is renewed. Neither follows. Class: the proof of one side rests on a fact that the other side does not look at.

A node that sees an entry missing now ends the lease that the node's record names, which no renewal survives, and marks the record, in a transaction that requires the entry to be missing. All nodes count the longest hold from when they see the mark. The nodes take turns, so one of them makes the two calls for each lost node; nothing changes while no entry is missing. The owner learns from its next renewal that its lease has ended, and registers under another one.

The tests of takeovers set the time of the removal back and expected ranges to move in the first step, which is what the fault allowed. They now let the time pass, and also check that nothing moves just before.

--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -39,6 +39,8 @@
 # be unchanged, because the node's entry may have reappeared and vanished again
 # unobserved. So do the node's own writes of ranges, which the store may carry out late.
 LAST_LEASE_PREFIX = "sesamepost/leases/"
+# Marks the record of a lease that another node has ended.
+ENDED_SUFFIX = b" ended"
 RETRY_DELAY_S = 0.2
 FIRST_WRITE_DELAY_S = 2.0
 # A lease runs from its last renewal. With a shorter one, a single late renewal would
@@ -119,6 +121,25 @@
     return entry
 
 
+def encode_lease_record(lease: int, has_ended: bool = False) -> bytes:
+    """Return the value of the record of a lease."""
+    return str(lease).encode() + (ENDED_SUFFIX if has_ended else b"")
+
+
+def decode_lease_record(item: Item) -> int | None:
+    """Return the lease that a record names, or None if it has certainly ended.
+
+    A record that cannot be read names lease 0, which does not exist.
+    """
+    if item.value.endswith(ENDED_SUFFIX):
+        return None
+    try:
+        return int(item.value)
+    except ValueError:
+        log.warning("lease_record_unreadable", key=item.key)
+        return 0
+
+
 class NodeTable:
     """The node entries in the mirror, decoded once per change."""
 
@@ -270,7 +291,7 @@
         entry = self.entry
         value = entry.encode()
         expected = self.mirror.revision_of(self.key)
-        lease_record = str(self.lease).encode()
+        lease_record = encode_lease_record(self.lease)
         writes = [Write(self.key, value, self.lease)]
         if self.recorded_lease != self.lease:
             writes.append(Write(self.last_lease_key, lease_record))
--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -11,6 +11,7 @@
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import LAST_LEASE_PREFIX, NodeTable
+from sesamepost.internal.ranges.absent_nodes import AbsentNodes
 from sesamepost.internal.ranges.holds import HOLD_S, TAKEOVER_SLACK_S
 from sesamepost.internal.ranges.table import (
     SECTIONS,
@@ -38,14 +39,14 @@
 def lost_owners(
     table: RangeTable,
     present: set[str],
-    missing_since: dict[str, float],
+    absent_since: dict[str, float],
     now: float,
     ended: Collection[Owner] = (),
 ) -> set[Owner]:
     """Return the owners whose holds have certainly ended, so their ranges are free.
 
-    ``missing_since`` maps a VM to the time since which its entry has been missing
-    without interruption. ``ended`` holds owners that their own node reported as ended.
+    ``absent_since`` maps a VM to the time since which it has had neither an entry nor a
+    lease. ``ended`` holds owners that their own node reported as ended.
     """
     lost = set()
     for r in table.ranges:
@@ -53,7 +54,7 @@
             lost.add(r.owner)
         if r.owner is None or r.owner.vm in present:
             continue
-        since = missing_since.get(r.owner.vm, now)
+        since = absent_since.get(r.owner.vm, now)
         if now - since >= HOLD_S + TAKEOVER_SLACK_S:
             lost.add(r.owner)
     return lost
@@ -77,8 +78,7 @@
         self.ended: set[Owner] = set()
         # Revision of the entry of an ended owner's VM when the end was reported.
         self.ended_at: dict[Owner, int] = {}
-        # Revision of the lease record of each missing VM, and when it was first seen.
-        self.lease_records: dict[str, tuple[int, float]] = {}
+        self.absent = AbsentNodes(tables.store, mirror)
         self.due_since: float | None = None
         self.cached_table: RangeTable | None = None
         self.cached_owners: set[Owner] = set()
@@ -113,7 +113,10 @@
         available = self._available_owners()
         self._forget_wrong_reports(available)
         owners = [owner for owner in available if owner not in self.ended]
-        if not self.mirror.in_contact or not owners or not self._is_due(now):
+        if not self.mirror.in_contact or not owners:
+            return
+        await self._end_leases()
+        if not self._is_due(now):
             return
         if not self._is_my_turn(now):
             return
@@ -143,8 +146,9 @@
         """Log once why each of these owners counts as lost."""
         for owner in lost - self.logged_lost:
             missing_s = None
-            if owner.vm in self.lease_records:
-                missing_s = round(now - self._missing_since(owner.vm, now), 2)
+            if owner.vm in self.absent.records:
+                since = self.absent.without_lease_since(owner.vm, now)
+                missing_s = round(now - since, 2)
             log.info(
                 "owner_lost",
                 owner_vm=owner.vm,
@@ -187,9 +191,13 @@
         return is_due
 
     def _is_my_turn(self, now: float) -> bool:
-        names = sorted(vm for vm, node in self.nodes.nodes.items())
+        return now - self.due_since >= self._turn_delay_s()
+
+    def _turn_delay_s(self) -> float:
+        """Return how long this node leaves a change to the nodes before it."""
+        names = sorted(self.nodes.nodes)
         rank = names.index(self.vm) if self.vm in names else len(names)
-        return now - self.due_since >= rank * TURN_DELAY_S
+        return rank * TURN_DELAY_S
 
     def _has_settled(self, now: float) -> bool:
         present = {node.vm for node in self.nodes.endpoints_of(self.tables.service)}
@@ -204,23 +212,22 @@
 
     def _lost_owners(self, now: float) -> set[Owner]:
         table = self.tables.table
-        present = set(self.nodes.nodes)
-        vms = {owner.vm for owner in self._owners_in(table)} - present
-        missing = {vm: self._missing_since(vm, now) for vm in vms}
-        self.lease_records = {vm: self.lease_records[vm] for vm in vms}
-        if not missing and not self.ended:
+        vms = self._absent_owners(table)
+        self.absent.keep_only(vms)
+        absent = {vm: self.absent.without_lease_since(vm, now) for vm in vms}
+        if not absent and not self.ended:
             return set()
-        return lost_owners(table, present, missing, now, self.ended)
-
-    def _missing_since(self, vm: str, now: float) -> float:
-        """Return the time since which a VM had neither an entry nor a new lease."""
-        missing_since = self.mirror.missing_since(self.nodes.node_key(vm), now)
-        revision = self.mirror.revision_of(LAST_LEASE_PREFIX + vm)
-        known, seen_at = self.lease_records.get(vm, (revision, missing_since))
-        if revision != known:
-            seen_at = now
-        self.lease_records[vm] = revision, seen_at
-        return max(missing_since, seen_at)
+        return lost_owners(table, set(self.nodes.nodes), absent, now, self.ended)
+
+    def _absent_owners(self, table: RangeTable) -> set[str]:
+        """Return the VMs that own ranges and have no entry."""
+        return {owner.vm for owner in self._owners_in(table)} - set(self.nodes.nodes)
+
+    async def _end_leases(self) -> None:
+        table = self.tables.table
+        if table is not None:
+            absent = self._absent_owners(table)
+            await self.absent.end_leases(absent, self._turn_delay_s())
 
     def _owners_in(self, table: RangeTable) -> set[Owner]:
         """Return the owners in a table, cached since it may have hundreds of ranges."""
--- a/tests/ranges/test_takeover.py
+++ b/tests/ranges/test_takeover.py
@@ -1,10 +1,9 @@
 """Takeover of the ranges of endpoints and nodes that are gone."""
 
-import asyncio
-
 import pytest
 from structlog.testing import capture_logs
 
+from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import (
     LAST_LEASE_PREFIX,
@@ -12,11 +11,12 @@
     NodeEntry,
     NodeTable,
 )
-from sesamepost.internal.coordination.store import Deletion, Item
+from sesamepost.internal.coordination.store import Deletion, Item, StoreSilentError
 from sesamepost.internal.ranges.holds import HOLD_S, TAKEOVER_SLACK_S
 from sesamepost.internal.ranges.table import Owner, new_table
 from sesamepost.internal.ranges.table_store import TableStore
 from sesamepost.internal.ranges.takeover import Takeover, lost_owners
+from tests.clocks import StoppableClock
 from tests.coordination.memory_store import MemoryStore, put
 
 A, B = Owner("10.0.0.1", "i-1", 1), Owner("10.0.0.2", "i-2", 2)
@@ -64,32 +64,71 @@
     return Takeover(B.vm, tables, nodes, mirror)
 
 
-def delete_entry(
-    store: MemoryStore, mirror: Mirror, key: str, missing_s: float
-) -> None:
+@pytest.fixture
+def clock(monkeypatch):
+    return StoppableClock(monkeypatch)
+
+
+def delete_entry(store: MemoryStore, mirror: Mirror, key: str) -> None:
     store.revision += 1
     del store.items[key]
-    mirror._apply(Deletion(key, store.revision), -missing_s)
+    mirror._apply(Deletion(key, store.revision), boottime())
 
 
-async def test_ranges_of_a_lost_node_go_to_live_endpoints(parts):
+async def step_for(takeover: Takeover, clock: StoppableClock, duration_s: float):
+    """Step now and after ``duration_s`` seconds."""
+    await takeover.step()
+    clock.stop(duration_s)
+    await takeover.step()
+
+
+async def test_ranges_of_a_lost_node_go_to_live_endpoints(parts, clock):
     store, mirror, nodes, tables = parts
     takeover = await prepare_takeover(*parts)
-    key = nodes.node_key(A.vm)
-    delete_entry(store, mirror, key, 0.0)
-    mirror.missing[key] = asyncio.get_running_loop().time() - 1e6
-    await takeover.step()
+    delete_entry(store, mirror, nodes.node_key(A.vm))
+    await step_for(takeover, clock, WAIT_S - 0.1)
+    assert set(tables.table.keys_by_owner()) == {A, B}
+    await step_for(takeover, clock, 0.2)
     assert set(tables.table.keys_by_owner()) == {B}
 
 
-async def test_a_node_that_returned_unseen_keeps_its_ranges(parts):
+async def test_the_wait_for_a_lost_node_begins_with_the_end_of_its_lease(parts, clock):
+    # Guards against two holders of a key: the entry was removed long ago, but the node
+    # may have renewed its lease until now.
+    store, mirror, nodes, tables = parts
+    takeover = await prepare_takeover(*parts)
+    delete_entry(store, mirror, nodes.node_key(A.vm))
+    clock.stop(10 * WAIT_S)
+    await step_for(takeover, clock, WAIT_S - 0.1)
+    assert set(tables.table.keys_by_owner()) == {A, B}
+    assert 1 not in store.leases
+    await step_for(takeover, clock, 0.2)
+    assert set(tables.table.keys_by_owner()) == {B}
+
+
+async def test_a_node_whose_lease_cannot_be_ended_keeps_its_ranges(parts, clock):
+    # Guards against a takeover while the lease of the owner may still be renewed.
+    store, mirror, nodes, tables = parts
+    takeover = await prepare_takeover(*parts)
+    delete_entry(store, mirror, nodes.node_key(A.vm))
+
+    async def end_lease(lease: int) -> None:
+        raise StoreSilentError("no answer")
+
+    store.end_lease = end_lease
+    for _ in range(3):
+        await step_for(takeover, clock, WAIT_S)
+    assert set(tables.table.keys_by_owner()) == {A, B}
+
+
+async def test_a_node_that_returned_unseen_keeps_its_ranges(parts, clock):
     # Guards against two holders of a key. If a node returns and is lost again while
     # this node hears nothing, its holds may be newer than the missing entry suggests.
     store, mirror, nodes, tables = parts
     takeover = await prepare_takeover(*parts)
-    key = nodes.node_key(A.vm)
-    delete_entry(store, mirror, key, 0.0)
-    mirror.missing[key] = asyncio.get_running_loop().time() - 1e6
+    delete_entry(store, mirror, nodes.node_key(A.vm))
+    await takeover.step()
+    clock.stop(WAIT_S + 0.1)
     last_lease_key = LAST_LEASE_PREFIX + A.vm
     store.revision += 1
     store.items[last_lease_key] = Item(last_lease_key, b"2", store.revision)
@@ -97,30 +136,29 @@
     assert set(tables.table.keys_by_owner()) == {A, B}
 
 
-async def test_a_new_lease_that_a_refusal_shows_restarts_the_wait(parts):
+async def test_a_new_lease_that_a_refusal_shows_restarts_the_wait(parts, clock):
     # Guards against two holders of a key. The refusal of a takeover shows that the node
     # has had another lease, but not when it was lost again.
     store, mirror, nodes, tables = parts
     takeover = await prepare_takeover(*parts)
-    key = nodes.node_key(A.vm)
-    delete_entry(store, mirror, key, 0.0)
-    mirror.missing[key] = asyncio.get_running_loop().time() - 1e6
+    delete_entry(store, mirror, nodes.node_key(A.vm))
+    await takeover.step()
+    clock.stop(WAIT_S + 0.1)
     last_lease_key = LAST_LEASE_PREFIX + A.vm
     store.revision += 1
     store.items[last_lease_key] = Item(last_lease_key, b"2", store.revision)
     await takeover.step()
     mirror.offer(store.items[last_lease_key])
-    for _ in range(2):
-        await takeover.step()
+    await step_for(takeover, clock, WAIT_S - 0.1)
     assert set(tables.table.keys_by_owner()) == {A, B}
 
 
-async def test_nothing_is_taken_over_without_store_contact(parts):
+async def test_nothing_is_taken_over_without_store_contact(parts, clock):
     store, mirror, nodes, tables = parts
     takeover = await prepare_takeover(*parts)
-    key = nodes.node_key(A.vm)
-    delete_entry(store, mirror, key, 0.0)
-    mirror.missing[key] = asyncio.get_running_loop().time() - 1e6
+    delete_entry(store, mirror, nodes.node_key(A.vm))
+    await takeover.step()
+    clock.stop(WAIT_S + 0.1)
     mirror.in_contact = False
     await takeover.step()
     assert set(tables.table.keys_by_owner()) == {A, B}
@@ -131,7 +169,7 @@
     store, mirror, nodes, _ = parts
     await prepare_takeover(*parts)
     key = nodes.node_key(A.vm)
-    delete_entry(store, mirror, key, 100.0)
+    delete_entry(store, mirror, key)
     before = mirror.missing[key]
     mirror._replace(await store.list(""))
     assert mirror.missing[key] > before
@@ -148,35 +186,33 @@
     assert set(tables.table.keys_by_owner()) == {B}
 
 
-async def test_many_lost_vms_are_replaced_in_several_transactions(parts):
+async def test_many_lost_vms_are_replaced_in_several_transactions(parts, clock):
     # Guards against a takeover that the store rejects on every try: a transaction has
     # at most 32 entries, which the loss of 16 VMs at once exceeded.
     store, mirror, nodes, tables = parts
     lost = [Owner(f"10.0.1.{i}", f"j-{i}", i) for i in range(20)]
     takeover = await prepare_takeover(*parts, owners=(B, *lost))
     for owner in lost:
-        key = nodes.node_key(owner.vm)
-        delete_entry(store, mirror, key, 0.0)
-        mirror.missing[key] = asyncio.get_running_loop().time() - 1e6
-    for _ in range(3):
+        delete_entry(store, mirror, nodes.node_key(owner.vm))
+    await step_for(takeover, clock, WAIT_S)
+    for _ in range(2):
         await takeover.step()
     assert set(tables.table.keys_by_owner()) == {B}
 
 
-async def test_each_lost_owner_is_logged_with_the_reason_and_its_entry(parts):
+async def test_each_lost_owner_is_logged_with_the_reason_and_its_entry(parts, clock):
     # Guards against logs that do not tell a report that an endpoint ended from a node
     # that was missing long enough.
     store, mirror, nodes, _ = parts
     third = Owner("10.0.0.3", "i-3", 3)
     takeover = await prepare_takeover(*parts, owners=(A, B, third))
-    key = nodes.node_key(third.vm)
-    delete_entry(store, mirror, key, 0.0)
-    mirror.missing[key] = asyncio.get_running_loop().time() - 1e6
+    delete_entry(store, mirror, nodes.node_key(third.vm))
     with capture_logs() as logs:
         takeover.note_ended(A)
         takeover.due_since = 0.0
-        await takeover.step()
-        await takeover.step()
+        # It is this node's turn to end a lease after half a second.
+        for _ in range(3):
+            await step_for(takeover, clock, WAIT_S)
     lost = {line["endpoint"]: line for line in logs if line["event"] == "owner_lost"}
     assert sum(line["event"] == "owner_lost" for line in logs) == 2
     assert lost["i-1"]["is_reported_ended"]
