Take a reported endpoint's ranges only while its entry is unchanged

Callers could see OWNER: a node reports the end of its endpoint, which lives, and publishes it again, or the next process of the node does. Another node that acts on the report at the same moment, or whose write is carried out late, gave the ranges away, as that write had no condition on the entry.

The transaction now requires the entry to have the revision that the writer knows.

--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -129,11 +129,7 @@
             return
         lost = self._fit_into_transaction(self._lost_owners(now))
         self._log_lost(lost, now)
-        conditions = {}
-        for vm in {owner.vm for owner in lost if owner not in self.ended}:
-            conditions[self.nodes.node_key(vm)] = 0
-            last_lease_key = LAST_LEASE_PREFIX + vm
-            conditions[last_lease_key] = self.mirror.revision_of(last_lease_key)
+        conditions = self._conditions(lost)
 
         def transform(table: RangeTable | None) -> RangeTable | None:
             orphans = _orphans(table, lost)
@@ -142,6 +138,20 @@
         if await self.tables.change("owners are gone", transform, conditions):
             self.on_assigned()
 
+    def _conditions(self, lost: set[Owner]) -> dict[str, int]:
+        """Return what must be unchanged in the store while the ranges are reassigned.
+
+        A node without an entry must still have none, and no other lease. A node that
+        reported the end of its endpoint must not have published it again.
+        """
+        conditions = {}
+        for owner in lost:
+            keys = [self.nodes.node_key(owner.vm)]
+            if owner not in self.ended:
+                keys.append(LAST_LEASE_PREFIX + owner.vm)
+            conditions |= {key: self.mirror.revision_of(key) for key in keys}
+        return conditions
+
     def _log_lost(self, lost: set[Owner], now: float) -> None:
         """Log once why each of these owners counts as lost."""
         for owner in lost - self.logged_lost:
@@ -174,9 +184,9 @@
 
     def _fit_into_transaction(self, lost: set[Owner]) -> set[Owner]:
         """Return as many lost owners as one transaction can name; the rest follow."""
-        vms = sorted({owner.vm for owner in lost if owner not in self.ended})
+        vms = sorted({owner.vm for owner in lost})
         named = set(vms[:MAX_LOST_VMS_PER_WRITE])
-        return {o for o in lost if o in self.ended or o.vm in named}
+        return {owner for owner in lost if owner.vm in named}
 
     def _is_due(self, now: float) -> bool:
         if self.tables.table is None:
--- a/tests/ranges/test_takeover.py
+++ b/tests/ranges/test_takeover.py
@@ -236,3 +236,17 @@
     await put_and_mirror(store, mirror, key, entry(A).encode())
     takeover._forget_wrong_reports(takeover._available_owners())
     assert takeover._lost_owners(0.0) == set()
+
+
+async def test_ranges_of_a_reported_endpoint_that_was_published_again_do_not_move(
+    parts,
+):
+    # Guards against OWNER: a node publishes its endpoint again while another one, whose
+    # watch does not show that yet, acts on the report of its end.
+    store, mirror, nodes, tables = parts
+    takeover = await prepare_takeover(*parts)
+    takeover.note_ended(A)
+    takeover.due_since = 0.0
+    await put(store, nodes.node_key(A.vm), entry(A).encode())
+    await takeover.step()
+    assert set(tables.table.keys_by_owner()) == {A, B}
