Take an endpoint for ended only once its heartbeats have stopped

Cause: the absence of a listener and of connections was the proof that a process has ended, though its heartbeats contradicted it. Class: a proof that looks at one of two channels.

The end now also needs 2 s without a heartbeat, counted from the start of the node's process if it has received none. Until then the endpoint is not ready, its ranges are released or wait for the end of their holds, and its port is probed again. A planned stop sends no more grants before it reports an end.

Still not a proof: a worker that refuses all connections and whose heartbeats do not arrive either.

The tests of EndpointWatch that expected an end at once let 2 s pass.

--- a/src/sesamepost/internal/forwarding/endpoint_watch.py
+++ b/src/sesamepost/internal/forwarding/endpoint_watch.py
@@ -17,6 +17,8 @@
 # An endpoint without heartbeats for this long is probed.
 HEARTBEAT_TIMEOUT_S = 3.0
 CHECK_INTERVAL_S = 0.5
+# An endpoint that lives sends a heartbeat within this time, two intervals of them.
+END_SILENCE_S = 2.0
 # The clock of a VM may step back, so an incarnation with an earlier start time is
 # accepted once the present one has been silent for this long.
 SILENT_INCARNATION_S = 2.0
@@ -53,7 +55,10 @@
         self.departed: dict[str, int] = {}
         self.last_sequence = -1
         self.last_seen_at = 0.0
+        self.started_at = boottime()
         self.last_heartbeat_at = float("-inf")
+        # The incarnation whose port is closed, until it has ended or sends a heartbeat.
+        self.unreachable: tuple[str, int] | None = None
         self.is_suspect = False
         # The incarnation that was last taken for ended, until it sends a heartbeat.
         self.ended: tuple[str, int] | None = None
@@ -103,6 +108,7 @@
         self.last_sequence = sequence
         self.last_seen_at = now
         self.last_heartbeat_at = now
+        self.unreachable = None
         self.is_suspect = False
         self._update(info, is_gone=False)
         return True
@@ -197,10 +203,7 @@
     async def step(self) -> None:
         """Probe the endpoint if it is suspected or its heartbeats are overdue."""
         info = self.endpoint
-        if info is None or not info.is_ready:
-            return
-        silent_s = boottime() - self.last_seen_at
-        if silent_s < HEARTBEAT_TIMEOUT_S and not self.is_suspect:
+        if info is None or not self._is_probe_due(info):
             return
         listening = await self.pool.probe()
         if self.endpoint is not info:
@@ -212,11 +215,23 @@
         is_gone = self._note_not_listening(info, listening)
         self._update(replace(info, is_ready=False), is_gone)
 
+    def _is_probe_due(self, info: EndpointInfo) -> bool:
+        if info.is_ready:
+            silent_s = boottime() - self.last_seen_at
+            return silent_s >= HEARTBEAT_TIMEOUT_S or self.is_suspect
+        return self.unreachable == info.incarnation and self._is_silent()
+
+    def _is_silent(self) -> bool:
+        """Return whether an endpoint that lives would have sent a heartbeat by now."""
+        since = max(self.last_heartbeat_at, self.started_at)
+        return boottime() - since >= END_SILENCE_S
+
     def _note_not_listening(self, info: EndpointInfo, listening: Listening) -> bool:
         """Log that the endpoint does not listen; return whether its process has ended.
 
-        The end of a process closes its port and all its connections. A closed port
-        alone proves nothing, since the endpoint may go on over its open connections.
+        The end of a process closes its port and all its connections, and ends its
+        heartbeats. A closed port alone proves nothing, since the endpoint may go on
+        over its open connections, or may close them all and still hold its keys.
         """
         open_connections = self.count_open()
         log.warning(
@@ -228,4 +243,8 @@
             heartbeat_age_s=self.heartbeat_age_s(),
             open_connections=open_connections,
         )
-        return listening is Listening.NO and not open_connections
+        if listening is not Listening.NO:
+            return False
+        has_ended = not open_connections and self._is_silent()
+        self.unreachable = None if has_ended else info.incarnation
+        return has_ended
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -252,6 +252,9 @@
         self.ingress.latest_deadline = end - ANSWER_MARGIN_S
         self.local.latest_deadline = end - ANSWER_MARGIN_S
         self.registration.update(is_stopping=True)
+        for keeper in self.keepers.values():
+            # No grant may follow a report that the endpoint has ended.
+            keeper.start_leaving()
         await self._announce_endpoint_end()
         moves = [keeper.hand_over_all() for keeper in self.keepers.values()]
         with suppress(TimeoutError):
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -245,10 +245,14 @@
 
         self._start_move(first, last, reason, transform)
 
-    async def hand_over_all(self) -> None:
-        """Hand all ranges over and return once that is done."""
+    def start_leaving(self) -> None:
+        """Send no more grants, and hand all ranges over."""
         self.is_leaving = True
         self.wake.set()
+
+    async def hand_over_all(self) -> None:
+        """Hand all ranges over and return once that is done."""
+        self.start_leaving()
         while True:
             table = self.tables.table
             if table is None or not table.owned_by(self.vm):
--- a/tests/forwarding/test_endpoint_watch.py
+++ b/tests/forwarding/test_endpoint_watch.py
@@ -8,7 +8,10 @@
 from sesamepost.internal.coordination.nodes import EndpointInfo
 from sesamepost.internal.forwarding import endpoint_watch
 from sesamepost.internal.forwarding.endpoint_pool import EndpointPool, Listening
-from sesamepost.internal.forwarding.endpoint_watch import EndpointWatch
+from sesamepost.internal.forwarding.endpoint_watch import (
+    END_SILENCE_S,
+    EndpointWatch,
+)
 from sesamepost.internal.wire.pool import Address
 from tests.forwarding.test_endpoint_connection import NAMES
 from tests.waiting import until
@@ -80,12 +83,54 @@
     monkeypatch.setattr(watch.pool, "probe", probe)
     monkeypatch.setattr(watch, "interval_s", 0.01)
     watch.note_heartbeat(info(10), 1)
+    watch.now[0] += END_SILENCE_S
     watch.suspect()
     async with watch:
         await until(lambda: not watch.endpoint.is_ready)
     assert watch.changes[-1] is gone
 
 
+async def test_an_endpoint_ended_only_once_its_heartbeats_have_stopped(
+    watch, monkeypatch
+):
+    # Guards against OWNER: an endpoint that resets and refuses all connections and goes
+    # on sending heartbeats was taken for ended.
+    async def probe() -> Listening:
+        return Listening.NO
+
+    monkeypatch.setattr(watch.pool, "probe", probe)
+    watch.note_heartbeat(info(10), 1)
+    watch.suspect()
+    await watch.step()
+    assert not watch.endpoint.is_ready
+    watch.now[0] += END_SILENCE_S - 0.1
+    await watch.step()
+    assert watch.changes[-1] is False
+    watch.note_heartbeat(info(10), 2)
+    assert watch.endpoint.is_ready
+    watch.suspect()
+    await watch.step()
+    watch.now[0] += END_SILENCE_S
+    assert watch.changes[-1] is False
+    await watch.step()
+    assert watch.changes[-1] is True
+
+
+async def test_a_process_that_has_just_started_takes_no_endpoint_for_ended(
+    watch, monkeypatch
+):
+    # Guards against OWNER: a new process knows the endpoint from the entry of the
+    # previous one, and has not run for long enough to have received a heartbeat.
+    async def probe() -> Listening:
+        return Listening.NO
+
+    monkeypatch.setattr(watch.pool, "probe", probe)
+    watch._update(info(10), is_gone=False, is_confirmed=False)
+    assert not await watch.check_ended()
+    watch.now[0] += END_SILENCE_S
+    assert await watch.check_ended()
+
+
 async def test_an_endpoint_that_listens_stays_ready(watch, monkeypatch):
     # An endpoint that cannot reach the control port may still accept requests.
     probed = asyncio.Event()
@@ -148,6 +193,7 @@
     monkeypatch.setattr(watch.pool, "probe", probe)
     with capture_logs() as logs:
         watch.note_heartbeat(info(10), 1)
+        watch.now[0] += END_SILENCE_S
         assert await watch.check_ended()
         watch.note_heartbeat(info(10), 2)
         watch.note_heartbeat(info(10), 3)
@@ -170,10 +216,12 @@
     monkeypatch.setattr(watch.pool, "probe", probe)
     watch.on_change = ends.append
     watch.note_heartbeat(info(10), 1)
+    watch.now[0] += END_SILENCE_S
     watch.count_open = lambda: 1
     assert not await watch.check_ended()
     assert not watch.endpoint.is_ready
     watch.note_heartbeat(info(10), 2)
+    watch.now[0] += END_SILENCE_S
     watch.count_open = lambda: 0
     assert await watch.check_ended()
     assert ends == [False, False, False, True]
