Publish that an endpoint has left, and confirm a leave after that

Callers could see DRAIN: a worker sends its leave message, the process of its node is killed and started again, and a heartbeat from before the leave arrives late.

Cause: that an endpoint has left stood in the memory of one process only, and the entry shows a worker that left like one that does not answer.

The entry now says has_left, and a new process that finds the entry of the previous one takes it over. The confirmation of a leave or of a draining heartbeat waits for the write of the entry, for at most 0.5 s, so a node that is killed right after it keeps the promise as well.

--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -58,7 +58,8 @@
     """The endpoint of a node: its service, its incarnation and its readiness.
 
     ``born`` is its start time as Unix time in milliseconds. Two incarnations may share
-    an ``id``, so an incarnation is identified by ``id`` and ``born`` together.
+    an ``id``, so an incarnation is identified by ``id`` and ``born`` together. One that
+    has left stays unready, whatever it says later.
     """
 
     service: Name
@@ -67,6 +68,7 @@
     slots: Slots
     version: Name
     is_ready: bool
+    has_left: bool = False
 
     @property
     def incarnation(self) -> tuple[str, int]:
@@ -209,6 +211,8 @@
         self.renewed_at = float("-inf")
         self.is_owner = False
         self.wake = asyncio.Event()
+        # Set and replaced after each write of the entry.
+        self.written = asyncio.Event()
         self.counters: Counter[str] = Counter()
         self.on_renewed: Callable[[], None] = lambda: None
         mirror.changes.subscribe(self._on_change)
@@ -218,6 +222,22 @@
         self.entry = replace(self.entry, **changes)
         self.wake.set()
 
+    async def wait_until_written(self, timeout_s: float) -> bool:
+        """Wait until the store has the present entry; return False after the timeout.
+
+        The next process on this VM then knows what this one has published.
+        """
+        end = boottime() + timeout_s
+        while self.written_entry != self.entry:
+            remaining_s = end - boottime()
+            if remaining_s <= 0:
+                return False
+            written = self.written
+            with suppress(TimeoutError):
+                async with asyncio.timeout(remaining_s):
+                    await written.wait()
+        return True
+
     async def withdraw(self) -> None:
         """Remove the entry when the process stops and no longer holds any range."""
         if self.task is not None:
@@ -317,6 +337,8 @@
         self.recorded_lease = self.lease
         self.mirror.offer(Item(self.key, value, revision, self.lease))
         log.info("entry_written", revision=revision, lease=self.lease)
+        written, self.written = self.written, asyncio.Event()
+        written.set()
         if self.mirror.revision_of(self.key) != revision:
             # The watch has reported a later removal or write already.
             self._note_entry_lost(self.mirror.revision)
--- a/src/sesamepost/internal/forwarding/endpoint_watch.py
+++ b/src/sesamepost/internal/forwarding/endpoint_watch.py
@@ -105,6 +105,7 @@
                 # The heartbeat was sent before the leave message and arrived after it.
                 info = replace(info, is_ready=False)
         self.has_left |= not info.is_ready
+        info = replace(info, has_left=self.has_left)
         self.last_sequence = sequence
         self.last_seen_at = now
         self.last_heartbeat_at = now
@@ -150,7 +151,17 @@
             self.departed[endpoint_id] = max(born, self.departed.get(endpoint_id, -1))
             return
         self.has_left = True
-        self._update(replace(current, is_ready=False), is_gone=False)
+        self._update(replace(current, is_ready=False, has_left=True), is_gone=False)
+
+    def note_previous_endpoint(self, info: EndpointInfo) -> None:
+        """Process the endpoint that the previous process of this node published."""
+        if not info.has_left:
+            return
+        current = self.endpoint
+        if current is not None and current.incarnation == info.incarnation:
+            self.note_leave(info.id, info.born)
+        else:
+            self.departed[info.id] = max(info.born, self.departed.get(info.id, -1))
 
     async def check_ended(self) -> bool:
         """Probe whether the endpoint's process has ended, and record it if so."""
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -391,7 +391,10 @@
         if entry is None or entry.incarnation == self.id.incarnation:
             return
         info = entry.endpoint
-        if info is None or not info.is_ready or self.watch.endpoint is not None:
+        if info is None:
+            return
+        self.watch.note_previous_endpoint(info)
+        if not info.is_ready or self.watch.endpoint is not None:
             return
         path = self._health_path(info.service)
         self._spawn(self.watch.restore_endpoint(info, path))
--- a/src/sesamepost/platform/control_plane.py
+++ b/src/sesamepost/platform/control_plane.py
@@ -38,6 +38,10 @@
 
 Key = Annotated[int, Meta(ge=0, le=LAST_KEY)]
 
+# The confirmation of a leave waits this long until the store knows of it, so that it
+# binds the next process of the node as well.
+LEAVE_WRITE_TIMEOUT_S = 0.5
+
 READY_STATE = "ready"
 DRAINING_STATE = "draining"
 # Later than any start time, as Unix time in milliseconds.
@@ -225,6 +229,8 @@
         order = await self.node.answer_heartbeat(
             heartbeat.endpoint, heartbeat.sequence, report
         )
+        if not heartbeat.endpoint.is_ready:
+            await self._publish_leave()
         self.answered_on = request.transport
         self.answered_at = boottime()
         return web.json_response(encode_order(order), dumps=_encode_text)
@@ -240,8 +246,12 @@
     async def _leave(self, request: web.Request) -> web.Response:
         born = decode_leave(await request.read())
         self.node.watch.note_leave(request.match_info["id"], born)
+        await self._publish_leave()
         return web.json_response({})
 
+    async def _publish_leave(self) -> None:
+        await self.node.registration.wait_until_written(LEAVE_WRITE_TIMEOUT_S)
+
     async def _ready(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.node.is_ready else 503)
 
