Keep a range table of which one section cannot be read

Callers could see OWNER: another writer changes one section of the range table in the store, the table counts as missing, and the first node whose turn it is distributes all keys again with fences that begin at 1, while their owners hold them with higher ones.

Cause: a table that cannot be read was taken for one that does not exist.

The last readable section now stays in force and is written anew by a node that knows it. A table is made only if the store has none of its sections. A node that starts while a section cannot be read has no table until then.

test_a_table_with_a_section_that_cannot_be_read_is_not_made_anew and test_a_section_that_cannot_be_read_leaves_the_last_one_in_force failed before; test_a_section_that_cannot_be_read_is_written_anew uses a new property.

--- a/src/sesamepost/internal/ranges/table_store.py
+++ b/src/sesamepost/internal/ranges/table_store.py
@@ -84,6 +84,9 @@
         self.keys = [f"{self.prefix}{index}" for index in range(SECTIONS)]
         self.revisions = [-1] * SECTIONS
         self.sections: list[RangeTable | None] = [None] * SECTIONS
+        # Indexes of the sections whose newest values cannot be read. The last readable
+        # ones stay in force.
+        self.unreadable: set[int] = set()
         self.stored_table: RangeTable | None = None
         # Revision of the store as of the last call of ``read``.
         self.read_revision = 0
@@ -104,6 +107,12 @@
         """Whether the store is known to hold any section of the table."""
         return any(self.mirror.get(key) is not None for key in self.keys)
 
+    @property
+    def is_damaged(self) -> bool:
+        """Whether a section that cannot be read should be written anew."""
+        self._sync_from_mirror()
+        return bool(self.unreadable) and self.stored_table is not None
+
     @property
     def table(self) -> RangeTable | None:
         """The newest known table, with the updates from other nodes."""
@@ -189,9 +198,10 @@
         self.revisions[index] = item.revision
         try:
             self.sections[index] = decode_section(item.value, index)
+            self.unreadable.discard(index)
         except ValueError as error:
             log.error("range_table_unreadable", key=item.key, error=str(error))
-            self.sections[index] = None
+            self.unreadable.add(index)
         self.range_updates = [
             (revision, key_range)
             for revision, key_range in self.range_updates
@@ -313,7 +323,8 @@
         for index, key in enumerate(self.keys):
             stored = self.sections[index]
             section = table.section(index)
-            if stored is None or stored.ranges != section.ranges:
+            is_lacking = stored is None or index in self.unreadable
+            if is_lacking or stored.ranges != section.ranges:
                 changes[key] = section.encode()
         return changes
 
--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -123,10 +123,12 @@
         self.due_since = None
         if self.tables.table is None:
             await self.tables.change(
-                "first table",
-                lambda table: new_table(owners) if table is None else None,
+                "first table", lambda table: self._first_table(table, owners)
             )
             return
+        if self.tables.is_damaged:
+            await self.tables.change("unreadable section", lambda table: table)
+            return
         lost = self._fit_into_transaction(self._lost_owners(now))
         self._log_lost(lost, now)
         conditions = self._conditions(lost)
@@ -138,6 +140,17 @@
         if await self.tables.change("owners are gone", transform, conditions):
             self.on_assigned()
 
+    def _first_table(
+        self, table: RangeTable | None, owners: list[Owner]
+    ) -> RangeTable | None:
+        """Return a table unless there is one, even if parts of it cannot be read.
+
+        Its fences would be lower than those with which endpoints had the keys.
+        """
+        if table is not None or self.tables.exists:
+            return None
+        return new_table(owners)
+
     def _conditions(self, lost: set[Owner]) -> dict[str, int]:
         """Return what must be unchanged in the store while the ranges are reassigned.
 
@@ -190,10 +203,11 @@
 
     def _is_due(self, now: float) -> bool:
         if self.tables.table is None:
-            is_due = self._has_settled(now)
+            is_due = not self.tables.exists and self._has_settled(now)
         else:
             lost = self._lost_owners(now)
-            is_due = self.has_unowned or bool(lost & self.cached_owners)
+            has_orphans = self.has_unowned or bool(lost & self.cached_owners)
+            is_due = has_orphans or self.tables.is_damaged
         if not is_due:
             self.due_since = None
         elif self.due_since is None:
--- a/tests/ranges/test_table_store.py
+++ b/tests/ranges/test_table_store.py
@@ -197,3 +197,23 @@
     store.revision = 5
     store.items.update(tables.mirror.items)
     assert await tables.change("test", lambda t: reassign(t, 10, 20, B))
+
+
+def test_a_section_that_cannot_be_read_leaves_the_last_one_in_force():
+    # Guards against a service without a table because another writer wrote one section.
+    tables = table_store_at()
+    before = tables.table
+    tables.mirror.offer(Item(tables.keys[2], b"odd", 6))
+    assert tables.table == before
+
+
+async def test_a_section_that_cannot_be_read_is_written_anew():
+    tables = synced_table_store()
+    assert not tables.is_damaged
+    odd = Item(tables.keys[2], b"odd", 6)
+    tables.store.items[odd.key], tables.store.revision = odd, 6
+    tables.mirror.offer(odd)
+    assert tables.is_damaged
+    assert await tables.change("unreadable section", lambda table: table)
+    assert not tables.is_damaged
+    assert tables.store.items[odd.key].value == tables.table.section(2).encode()
--- a/tests/ranges/test_takeover.py
+++ b/tests/ranges/test_takeover.py
@@ -250,3 +250,29 @@
     await put(store, nodes.node_key(A.vm), entry(A).encode())
     await takeover.step()
     assert set(tables.table.keys_by_owner()) == {A, B}
+
+
+async def test_a_table_with_a_section_that_cannot_be_read_is_not_made_anew(
+    parts, clock
+):
+    # Guards against OWNER: a node that has just started and finds one section that
+    # another writer wrote distributed all keys again, with fences that begin at 1.
+    store, mirror, nodes, tables = parts
+    await prepare_takeover(*parts)
+    await put(store, tables.keys[3], b"odd")
+    started_mirror = Mirror(store)
+    started_nodes = NodeTable(started_mirror)
+    started_tables = TableStore(store, started_mirror, "desk")
+    started_mirror._replace(await store.list(""))
+    started_mirror.in_contact = True
+    takeover = Takeover(B.vm, started_tables, started_nodes, started_mirror)
+    before, table = dict(store.items), tables.table
+    for _ in range(4):
+        await step_for(takeover, clock, 2.0)
+    assert store.items == before
+    mirror.offer(store.items[tables.keys[3]])
+    takeover = Takeover(B.vm, tables, nodes, mirror)
+    for _ in range(2):
+        await step_for(takeover, clock, 2.0)
+    started_mirror.offer(store.items[tables.keys[3]])
+    assert started_tables.table == tables.table == table
