Send followers the newest change of each key

Callers could see OWNER in a failure domain of six nodes or more: a node returns with a new lease, takes its copy of the table for one from after the start of the lease, and grants ranges that others took meanwhile.

Cause: a reader answers a follower with the changes up to the revision of its last watch, and left out items that it knows in a newer version, such as its own writes. The older change of such a key was left out with it, while the follower's revision rose past it. GrantRight takes that revision for the proof that the table is as new as the lease.

Newer items are now part of the answer, which is harmless to the follower.

--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -125,7 +125,9 @@
     def changes_after(self, revision: int) -> Batch:
         """Return the changes after ``revision``, as a watch of the store would.
 
-        Only the newest change of each key is included. Raise ``HistoryGoneError`` if
+        Only the newest known change of each key is included, which may be newer than
+        the revision of the batch, such as an own write. It replaces an earlier change
+        of its key that the recipient may not have. Raise ``HistoryGoneError`` if
         some deletions after ``revision`` may be unknown.
         """
         if revision < self.complete_since:
@@ -135,9 +137,7 @@
         if revision >= self.revision:
             return Batch(self.revision, ())
         found: list[Item | Deletion] = [
-            item
-            for item in self.items.values()
-            if revision < item.revision <= self.revision
+            item for item in self.items.values() if revision < item.revision
         ]
         found += [
             Deletion(key, deleted)
