Write the lease record anew with an overwritten entry

The late write of a former process overwrites the entry and the record of the lease. The node wrote only the entry again, so the record named the former lease, which is the one that others end before they take ranges, while the node renewed another (OWNER).

Found by the review; test_the_lease_record_names_the_lease_that_is_renewed failed before.

--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -253,6 +253,8 @@
             if event.value != self.written_entry.encode():
                 log.warning("own_entry_overwritten", revision=event.revision)
                 self.written_entry = None
+                # The record may name the lease of the process that wrote the entry.
+                self.recorded_lease = 0
                 self.wake.set()
         else:
             self._note_entry_lost(event.revision)
