--- a/src/sesamepost/internal/forwarding/endpoint_watch.py
+++ b/src/sesamepost/internal/forwarding/endpoint_watch.py
@@ -19,6 +19,9 @@
 CHECK_INTERVAL_S = 0.5
 # An endpoint that lives sends a heartbeat within this time, two intervals of them.
 END_SILENCE_S = 2.0
+# After a longer time between two steps, the process of this node has stood still, and
+# heartbeats may be unread.
+MAX_STEP_GAP_S = 3 * CHECK_INTERVAL_S
 # The clock of a VM may step back, so an incarnation with an earlier start time is
 # accepted once the present one has been silent for this long.
 SILENT_INCARNATION_S = 2.0
@@ -55,7 +58,8 @@
         self.departed: dict[str, int] = {}
         self.last_sequence = -1
         self.last_seen_at = 0.0
-        self.started_at = boottime()
+        # Heartbeats that arrived since then would have been processed.
+        self.listening_since = self.stepped_at = boottime()
         self.last_heartbeat_at = float("-inf")
         # The incarnation whose port is closed, until it has ended or sends a heartbeat.
         self.unreachable: tuple[str, int] | None = None
@@ -213,6 +217,10 @@
 
     async def step(self) -> None:
         """Probe the endpoint if it is suspected or its heartbeats are overdue."""
+        now = boottime()
+        if now - self.stepped_at > MAX_STEP_GAP_S:
+            self.listening_since = now
+        self.stepped_at = now
         info = self.endpoint
         if info is None or not self._is_probe_due(info):
             return
@@ -234,8 +242,11 @@
 
     def _is_silent(self) -> bool:
         """Return whether an endpoint that lives would have sent a heartbeat by now."""
-        since = max(self.last_heartbeat_at, self.started_at)
-        return boottime() - since >= END_SILENCE_S
+        now = boottime()
+        if now - self.stepped_at > MAX_STEP_GAP_S:
+            return False
+        since = max(self.last_heartbeat_at, self.listening_since)
+        return now - since >= END_SILENCE_S
 
     def _note_not_listening(self, info: EndpointInfo, listening: Listening) -> bool:
         """Log that the endpoint does not listen; return whether its process has ended.
