Take the wiring of ownership out of Node

Node created the parts that decide the ownership of keys and handled their events between sockets, feed and relay, so that code could only run in a whole node process.

Ownership now builds mirror, registration, watch, tables, keepers and takeovers from a store, an endpoint pool and commands that are passed in, and reports to its user by three callbacks. Node connects it to peers, settings and requests.

--- a/src/sesamepost/platform/control_plane.py
+++ b/src/sesamepost/platform/control_plane.py
@@ -222,7 +222,7 @@
         report = HoldReport(
             heartbeat.held, heartbeat.released, self._follows_answer(request)
         )
-        order = await self.node.answer_heartbeat(
+        order = await self.node.ownership.answer_heartbeat(
             heartbeat.endpoint, heartbeat.sequence, report
         )
         self.answered_on = request.transport
@@ -239,7 +239,7 @@
 
     async def _leave(self, request: web.Request) -> web.Response:
         born = decode_leave(await request.read())
-        self.node.watch.note_leave(request.match_info["id"], born)
+        self.node.ownership.note_leave(request.match_info["id"], born)
         return web.json_response({})
 
     async def _ready(self, request: web.Request) -> web.Response:
