--- a/src/sesamepost/platform/control_plane.py
+++ b/src/sesamepost/platform/control_plane.py
@@ -226,7 +226,7 @@
         report = HoldReport(
             heartbeat.held, heartbeat.released, self._follows_answer(request)
         )
-        order = await self.node.answer_heartbeat(
+        order = await self.node.ownership.answer_heartbeat(
             heartbeat.endpoint, heartbeat.sequence, report
         )
         if not heartbeat.endpoint.is_ready:
@@ -245,12 +245,12 @@
 
     async def _leave(self, request: web.Request) -> web.Response:
         born = decode_leave(await request.read())
-        self.node.watch.note_leave(request.match_info["id"], born)
+        self.node.ownership.note_leave(request.match_info["id"], born)
         await self._publish_leave()
         return web.json_response({})
 
     async def _publish_leave(self) -> None:
-        await self.node.registration.wait_until_written(LEAVE_WRITE_TIMEOUT_S)
+        await self.node.ownership.registration.wait_until_written(LEAVE_WRITE_TIMEOUT_S)
 
     async def _ready(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.node.is_ready else 503)
