Renew a lease by its age, also while the entry changes

A write of the entry took the place of a renewal, but does not renew the lease. A node whose entry changes more often than every 0.9 s, as that of a worker whose port refuses while its heartbeats arrive, lost its lease after 3 s, and its keys with it.

--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -209,6 +209,8 @@
         self.lease_revision = 0
         self.written_entry: NodeEntry | None = None
         self.renewed_at = float("-inf")
+        # When the lease was last opened or renewed; a write of the entry does not.
+        self.lease_renewed_at = float("-inf")
         self.is_owner = False
         self.wake = asyncio.Event()
         # Set and replaced after each write of the entry.
@@ -283,16 +285,16 @@
                 log.info("renewal_failed", lease=self.lease, error=str(error))
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
-            interval_s = (
-                OWNER_RENEWAL_INTERVAL_S if self.is_owner else RENEWAL_INTERVAL_S
-            )
             with suppress(TimeoutError):
-                async with asyncio.timeout(interval_s):
+                async with asyncio.timeout(self._renewal_interval_s()):
                     await self.wake.wait()
 
     async def _renew_or_write(self) -> None:
         sent_at = boottime()
-        if self.lease and self.written_entry == self.entry:
+        is_written = bool(self.lease) and self.written_entry == self.entry
+        if not is_written:
+            await self._write()
+        if is_written or sent_at - self.lease_renewed_at >= self._renewal_interval_s():
             try:
                 await self.store.renew_lease(self.lease)
             except LeaseEndedError:
@@ -301,14 +303,17 @@
                 self.written_entry = None
                 await self._renew_or_write()
                 return
-        else:
-            await self._write()
+            self.lease_renewed_at = sent_at
         self.renewed_at = max(self.renewed_at, sent_at)
         self.on_renewed()
 
+    def _renewal_interval_s(self) -> float:
+        return OWNER_RENEWAL_INTERVAL_S if self.is_owner else RENEWAL_INTERVAL_S
+
     async def _write(self) -> None:
         if not self.lease:
             ttl_s = OWNER_LEASE_S if self.is_owner else LEASE_S
+            self.lease_renewed_at = boottime()
             self.lease = await self.store.open_lease(ttl_s)
         entry = self.entry
         value = entry.encode()
