--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -130,6 +130,7 @@
             self.names,
             settings.max_hold_s,
         )
+        self.ownership.watch.heartbeat_interval_s = settings.heartbeat_interval_s
         self.ownership.on_endpoint = self._on_endpoint
         self.ownership.on_keeper = self._on_keeper
         self.ownership.send_to_peer = self._send_to_peer
@@ -265,7 +266,7 @@
     def _on_endpoint_ended(self, stream: PeerStream, message: EndpointEnded) -> None:
         owner = Owner(message.vm, message.endpoint_id, message.born)
         if stream.peer.vm == owner.vm:
-            self.ownership.note_endpoint_ended(owner)
+            self.ownership.note_endpoint_ended(owner, stream.peer.incarnation)
 
     def _own_service(self) -> str:
         info = self.ownership.endpoint
--- a/src/sesamepost/internal/forwarding/ownership.py
+++ b/src/sesamepost/internal/forwarding/ownership.py
@@ -25,6 +25,7 @@
 from sesamepost.internal.forwarding.endpoint_watch import EndpointWatch
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
 from sesamepost.internal.forwarding.routes import Service
+from sesamepost.internal.identity import ANY_INCARNATION
 from sesamepost.internal.ranges.commands import EndpointCommands
 from sesamepost.internal.ranges.heartbeat_holds import HoldOrder, HoldReport
 from sesamepost.internal.ranges.keeper import RangeKeeper
@@ -167,10 +168,15 @@
         if tables is not None:
             tables.offer_range(message.revision, message.key_range)
 
-    def note_endpoint_ended(self, owner: Owner) -> None:
-        """Process the report of another node that its endpoint has ended."""
+    def note_endpoint_ended(
+        self, owner: Owner, incarnation: int = ANY_INCARNATION
+    ) -> None:
+        """Process the report of a process of another node that its endpoint has ended.
+
+        ``incarnation`` is that of the process.
+        """
         for takeover in self.takeovers:
-            takeover.note_ended(owner)
+            takeover.note_ended(owner, incarnation)
 
     async def leave(self, until: float) -> None:
         """Hand over all ranges before a planned stop, until ``until`` at the latest.
--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -13,6 +13,7 @@
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import LAST_LEASE_PREFIX, NodeTable
+from sesamepost.internal.identity import ANY_INCARNATION
 from sesamepost.internal.ranges.absent_nodes import AbsentNodes
 from sesamepost.internal.ranges.holds import HOLD_S, TAKEOVER_SLACK_S
 from sesamepost.internal.ranges.table import (
@@ -95,8 +96,18 @@
             with suppress(asyncio.CancelledError):
                 await self.ending
 
-    def note_ended(self, owner: Owner) -> None:
-        """Record the report of an endpoint's own node that it holds nothing."""
+    def note_ended(self, owner: Owner, incarnation: int = ANY_INCARNATION) -> None:
+        """Record the report of an endpoint's own node that it holds nothing.
+
+        A report of a process of the node with another ``incarnation`` than the one that
+        has published the node's entry is outdated.
+        """
+        node = self.nodes.nodes.get(owner.vm)
+        if node is not None and incarnation not in (ANY_INCARNATION, node.incarnation):
+            log.info(
+                "outdated_end_ignored", owner_vm=owner.vm, endpoint=owner.endpoint_id
+            )
+            return
         log.info(
             "endpoint_ended",
             owner_vm=owner.vm,
