Derive the silence of an endpoint from the interval of heartbeats

Two faults of the proof that an endpoint has ended, found by the review:

The silence is now two intervals of the settings (heartbeatIntervalS) and 0.5 s. test_one_lost_heartbeat_is_no_silence failed before.
- A probe at a planned stop wrote back the endpoint that was known before it, and undid the heartbeat of a next incarnation. test_a_probe_does_not_ bring_a_former_incarnation_back failed before.

--- a/src/sesamepost/internal/forwarding/endpoint_watch.py
+++ b/src/sesamepost/internal/forwarding/endpoint_watch.py
@@ -17,8 +17,9 @@
 # An endpoint without heartbeats for this long is probed.
 HEARTBEAT_TIMEOUT_S = 3.0
 CHECK_INTERVAL_S = 0.5
-# An endpoint that lives sends a heartbeat within this time, two intervals of them.
-END_SILENCE_S = 2.0
+DEFAULT_HEARTBEAT_INTERVAL_S = 1.5
+# One heartbeat may be lost, and the next one late by this much.
+HEARTBEAT_JITTER_S = 0.5
 # After a longer time between two steps, the process of this node has stood still, and
 # heartbeats may be unread.
 MAX_STEP_GAP_S = 3 * CHECK_INTERVAL_S
@@ -35,6 +36,7 @@
     ``on_change(is_gone)`` is called after each change of ``endpoint``; ``is_gone``
     means that its process has ended. The endpoint is not confirmed if it was restored
     from the entry of the previous process and has not sent a heartbeat since.
+    ``heartbeat_interval_s`` is the time between two heartbeats.
     """
 
     interval_s = CHECK_INTERVAL_S
@@ -50,6 +52,7 @@
         self.on_change = on_change
         # The open connections to the endpoint; those of commands are not in the pool.
         self.count_open: Callable[[], int] = pool.count_open if pool else lambda: 0
+        self.heartbeat_interval_s = DEFAULT_HEARTBEAT_INTERVAL_S
         self.endpoint: EndpointInfo | None = None
         self.is_confirmed = True
         self.has_left = False
@@ -67,6 +70,11 @@
         # The incarnation that was last taken for ended, until it sends a heartbeat.
         self.ended: tuple[str, int] | None = None
 
+    @property
+    def end_silence_s(self) -> float:
+        """The time without a heartbeat that is part of the proof of an end."""
+        return 2 * self.heartbeat_interval_s + HEARTBEAT_JITTER_S
+
     def has_heartbeat_since(self, time: float) -> bool:
         """Return whether a heartbeat was accepted after ``time``.
 
@@ -172,6 +180,9 @@
         info = self.endpoint
         if info is None or await self.pool.probe() is not Listening.NO:
             return False
+        if self.endpoint is not info:
+            # A heartbeat arrived during the probe.
+            return False
         is_gone = self._note_not_listening(info, Listening.NO)
         self._update(replace(info, is_ready=False), is_gone)
         return is_gone
@@ -246,7 +257,7 @@
         if now - self.stepped_at > MAX_STEP_GAP_S:
             return False
         since = max(self.last_heartbeat_at, self.listening_since)
-        return now - since >= END_SILENCE_S
+        return now - since >= self.end_silence_s
 
     def _note_not_listening(self, info: EndpointInfo, listening: Listening) -> bool:
         """Log that the endpoint does not listen; return whether its process has ended.
--- a/src/sesamepost/internal/forwarding/node_settings.py
+++ b/src/sesamepost/internal/forwarding/node_settings.py
@@ -10,7 +10,8 @@
     """The identity of a node, its addresses and its time limits.
 
     ``service`` is the service of the local endpoint when the node started.
-    ``max_hold_s`` limits how long a hold lasts, and ``stop_timeout_s`` is the time from
+    ``max_hold_s`` limits how long a hold lasts, ``heartbeat_interval_s`` is the time
+    between two heartbeats of the endpoint, and ``stop_timeout_s`` is the time from
     SIGTERM until the process is killed. A process that uses more than ``memory_bytes``
     is killed.
     """
@@ -28,5 +29,6 @@
     metrics_port: int
     store_url: str
     max_hold_s: float
+    heartbeat_interval_s: float
     stop_timeout_s: float
     memory_bytes: int
--- a/src/sesamepost/platform/settings.py
+++ b/src/sesamepost/platform/settings.py
@@ -7,6 +7,7 @@
 from sesamepost.internal.wire.pool import Address
 
 DEFAULT_MAX_HOLD_S = 10.0
+DEFAULT_HEARTBEAT_INTERVAL_S = 1.0
 DEFAULT_STOP_TIMEOUT_S = 6.0
 DEFAULT_MEMORY_MB = 300
 BYTES_PER_MB = 1_000_000
@@ -52,6 +53,9 @@
         metrics_port=first_port + METRICS_PORT_OFFSET,
         store_url="http://" + fields["platform"]["address"],
         max_hold_s=float(bounds.get("maxHoldS", DEFAULT_MAX_HOLD_S)),
+        heartbeat_interval_s=float(
+            fields.get("heartbeatIntervalS", DEFAULT_HEARTBEAT_INTERVAL_S)
+        ),
         stop_timeout_s=float(bounds.get("gracePeriodS", DEFAULT_STOP_TIMEOUT_S)),
         memory_bytes=int(memory_mb) * BYTES_PER_MB,
     )
