--- a/src/sesamepost/internal/ranges/absent_nodes.py
+++ b/src/sesamepost/internal/ranges/absent_nodes.py
@@ -6,6 +6,7 @@
 first. What shows that to all nodes is the record of the lease, which is marked.
 """
 
+import asyncio
 import math
 from collections.abc import Collection
 
@@ -28,6 +29,9 @@
     Write,
 )
 
+# Calls to the store at the same time.
+MAX_CALLS = 8
+
 log = structlog.get_logger()
 
 
@@ -73,21 +77,30 @@
 
     async def end_leases(self, vms: Collection[str], delay_s: float) -> None:
         """End the leases of VMs that have had no entry for ``delay_s`` seconds."""
-        for vm in sorted(vms):
-            now = boottime()
-            missing_s = now - self.mirror.missing_since(NODE_PREFIX + vm, now)
-            is_absent = self.mirror.get(NODE_PREFIX + vm) is None
-            if not is_absent or missing_s < delay_s or self.lease_of(vm) is None:
-                continue
-            try:
-                await self._end_lease(vm)
-            except ConditionFailedError as error:
-                log.info("absent_lease_not_ended", owner_vm=vm, error=str(error))
-            except StoreError as error:
-                log.info("absent_lease_not_ended", owner_vm=vm, error=str(error))
+        waiting = sorted(vms)
+        while waiting:
+            due = [vm for vm in waiting[:MAX_CALLS] if self._is_due(vm, delay_s)]
+            waiting = waiting[MAX_CALLS:]
+            ends = [self._try_to_end_lease(vm) for vm in due]
+            if not all(await asyncio.gather(*ends)):
                 # The calls for the other VMs would probably fail, too.
                 return
 
+    def _is_due(self, vm: str, delay_s: float) -> bool:
+        if self.mirror.get(NODE_PREFIX + vm) is not None or self.lease_of(vm) is None:
+            return False
+        now = boottime()
+        return now - self.mirror.missing_since(NODE_PREFIX + vm, now) >= delay_s
+
+    async def _try_to_end_lease(self, vm: str) -> bool:
+        """End the lease of a VM; return whether the store has answered."""
+        try:
+            await self._end_lease(vm)
+        except StoreError as error:
+            log.info("absent_lease_not_ended", owner_vm=vm, error=str(error))
+            return isinstance(error, ConditionFailedError)
+        return True
+
     async def _end_lease(self, vm: str) -> None:
         key, lease = LAST_LEASE_PREFIX + vm, self.lease_of(vm)
         revision = self.mirror.revision_of(key)
--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -32,6 +32,9 @@
 SETTLE_S = 0.8
 MAX_SETTLE_S = 4.0
 TURN_DELAY_S = 0.5
+# A node learns that the one before it has ended a lease only after the pause of its
+# watch.
+LEASE_TURN_DELAY_S = 1.2
 # A transaction of the store has at most 32 entries. Each section of the table needs
 # two of them, and so does each lost VM; the writer's lease record needs one.
 MAX_LOST_VMS_PER_WRITE = (32 - 1) // 2 - SECTIONS
@@ -234,13 +237,12 @@
         return is_due
 
     def _is_my_turn(self, now: float) -> bool:
-        return now - self.due_since >= self._turn_delay_s()
+        return now - self.due_since >= self._rank() * TURN_DELAY_S
 
-    def _turn_delay_s(self) -> float:
-        """Return how long this node leaves a change to the nodes before it."""
+    def _rank(self) -> int:
+        """Return how many nodes have a turn before this one."""
         names = sorted(self.nodes.nodes)
-        rank = names.index(self.vm) if self.vm in names else len(names)
-        return rank * TURN_DELAY_S
+        return names.index(self.vm) if self.vm in names else len(names)
 
     def _has_settled(self, now: float) -> bool:
         present = {node.vm for node in self.nodes.endpoints_of(self.tables.service)}
@@ -274,7 +276,8 @@
             return
         absent = self._absent_owners(table)
         if absent:
-            ending = self.absent.end_leases(absent, self._turn_delay_s())
+            delay_s = self._rank() * LEASE_TURN_DELAY_S
+            ending = self.absent.end_leases(absent, delay_s)
             self.ending = asyncio.ensure_future(ending)
 
     def _owners_in(self, table: RangeTable) -> set[Owner]:
