--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -268,7 +268,7 @@
             self.ownership.note_endpoint_ended(owner)
 
     def _own_service(self) -> str:
-        info = self.ownership.endpoint
+        info = self.ownership.watch.endpoint
         return info.service if info else self.settings.service
 
     async def _peer_key(self) -> bytes:
--- a/src/sesamepost/internal/forwarding/ownership.py
+++ b/src/sesamepost/internal/forwarding/ownership.py
@@ -121,11 +121,6 @@
             )
         return self.tables.get(service)
 
-    @property
-    def endpoint(self) -> EndpointInfo | None:
-        """The endpoint as far as its heartbeats and probes tell."""
-        return self.watch.endpoint
-
     @property
     def keeper(self) -> RangeKeeper | None:
         """The keeper of the endpoint's service; None if that is not partitioned."""
@@ -235,10 +230,12 @@
         if entry is None or entry.incarnation == self.incarnation:
             return
         info = entry.endpoint
-        if info is None or not info.is_ready or self.watch.endpoint is not None:
+        if info is None:
             return
-        path = self._health_path(info.service)
-        self._spawn(self.watch.restore_endpoint(info, path))
+        self.watch.note_previous_endpoint(info)
+        if info.is_ready and self.watch.endpoint is None:
+            path = self._health_path(info.service)
+            self._spawn(self.watch.restore_endpoint(info, path))
 
     def _count_open(self) -> int:
         return self.endpoint_pool.count_open() + self.commands.count_open()
