Explain the deadlines of holds in one module

possible_until, unanswered_until and assumed_until were changed in holds, heartbeat_holds and keeper, and LONGEST_HOLD_S was added to a time in two of these, so that no page told what they rest on together.

holds now keeps and explains them all; reports of heartbeats change them by HoldTracker.note_report. The lengths of holds on a slow clock are in hold_times. Behaviour is unchanged.

--- a/src/sesamepost/internal/ranges/heartbeat_holds.py
+++ b/src/sesamepost/internal/ranges/heartbeat_holds.py
@@ -20,15 +20,13 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
-from sesamepost.internal.ranges.holds import (
-    LONGEST_HOLD_S,
+from sesamepost.internal.ranges.hold_times import (
     MARGIN_S,
     MIN_HOLD_S,
-    Hold,
-    HoldTracker,
     hold_end,
     hold_s_until,
 )
+from sesamepost.internal.ranges.holds import Hold, HoldTracker
 from sesamepost.internal.ranges.table import KeyRange, uncovered
 
 # The endpoint ignores an answer that arrives later than this.
@@ -139,28 +137,20 @@
     def note_report(self, holds: HoldTracker, report: HoldReport, now: float) -> None:
         """Update ``holds`` and the pending releases by a report."""
         for hold in [*holds.holds.values(), *holds.past]:
-            self._note_hold(hold, report, now)
-        until = now + LONGEST_HOLD_S
-        reported = [(r.first, r.last, until) for r in report.held]
-        if report.follows_answer:
-            # The report is complete, whatever a previous process may have ordered.
-            holds.assumed_until = 0.0
-            holds.reported = reported
-        else:
-            holds.reported += reported
+            self._note_hold(hold, report)
+        held = [(r.first, r.last) for r in report.held]
+        holds.note_report(held, report.follows_answer, now)
         for release in self.releases:
             is_ordered = (release.first, release.last) in holds.released_keys
             _note_release(release, report, is_ordered)
 
-    def _note_hold(self, hold: Hold, report: HoldReport, now: float) -> None:
+    def _note_hold(self, hold: Hold, report: HoldReport) -> None:
         key_range = hold.key_range
         first, last, fence = key_range.first, key_range.last, key_range.fence
-        overlapping = [r for r in report.held if r.first <= last and first <= r.last]
+        overlapping = [r for r in report.held if hold.overlaps(r.first, r.last)]
         if any(r.fence > fence for r in overlapping):
             hold.is_refused = True
             hold.certain_until = 0.0
-        if not overlapping and report.follows_answer:
-            hold.possible_until = min(hold.possible_until, now)
         key = first, last, fence
         if any(r.fence == fence for r in overlapping):
             self.missing.pop(key, None)
@@ -243,7 +233,7 @@
     if hold.certain_until <= now:
         hold.certain_from = now + ANSWER_DELAY_S
     hold.certain_until = now + hold_s - ANSWER_TIMEOUT_S - MARGIN_S
-    hold.possible_until = max(hold.possible_until, hold_end(hold_s, now))
+    hold.note_possible(hold_end(hold_s, now))
 
 
 def _is_whole(key: tuple[int, int, int], moving: Collection[tuple[int, int]]) -> bool:
--- a/src/sesamepost/internal/ranges/holds.py
+++ b/src/sesamepost/internal/ranges/holds.py
@@ -1,58 +1,38 @@
 """Tracks the holds of the local endpoint and the grants that are due.
 
-Each hold has two deadlines. Until ``certain_until`` the endpoint certainly holds the
-range, so requests may be sent to it. Until ``possible_until`` it may hold the range, so
-no other endpoint may get it.
+Each hold has three deadlines. Until ``certain_until`` the endpoint certainly holds the
+range, so requests may be sent to it. Until ``possible_until`` it may hold the range by
+a grant or an order of this process. Until ``unanswered_until`` it may yet execute a
+grant that it has not answered, even after a release, and hold the range by it.
+
+``assumed_until`` is the deadline of all that a tracker has no record of: grants of the
+previous process of the node, and of the former incarnation of the endpoint.
+
+No other endpoint may get keys before these deadlines, except by the proofs that
+``hold_ends`` lists.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass, replace
 
+from sesamepost.internal.ranges.hold_times import (
+    HOLD_S,
+    LONGEST_HOLD_S,
+    MIN_HOLD_S,
+    GrantCommand,
+    hold_end,
+    hold_s_until,
+)
 from sesamepost.internal.ranges.table import KeyRange, uncovered
 
-# A node may grant holds until this long after it sent the renewal of its lease.
-HOLD_S = 5.0
-# Other nodes wait this much longer before a takeover, since timers may fire late.
+# Other nodes wait this much longer than a hold before a takeover, since timers may
+# fire late.
 TAKEOVER_SLACK_S = 0.4
-# The clock of an endpoint may run two percent slow; one more percent is a reserve.
-CLOCK_DRIFT_FACTOR = 1.03
-MARGIN_S = 0.1
-MIN_HOLD_S = 0.3
-# The longest time that an endpoint may hold a range after the last grant.
-LONGEST_HOLD_S = HOLD_S * CLOCK_DRIFT_FACTOR + MARGIN_S
 # A hold is renewed when less than this share of the longest hold is left.
 RENEWAL_SHARE = 0.6
 GRANT_RETRY_S = 0.25
 
 
-def hold_s_until(end: float, now: float) -> float:
-    """Return the length in seconds of a hold that has certainly ended at ``end``.
-
-    It begins at ``now``, and its endpoint measures it with a clock that may run slow.
-    """
-    return (end - now - MARGIN_S) / CLOCK_DRIFT_FACTOR
-
-
-def hold_end(hold_s: float, now: float) -> float:
-    """Return the time at which a hold that begins at ``now`` has certainly ended."""
-    return now + hold_s * CLOCK_DRIFT_FACTOR + MARGIN_S
-
-
-@dataclass(frozen=True, slots=True)
-class GrantCommand:
-    """A command to hold ``key_range`` until ``end`` at the latest.
-
-    Its length is computed when it is sent. A length from an earlier time would be too
-    long by all that passes until then, such as a stop of the process.
-    """
-
-    key_range: KeyRange
-    end: float
-
-    def hold_s_at(self, now: float) -> float:
-        """Return the length in seconds of the hold if it begins at ``now``."""
-        return hold_s_until(self.end, now)
-
-
 @dataclass(slots=True)
 class Hold:
     """The hold of one range, as far as this node knows."""
@@ -76,13 +56,20 @@
         """Whether the endpoint holds or held the range under its present fence."""
         return self.accepted_fence == self.key_range.fence
 
+    def note_possible(self, until: float) -> None:
+        """Record that the endpoint may hold the range until ``until``."""
+        self.possible_until = max(self.possible_until, until)
+
+    def overlaps(self, first: int, last: int) -> bool:
+        """Return whether the range has any of these keys."""
+        return self.key_range.first <= last and first <= self.key_range.last
+
 
 class HoldTracker:
     """The holds of one incarnation of an endpoint.
 
     All times are in seconds on the clock of ``internal/clock``. No hold is longer than
-    ``max_hold_s``. Until ``assumed_until`` the endpoint may hold any key by a grant of
-    the previous process of this node.
+    ``max_hold_s``. Until ``assumed_until`` the endpoint may hold any key.
     """
 
     def __init__(self, max_hold_s: float = HOLD_S, assumed_until: float = 0.0) -> None:
@@ -99,6 +86,14 @@
         # Keys that the endpoint was told to release in an answer to its heartbeat.
         self.released_keys: tuple[tuple[int, int], ...] = ()
 
+    @classmethod
+    def after_restart(cls, max_hold_s: float, now: float) -> "HoldTracker":
+        """Return the tracker of a process that started at ``now``.
+
+        The last grant of the previous process is as old as that at least.
+        """
+        return cls(max_hold_s, now + LONGEST_HOLD_S)
+
     def set_ranges(self, ranges: list[KeyRange], now: float) -> None:
         """Set the ranges that the endpoint should hold from now on.
 
@@ -153,10 +148,10 @@
         hold = self.holds.get(_key(command.key_range))
         if hold is None:
             return
-        hold.possible_until = max(hold.possible_until, command.end)
+        hold.note_possible(command.end)
         if not hold.is_accepted:
             # It replaces the hold under the former fence, which may be longer.
-            hold.certain_until = min(hold.certain_until, _certain_end(command, now))
+            hold.certain_until = min(hold.certain_until, command.certain_end(now))
         hold.retry_at = now + GRANT_RETRY_S
 
     def note_granted(self, command: GrantCommand, sent_at: float) -> None:
@@ -164,8 +159,7 @@
         hold = self.holds.get(_key(command.key_range))
         if hold is None:
             return
-        certain_until = _certain_end(command, sent_at)
-        hold.certain_until = max(hold.certain_until, certain_until)
+        hold.certain_until = max(hold.certain_until, command.certain_end(sent_at))
         hold.retry_at = 0.0
         hold.accepted_fence = hold.key_range.fence
 
@@ -183,7 +177,26 @@
             *self._past_overlapping(first, last),
         ]:
             hold.unanswered_until = max(hold.unanswered_until, until)
-            hold.possible_until = max(hold.possible_until, until)
+            hold.note_possible(until)
+
+    def note_report(
+        self, held: Collection[tuple[int, int]], is_complete: bool, now: float
+    ) -> None:
+        """Record the first and last keys of the ranges that the endpoint reports.
+
+        A complete report was sent after the endpoint had read the last answer, so it
+        holds nothing else, whatever a previous process may have ordered.
+        """
+        until = now + LONGEST_HOLD_S
+        reported = [(first, last, until) for first, last in held]
+        if not is_complete:
+            self.reported += reported
+            return
+        self.assumed_until = 0.0
+        self.reported = reported
+        for hold in [*self.holds.values(), *self.past]:
+            if not any(hold.overlaps(first, last) for first, last in held):
+                hold.possible_until = min(hold.possible_until, now)
 
     def note_refused(self, command: GrantCommand) -> None:
         """Record that the endpoint has seen a higher fence, so this one is unusable."""
@@ -257,10 +270,10 @@
         return max(until, self.assumed_until)
 
     def _overlapping(self, first: int, last: int) -> list[Hold]:
-        return [h for h in self.holds.values() if _overlaps(h, first, last)]
+        return [h for h in self.holds.values() if h.overlaps(first, last)]
 
     def _past_overlapping(self, first: int, last: int) -> list[Hold]:
-        return [h for h in self.past if _overlaps(h, first, last)]
+        return [h for h in self.past if h.overlaps(first, last)]
 
     def _carry_over_state(self, key_range: KeyRange, before: list[Hold]) -> Hold:
         for hold in before:
@@ -277,17 +290,5 @@
         return Hold(key_range)
 
 
-def _certain_end(command: GrantCommand, now: float) -> float:
-    """Return until when the endpoint certainly holds a range that it is granted.
-
-    The grant is sent at ``now`` or later; the later it is, the later its hold ends.
-    """
-    return now + command.hold_s_at(now) - MARGIN_S
-
-
 def _key(key_range: KeyRange) -> tuple[int, int, int]:
     return key_range.first, key_range.last, key_range.fence
-
-
-def _overlaps(hold: Hold, first: int, last: int) -> bool:
-    return hold.key_range.first <= last and first <= hold.key_range.last
--- a/src/sesamepost/platform/endpoint_commands.py
+++ b/src/sesamepost/platform/endpoint_commands.py
@@ -22,7 +22,7 @@
     FenceBoundError,
     GrantDelayedError,
 )
-from sesamepost.internal.ranges.holds import (
+from sesamepost.internal.ranges.hold_times import (
     CLOCK_DRIFT_FACTOR,
     MIN_HOLD_S,
     hold_end,
