--- a/src/sesamepost/internal/forwarding/ownership.py
+++ b/src/sesamepost/internal/forwarding/ownership.py
@@ -25,6 +25,7 @@
 from sesamepost.internal.forwarding.endpoint_watch import EndpointWatch
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
 from sesamepost.internal.forwarding.routes import Service
+from sesamepost.internal.identity import ANY_INCARNATION
 from sesamepost.internal.ranges.commands import EndpointCommands
 from sesamepost.internal.ranges.heartbeat_holds import HoldOrder, HoldReport
 from sesamepost.internal.ranges.keeper import RangeKeeper
@@ -121,6 +122,11 @@
             )
         return self.tables.get(service)
 
+    @property
+    def endpoint(self) -> EndpointInfo | None:
+        """The endpoint as far as its heartbeats and probes tell."""
+        return self.watch.endpoint
+
     @property
     def keeper(self) -> RangeKeeper | None:
         """The keeper of the endpoint's service; None if that is not partitioned."""
@@ -162,10 +168,15 @@
         if tables is not None:
             tables.offer_range(message.revision, message.key_range)
 
-    def note_endpoint_ended(self, owner: Owner) -> None:
-        """Process the report of another node that its endpoint has ended."""
+    def note_endpoint_ended(
+        self, owner: Owner, incarnation: int = ANY_INCARNATION
+    ) -> None:
+        """Process the report of a process of another node that its endpoint has ended.
+
+        ``incarnation`` is that of the process.
+        """
         for takeover in self.takeovers:
-            takeover.note_ended(owner)
+            takeover.note_ended(owner, incarnation)
 
     async def leave(self, until: float) -> None:
         """Hand over all ranges before a planned stop, until ``until`` at the latest.
@@ -233,9 +244,10 @@
         if info is None:
             return
         self.watch.note_previous_endpoint(info)
-        if info.is_ready and self.watch.endpoint is None:
-            path = self._health_path(info.service)
-            self._spawn(self.watch.restore_endpoint(info, path))
+        if not info.is_ready or self.watch.endpoint is not None:
+            return
+        path = self._health_path(info.service)
+        self._spawn(self.watch.restore_endpoint(info, path))
 
     def _count_open(self) -> int:
         return self.endpoint_pool.count_open() + self.commands.count_open()
