Split the range keeper by what its parts decide

hold_ends lists the proofs (ReleaseAnswered, ReportedFree, HoldExpired, ProcessEnded) and says from when each counts; a move waits for it in one place, and the lines released and holds_void are written there. releasing obtains the proofs, granting sends grants, moving hands ranges over, fence_writes raises fences, heartbeat_answers answers heartbeats, reclaiming takes lost ranges back, and the keeper only steps. local_owner holds what is known of the endpoint. Decisions are unchanged.

--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -269,7 +269,7 @@
             self.ownership.note_endpoint_ended(owner, stream.peer.incarnation)
 
     def _own_service(self) -> str:
-        info = self.ownership.watch.endpoint
+        info = self.ownership.endpoint
         return info.service if info else self.settings.service
 
     async def _peer_key(self) -> bytes:
--- a/src/sesamepost/internal/forwarding/ownership.py
+++ b/src/sesamepost/internal/forwarding/ownership.py
@@ -38,6 +38,7 @@
 WITHDRAW_TIMEOUT_S = 0.3
 
 PeerMessage = EndpointEnded | RangeUpdate
+SendToPeer = Callable[[NodeEntry, PeerMessage], Awaitable[None]]
 
 
 class Ownership:
@@ -73,7 +74,9 @@
         self.nodes = NodeTable(self.mirror)
         self.registration = Registration(store, self.mirror, entry)
         self.watch = EndpointWatch(endpoint_pool, names, self._on_endpoint)
-        self.watch.count_open = self._count_open
+        self.watch.count_open = lambda: (
+            endpoint_pool.count_open() + commands.count_open()
+        )
         commands.may_begin = self.watch.has_heartbeat_since
         self.services: dict[str, Service] = {}
         self.tables: dict[str, TableStore] = {}
@@ -84,9 +87,7 @@
         self.stack = AsyncExitStack()
         self.on_endpoint: Callable[[EndpointInfo | None], None] = lambda info: None
         self.on_keeper: Callable[[str, RangeKeeper], None] = lambda name, keeper: None
-        self.send_to_peer: Callable[[NodeEntry, PeerMessage], Awaitable[None]] = (
-            _discard
-        )
+        self.send_to_peer: SendToPeer = _discard
         self.mirror.changes.subscribe(self._on_change)
 
     async def __aenter__(self) -> "Ownership":
@@ -130,8 +131,7 @@
     @property
     def keeper(self) -> RangeKeeper | None:
         """The keeper of the endpoint's service; None if that is not partitioned."""
-        info = self.watch.endpoint
-        return self.keepers.get(info.service) if info else None
+        return self.keepers.get(self.endpoint.service) if self.endpoint else None
 
     def other_nodes(self) -> list[NodeEntry]:
         """Return the entries of the other nodes."""
@@ -154,9 +154,7 @@
         if not self.watch.note_heartbeat(info, sequence):
             return None
         keeper = self.keepers.get(info.service)
-        if keeper is None or keeper.heartbeat_holds is None:
-            return None
-        return await keeper.answer_heartbeat(report)
+        return None if keeper is None else await keeper.answer_heartbeat(report)
 
     def note_leave(self, endpoint_id: str, born: int) -> None:
         """Process the leave message of the incarnation that was started at ``born``."""
@@ -244,13 +242,9 @@
         if info is None:
             return
         self.watch.note_previous_endpoint(info)
-        if not info.is_ready or self.watch.endpoint is not None:
-            return
-        path = self._health_path(info.service)
-        self._spawn(self.watch.restore_endpoint(info, path))
-
-    def _count_open(self) -> int:
-        return self.endpoint_pool.count_open() + self.commands.count_open()
+        if info.is_ready and self.watch.endpoint is None:
+            path = self._health_path(info.service)
+            self._spawn(self.watch.restore_endpoint(info, path))
 
     def _health_path(self, name: str) -> str:
         service = self.services.get(name)
@@ -268,7 +262,7 @@
             self.max_hold_s,
             settings.grants_by_heartbeat,
         )
-        keeper.on_moved = partial(self._announce_ranges, service)
+        keeper.mover.on_moved = partial(self._announce_ranges, service)
         self.keepers[service] = keeper
         takeover = Takeover(self.vm, tables, self.nodes, self.mirror)
         takeover.on_assigned = partial(self._announce_ranges, service, 0, LAST_KEY)
@@ -299,10 +293,8 @@
         if info is not None:
             self.commands.set_health_path(self._health_path(info.service))
         for service, keeper in self.keepers.items():
-            is_own = info is not None and info.service == service
-            keeper.set_endpoint(
-                info if is_own else None, is_gone, self.watch.is_confirmed
-            )
+            own = info if info is not None and info.service == service else None
+            keeper.set_endpoint(own, is_gone, self.watch.is_confirmed)
 
 
 async def _discard(peer: NodeEntry, message: PeerMessage) -> None:
--- a/src/sesamepost/internal/ranges/grant_right.py
+++ b/src/sesamepost/internal/ranges/grant_right.py
@@ -6,9 +6,10 @@
 
 import structlog
 
+from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import Registration
 from sesamepost.internal.coordination.store import StoreError
-from sesamepost.internal.ranges.holds import HOLD_S
+from sesamepost.internal.ranges.hold_times import HOLD_S
 from sesamepost.internal.ranges.table import KeyRange
 from sesamepost.internal.ranges.table_store import TableStore
 
@@ -55,6 +56,16 @@
             self.reading = asyncio.ensure_future(self._read())
         return False
 
+    def revisions_of(self, key_range: KeyRange) -> dict[str, int | float]:
+        """Return the state from which a range is granted, for the log."""
+        renewed_at = self.registration.renewed_at
+        return {
+            "range_revision": self.tables.revision_of(key_range.first),
+            "known_revision": self.tables.mirror.revision,
+            "lease_revision": self.registration.lease_revision,
+            "renewed_ago_s": round(boottime() - renewed_at, 2),
+        }
+
     async def _read(self) -> None:
         log.info(
             "range_table_behind_lease",
--- a/src/sesamepost/internal/tasks.py
+++ b/src/sesamepost/internal/tasks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Iterable
 from contextlib import suppress
 from typing import Self
 
@@ -15,6 +16,14 @@
 task_failures: Counter[str] = Counter()
 
 
+async def cancel_all(tasks: Iterable[asyncio.Task]) -> None:
+    """Cancel tasks and wait until they have ended."""
+    for task in list(tasks):
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+
+
 class TaskOwner:
     """Runs ``run`` as a task from entry of the context, or ``start``, until exit.
 
--- a/tests/platform/test_stopped_node.py
+++ b/tests/platform/test_stopped_node.py
@@ -67,21 +67,21 @@
             MemoryStore(), OWNERS[:1], endpoint_type=lambda: commands
         )
         async with running as (keeper,):
-            await until(lambda: not keeper.grants)
+            await until(lambda: not keeper.grants.pending)
             worker.hold_ends.clear()
             yield worker, keeper
 
 
 def stop_after_planning(keeper: RangeKeeper, clock: StoppableClock) -> None:
     """Stop the process once, right after it has determined the grants to send."""
-    send_grants = keeper._send_grants
+    send_grants = keeper.grants.send_due
 
     def send_grants_and_stop() -> None:
         send_grants()
-        if keeper.grants and clock.stopped_s == 0:
+        if keeper.grants.pending and clock.stopped_s == 0:
             clock.stop(STOP_S)
 
-    keeper._send_grants = send_grants_and_stop
+    keeper.grants.send_due = send_grants_and_stop
 
 
 async def test_a_grant_of_a_stopped_node_does_not_outlast_its_right(parts, clock):
@@ -121,7 +121,7 @@
 
     keeper.commands.before_post = stop_once
     renew(keeper)
-    await until(lambda: worker.hold_ends and not keeper.grants)
+    await until(lambda: worker.hold_ends and not keeper.grants.pending)
     assert clock.stopped_s == STOP_S
     assert keeper.holds.possible_until(0, LAST_KEY) >= max(worker.hold_ends)
     assert keeper.holds.unanswered_until(0, LAST_KEY) >= max(worker.hold_ends)
--- a/tests/ranges/test_keeper.py
+++ b/tests/ranges/test_keeper.py
@@ -14,6 +14,7 @@
     EndpointGoneError,
     EndpointUnresponsiveError,
 )
+from sesamepost.internal.ranges.heartbeat_answers import ANSWER_WAIT_S
 from sesamepost.internal.ranges.heartbeat_holds import (
     ANSWER_TIMEOUT_S,
     MAX_ORDER_BYTES,
@@ -23,8 +24,9 @@
     HoldReport,
     ReleasedRange,
 )
-from sesamepost.internal.ranges.holds import LONGEST_HOLD_S, HoldTracker
-from sesamepost.internal.ranges.keeper import ANSWER_WAIT_S, RangeKeeper
+from sesamepost.internal.ranges.hold_times import LONGEST_HOLD_S
+from sesamepost.internal.ranges.holds import HoldTracker
+from sesamepost.internal.ranges.keeper import RangeKeeper
 from sesamepost.internal.ranges.table import (
     LAST_KEY,
     KeyRange,
@@ -187,7 +189,7 @@
         held = held_by(await send_heartbeat(keeper))
         info = EndpointInfo(SERVICE, "i-2", 2, 3, "v", True)
         keeper.nodes.nodes[other.vm] = replace(entry(OWNERS[1]), endpoint=info)
-        keeper.holds = HoldTracker(10.0, boottime() + LONGEST_HOLD_S)
+        keeper.local.holds = HoldTracker(10.0, boottime() + LONGEST_HOLD_S)
         table, keeper.tables.merged_table = keeper.tables.merged_table, None
         keeper.set_endpoint(replace(keeper.endpoint, is_ready=False), False)
         assert await send_heartbeat(keeper, held) is None
@@ -268,7 +270,7 @@
         keeper.commands.grant = grant
         keeper.holds.find(0).certain_until = boottime() + 0.1
         keeper.wake.set()
-        await until(lambda: keeper.grants)
+        await until(lambda: keeper.grants.pending)
         keeper.set_endpoint(replace(keeper.endpoint, id="i-next", born=99), False)
         with capture_logs([merge_contextvars]) as logs:
             answer.set()
@@ -330,7 +332,7 @@
         keeper.nodes.nodes[other.vm] = replace(entry(OWNERS[1]), endpoint=info)
         keeper.commands.__class__ = SilentEndpoint
         possible_until = boottime() + 1.0
-        keeper.holds = HoldTracker(10.0, possible_until)
+        keeper.local.holds = HoldTracker(10.0, possible_until)
         with capture_logs() as logs:
             keeper.set_endpoint(replace(keeper.endpoint, is_ready=False), False)
             await until(lambda: keeper.tables.table.find(5).owner == OWNERS[1])
--- a/tests/ranges/test_outdated_facts.py
+++ b/tests/ranges/test_outdated_facts.py
@@ -343,7 +343,7 @@
         store, OWNERS[:2], endpoint_type=WaitingEndpoint
     ) as keepers:
         keeper = keepers[0]
-        await until(lambda: not keeper.grants)
+        await until(lambda: not keeper.grants.pending)
         endpoint = keeper.commands
         endpoint.is_reachable = False
         for hold in keeper.holds.holds.values():
@@ -353,7 +353,7 @@
         before = len(endpoint.granted)
         keeper.start_leaving()
         endpoint.is_reachable = True
-        await until(lambda: not keeper.grants)
+        await until(lambda: not keeper.grants.pending)
         assert len(endpoint.granted) == before
 
 
@@ -365,7 +365,7 @@
         keeper = keepers[0]
         now = boottime()
         for r in keeper.tables.table.owned_by(keeper.vm):
-            keeper.retry_move_at[r.first, r.last] = now + 60.0
+            keeper.mover.retry_at[r.first, r.last] = now + 60.0
         keeper.start_leaving()
         held = tuple(
             HeldRange(r.first, r.last, r.fence)
