Remember a leave for longer than the lease of its node

Beside a load of 20, a restarted node took more than 6 s to start, and test_a_worker_that_left_is_not_used_after_a_restart_of_its_node failed once by 22 requests: the entry that says has_left expires with the lease of the node, and the knowledge of the leave with it.

The incarnation that left is now recorded under a key without a lease, in the transaction that publishes the leave. test_a_worker_that_left_is_not_used_after_its_nodes_entry_has_expired failed before (38 requests) and passes.

--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -39,6 +39,9 @@
 # be unchanged, because the node's entry may have reappeared and vanished again
 # unobserved. So do the node's own writes of ranges, which the store may carry out late.
 LAST_LEASE_PREFIX = "sesamepost/leases/"
+# The key under this prefix holds the incarnation of the last endpoint that left a node.
+# It outlives the lease, so that no later process of the node uses that endpoint.
+LEFT_PREFIX = "sesamepost/left/"
 # Marks the record of a lease that another node has ended.
 ENDED_SUFFIX = b" ended"
 RETRY_DELAY_S = 0.2
@@ -142,6 +145,18 @@
         return 0
 
 
+_LEFT_DECODER = msgspec.msgpack.Decoder(tuple[Name, Count])
+
+
+def decode_left(item: Item) -> tuple[str, int] | None:
+    """Return the incarnation that left a node, or None if the item is unreadable."""
+    try:
+        return _LEFT_DECODER.decode(item.value)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        log.warning("left_endpoint_unreadable", key=item.key, error=repr(error))
+        return None
+
+
 class NodeTable:
     """The node entries in the mirror, decoded once per change."""
 
@@ -203,6 +218,7 @@
         self.entry = entry
         self.key = NODE_PREFIX + entry.vm
         self.last_lease_key = LAST_LEASE_PREFIX + entry.vm
+        self.left_key = LEFT_PREFIX + entry.vm
         self.lease = 0
         self.recorded_lease = 0
         # Revision of the first write of the entry under the recorded lease.
@@ -322,6 +338,7 @@
         writes = [Write(self.key, value, self.lease)]
         if self.recorded_lease != self.lease:
             writes.append(Write(self.last_lease_key, lease_record))
+        writes += self._left_writes(entry)
         transaction = Transaction({self.key: expected}, tuple(writes))
         try:
             revision = await self.store.commit(transaction)
@@ -346,6 +363,18 @@
         log.info("entry_written", revision=revision, lease=self.lease)
         written, self.written = self.written, asyncio.Event()
         written.set()
+        for write in self._left_writes(entry):
+            self.mirror.offer(Item(write.key, write.value, revision))
         if self.mirror.revision_of(self.key) != revision:
             # The watch has reported a later removal or write already.
             self._note_entry_lost(self.mirror.revision)
+
+    def _left_writes(self, entry: NodeEntry) -> list[Write]:
+        """Return the write that records that the endpoint has left, if it is needed."""
+        if entry.endpoint is None or not entry.endpoint.has_left:
+            return []
+        value = msgpack.packb(entry.endpoint.incarnation)
+        item = self.mirror.get(self.left_key)
+        if item is not None and item.value == value:
+            return []
+        return [Write(self.left_key, value)]
--- a/src/sesamepost/internal/forwarding/endpoint_watch.py
+++ b/src/sesamepost/internal/forwarding/endpoint_watch.py
@@ -165,15 +165,13 @@
         self.has_left = True
         self._update(replace(current, is_ready=False, has_left=True), is_gone=False)
 
-    def note_previous_endpoint(self, info: EndpointInfo) -> None:
-        """Process the endpoint that the previous process of this node published."""
-        if not info.has_left:
-            return
+    def note_left(self, endpoint_id: str, born: int) -> None:
+        """Process the record that an incarnation has left this node."""
         current = self.endpoint
-        if current is not None and current.incarnation == info.incarnation:
-            self.note_leave(info.id, info.born)
+        if current is not None and current.incarnation == (endpoint_id, born):
+            self.note_leave(endpoint_id, born)
         else:
-            self.departed[info.id] = max(info.born, self.departed.get(info.id, -1))
+            self.departed[endpoint_id] = max(born, self.departed.get(endpoint_id, -1))
 
     async def check_ended(self) -> bool:
         """Probe whether the endpoint's process has ended, and record it if so."""
--- a/src/sesamepost/internal/forwarding/ownership.py
+++ b/src/sesamepost/internal/forwarding/ownership.py
@@ -17,6 +17,7 @@
     NodeEntry,
     NodeTable,
     Registration,
+    decode_left,
     decode_node,
 )
 from sesamepost.internal.coordination.store import CoordinationStore, Item
@@ -231,8 +232,14 @@
         task.add_done_callback(self.background_tasks.discard)
 
     def _on_change(self, event) -> None:
-        if event.key == self.registration.key and isinstance(event, Item):
+        if not isinstance(event, Item):
+            return
+        if event.key == self.registration.key:
             self._restore_endpoint(event)
+        elif event.key == self.registration.left_key:
+            left = decode_left(event)
+            if left is not None:
+                self.watch.note_left(*left)
 
     def _restore_endpoint(self, own_entry: Item) -> None:
         """Use the endpoint in the entry of the previous process of this node."""
@@ -240,10 +247,7 @@
         if entry is None or entry.incarnation == self.incarnation:
             return
         info = entry.endpoint
-        if info is None:
-            return
-        self.watch.note_previous_endpoint(info)
-        if info.is_ready and self.watch.endpoint is None:
+        if info is not None and info.is_ready and self.watch.endpoint is None:
             path = self._health_path(info.service)
             self._spawn(self.watch.restore_endpoint(info, path))
 
--- a/tests/platform/test_left_workers.py
+++ b/tests/platform/test_left_workers.py
@@ -95,6 +95,20 @@
     assert worker.requests() == before
 
 
+async def test_a_worker_that_left_is_not_used_after_its_nodes_entry_has_expired(fleet):
+    # Guards against DRAIN: as above, if the node is down for longer than its lease.
+    worker, late_heartbeat = await leave(fleet)
+    await fleet.kill(LEAVING)
+    entry = fleet.store.items[f"sesamepost/nodes/{fleet.ip(LEAVING)}"]
+    await fleet.store._end_lease(entry["lease"])
+    await fleet.start(LEAVING)
+    await wait_until_ready(fleet)
+    await send_heartbeat(fleet, worker, late_heartbeat)
+    before = worker.requests()
+    await send_orders(fleet, WATCH_S)
+    assert worker.requests() == before
+
+
 async def test_a_leave_is_confirmed_only_once_other_nodes_can_know_of_it(fleet):
     # Guards against DRAIN: a node that is killed right after it confirmed a leave takes
     # the only knowledge of it along.
