Add a failing test of a lost heartbeat with real processes

A worker with heartbeats 1.5 s apart refuses and resets connections, and one of its heartbeats is lost. No product code is changed.

--- a/tests/platform/test_lives.py
+++ b/tests/platform/test_lives.py
@@ -232,6 +232,22 @@
     await check_holds(shared_fleet)
 
 
+async def test_a_refusing_worker_whose_heartbeat_is_lost_keeps_its_holds(shared_fleet):
+    # Guards against two holders: as above, and one of the worker's heartbeats is lost.
+    worker = shared_fleet.workers[CRASHING]
+    proxy = shared_fleet.target.worker_proxies[CRASHING]
+    # A heartbeat is lost soon after a grant, while most of its hold is left.
+    worker.heartbeat_interval_s = HEARTBEAT_INTERVAL_S / 10
+    await wait_for_grant(worker)
+    worker.heartbeat_interval_s = 2 * HEARTBEAT_INTERVAL_S
+    await wait_for_heartbeat(worker)
+    proxy.refuse()
+    proxy.reset_all()
+    await send_requests(shared_fleet, 2 * HEARTBEAT_INTERVAL_S)
+    await proxy.listen()
+    await check_holds(shared_fleet)
+
+
 async def test_a_node_that_stops_does_not_report_a_refusing_worker_as_ended(
     shared_fleet,
 ):
