Give the nodes of tests the interval of their workers' heartbeats

The silence that is part of the proof of an end is derived from the setting heartbeatIntervalS, which the settings of the test fleets lacked, so the test of a lost heartbeat (1.5 s apart) failed 4 of 4 with the default of 1 s. The default is 1.5 s now, the longest interval of the sites.

--- a/src/sesamepost/platform/settings.py
+++ b/src/sesamepost/platform/settings.py
@@ -7,7 +7,7 @@
 from sesamepost.internal.wire.pool import Address
 
 DEFAULT_MAX_HOLD_S = 10.0
-DEFAULT_HEARTBEAT_INTERVAL_S = 1.0
+DEFAULT_HEARTBEAT_INTERVAL_S = 1.5
 DEFAULT_STOP_TIMEOUT_S = 6.0
 DEFAULT_MEMORY_MB = 300
 BYTES_PER_MB = 1_000_000
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -72,6 +72,7 @@
 internalPortRange = [{peer}, {metrics}]
 applicationAddress = "{ip}:{worker}"
 service = "{service}"
+heartbeatIntervalS = {heartbeat_interval_s}
 [listenAddresses]
 inbound = "{ip}:{inbound}"
 outbound = "{ip}:{callers}"
@@ -215,6 +216,7 @@
                 ip=self.ip(index),
                 zone=index // 2,
                 service=self.service(index),
+                heartbeat_interval_s=self.heartbeat_interval_s,
                 store=self.store_address(index),
                 **self.ports,
             )
