Recognise an own entry that the watch shows before its answer

Cause: the watch shows a new entry before the answer of its write.

Whether a transaction has the record is decided once, and the value of a write under way is known as the node's own. test_an_own_write_that_the_watch_shows_first_is_recognised failed before.

--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -224,6 +224,8 @@
         # Revision of the first write of the entry under the recorded lease.
         self.lease_revision = 0
         self.written_entry: NodeEntry | None = None
+        # The value of a write under way, which the watch may show before its answer.
+        self.pending_value: bytes | None = None
         self.renewed_at = float("-inf")
         # When the lease was last opened or renewed; a write of the entry does not.
         self.lease_renewed_at = float("-inf")
@@ -268,7 +270,7 @@
         if event.key != self.key or self.written_entry is None:
             return
         if isinstance(event, Item):
-            if event.value != self.written_entry.encode():
+            if event.value not in (self.written_entry.encode(), self.pending_value):
                 log.warning("own_entry_overwritten", revision=event.revision)
                 self.written_entry = None
                 # The record may name the lease of the process that wrote the entry.
@@ -331,15 +333,15 @@
             ttl_s = OWNER_LEASE_S if self.is_owner else LEASE_S
             self.lease_renewed_at = boottime()
             self.lease = await self.store.open_lease(ttl_s)
-        entry = self.entry
+        entry, lease = self.entry, self.lease
         value = entry.encode()
         expected = self.mirror.revision_of(self.key)
-        lease_record = encode_lease_record(self.lease)
-        writes = [Write(self.key, value, self.lease)]
-        if self.recorded_lease != self.lease:
-            writes.append(Write(self.last_lease_key, lease_record))
-        writes += self._left_writes(entry)
+        is_recorded = self.recorded_lease == lease
+        writes = [Write(self.key, value, lease), *self._left_writes(entry)]
+        if not is_recorded:
+            writes.append(Write(self.last_lease_key, encode_lease_record(lease)))
         transaction = Transaction({self.key: expected}, tuple(writes))
+        self.pending_value = value
         try:
             revision = await self.store.commit(transaction)
         except LeaseEndedError:
@@ -354,17 +356,17 @@
             else:
                 self.mirror.offer(item)
             raise
+        finally:
+            self.pending_value = None
         self.written_entry = entry
-        if self.recorded_lease != self.lease:
+        if not is_recorded:
             self.lease_revision = revision
-            self.mirror.offer(Item(self.last_lease_key, lease_record, revision))
-        self.recorded_lease = self.lease
-        self.mirror.offer(Item(self.key, value, revision, self.lease))
+            self.recorded_lease = lease
+        for write in writes:
+            self.mirror.offer(Item(write.key, write.value, revision, write.lease))
         log.info("entry_written", revision=revision, lease=self.lease)
         written, self.written = self.written, asyncio.Event()
         written.set()
-        for write in self._left_writes(entry):
-            self.mirror.offer(Item(write.key, write.value, revision))
         if self.mirror.revision_of(self.key) != revision:
             # The watch has reported a later removal or write already.
             self._note_entry_lost(self.mirror.revision)
--- a/tests/coordination/test_registration.py
+++ b/tests/coordination/test_registration.py
@@ -1,6 +1,9 @@
 """Tests of ``Registration``: lost responses, ended leases and rejected renewals."""
 
 from contextlib import asynccontextmanager
+from dataclasses import replace
+
+from structlog.testing import capture_logs
 
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import (
@@ -15,6 +18,7 @@
     Deletion,
     Item,
     StoreRejectedError,
+    Transaction,
 )
 from tests.coordination.memory_store import MemoryStore
 from tests.waiting import until
@@ -120,3 +124,34 @@
     async with mirror, Registration(store, mirror, ENTRY):
         await until(lambda: len(store.commits) >= 2)
         assert stored_entry(store) == ENTRY
+
+
+class LateAnswerStore(MemoryStore):
+    """Answers a transaction only after ``watcher`` has got its changes."""
+
+    watcher: Mirror | None = None
+
+    async def commit(self, transaction: Transaction) -> int:
+        revision = await super().commit(transaction)
+        if self.watcher is not None:
+            for write in transaction.writes:
+                self.watcher.offer(self.items[write.key])
+        return revision
+
+
+async def test_an_own_write_that_the_watch_shows_first_is_recognised():
+    # Guards against a node that can write no range any more: it took its own entry for
+    # that of another writer, and a record of its lease that it did not write for one
+    # with the revision of the entry. Found by the checker of ownership, order 1-14.
+    store = LateAnswerStore()
+    async with registered(store) as (registration, mirror):
+        await until(lambda: registration.written_entry == ENTRY)
+        store.watcher = mirror
+        with capture_logs() as logs:
+            for slots in range(1, 4):
+                changed = replace(ENTRY, endpoint=replace(ENDPOINT, slots=slots))
+                registration.update(endpoint=changed.endpoint)
+                await until(lambda: registration.written_entry == changed)  # noqa: B023
+        assert not [line for line in logs if line["event"] == "own_entry_overwritten"]
+        key = registration.last_lease_key
+        assert mirror.revision_of(key) == store.items[key].revision
