--- a/tests/checker/worker.py
+++ b/tests/checker/worker.py
@@ -192,7 +192,7 @@
     def take_answer(self, answer: dict, sent_at: float) -> bool:
         """Process the answer to a heartbeat that was sent at ``sent_at``.
 
-        Return whether the next heartbeat is due at once, to report a release.
+        Return whether the next heartbeat is due at once, as keys are to be released.
         """
         self.expire()
         is_late = self.now() - sent_at > ANSWER_TIMEOUT_S
@@ -207,7 +207,7 @@
                 self.release(begin, end, hold.fence)
         for first, last, fence, handover in answer["holds"]:
             self._take(first, last, fence, answer["holdS"], handover, sent_at)
-        return bool(self.reported)
+        return bool(self.reported or self.releases)
 
     def expire(self) -> None:
         """End the holds and the work whose time has run out."""
@@ -240,6 +240,9 @@
             self._report(GrantRefused(self.life, self.now(), first, last, fence))
             return False
         until = since + hold_s / (1.0 - self.clock_lag)
+        if self.by_heartbeat:
+            # An order says what is held from now on.
+            self.keys.drop(first, last)
         if until <= self.now():
             return True
         self.keys.add(first, last, fence, until)
--- a/tests/checker/worker_protocol.py
+++ b/tests/checker/worker_protocol.py
@@ -65,8 +65,8 @@
         self.server.connections.discard(self)
         self._stop_idle_timer()
         if self.at_work:
-            request_id, self.at_work = self.at_work, ""
-            self.server.run(partial(self.server.worker.end, request_id))
+            self.server.drop(self.at_work)
+            self.at_work = ""
 
     def answer(
         self, status: int, headers: dict[str, str] | None = None, body: bytes = b""
--- a/tests/checker/worker_server.py
+++ b/tests/checker/worker_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -51,7 +52,8 @@
     """Serves a worker; the attributes may be changed at any time.
 
     ``max_connections`` is the number of open connections beyond which further ones are
-    reset. A connection without a request for ``idle_timeout_s`` is closed.
+    reset. A connection without a request for ``idle_timeout_s`` is closed. A request
+    ends after ``work_s`` seconds of work, or with ``finish`` if that is None.
     """
 
     def __init__(self, worker: Worker, loop: asyncio.AbstractEventLoop) -> None:
@@ -63,7 +65,9 @@
         self.max_connections: int | None = None
         self.idle_timeout_s: float | None = None
         self.health_path = "/health"
-        self.work_s = 0.01
+        self.work_s: float | None = 0.01
+        # What ends each request at work.
+        self.ends: dict[str, Callable[[], None]] = {}
         self.is_frozen = False
         self.connections: set[WorkerProtocol] = set()
         # What the process would have done while it was frozen, in order.
@@ -158,6 +162,17 @@
         release.on_ready = lambda handover: connection.answer(
             200, {"Handover": handover}
         )
+        self._expire_later()
+
+    def _expire_later(self) -> None:
+        """End work in time that a release waits for and that outlasts its hold."""
+        wait_s = self.worker.next_expiry() - self.worker.now()
+        if self.worker.releases and wait_s < math.inf:
+            self.loop.call_later(max(0.0, wait_s), self.run, self._expire)
+
+    def _expire(self) -> None:
+        self.worker.expire()
+        self._expire_later()
 
     def _health(self, connection: "WorkerProtocol") -> None:
         status = 200 if self.worker.state == "ready" else 503
@@ -176,16 +191,30 @@
             connection.answer(status, {"Request-Id": request_id, "Not-Executed": "1"})
             return
         connection.at_work = request_id
-        self.loop.call_later(
-            self.work_s, self.run, partial(self._end, connection, request_id, call)
-        )
+        self.ends[request_id] = partial(self._end, connection, request_id, call)
+        if self.work_s is not None:
+            self.loop.call_later(
+                self.work_s, self.run, partial(self.finish, request_id)
+            )
+
+    def finish(self, request_id: str) -> None:
+        """End the work on a request, unless that was dropped, and answer it."""
+        end = self.ends.pop(request_id, None)
+        if end is not None:
+            end()
+
+    def drop(self, request_id: str) -> None:
+        """End the work on a request whose connection was closed."""
+        if self.ends.pop(request_id, None) is not None:
+            self.run(partial(self.worker.end, request_id))
 
     def _end(self, connection: "WorkerProtocol", request_id: str, call: Call) -> None:
-        if connection.at_work != request_id:
-            return
         connection.at_work = ""
         status = self.worker.end(request_id)
         headers = {"Request-Id": request_id}
+        body = ""
         if status == 200:
             headers["Response-Seal"] = f"seal-{request_id}"
-        connection.answer(status, headers, f"{call.method} {call.path}".encode())
+            caller = call.headers.get("caller-service", "")
+            body = f"{call.method} {call.path} {caller} {call.body.decode()}"
+        connection.answer(status, headers, body.encode())
--- a/tests/platform/worker_standin.py
+++ b/tests/platform/worker_standin.py
@@ -11,9 +11,13 @@
 import aiohttp
 from aiohttp import web
 
+from sesamepost.internal.ranges.table import LAST_KEY, uncovered
+
 HEARTBEAT_S = 0.3
 # Nodes give up an unanswered grant earlier.
 UNANSWERED_S = 30.0
+# How often a release looks whether requests are still at work on its keys.
+WORK_CHECK_S = 0.005
 # The next heartbeat after an answer that left out a held range.
 RELEASE_HEARTBEAT_S = 0.05
 START_TIMES_MS = itertools.count(1_700_000_000_000)
@@ -29,6 +33,14 @@
     CARRIED_OUT_LATE = "carried_out_late"
 
 
+@dataclass(slots=True)
+class Work:
+    """A request at work, which may last until ``until``, when its hold ends."""
+
+    key: int
+    until: float
+
+
 @dataclass
 class Record:
     """Events seen by all workers of a test, which fails if ``problems`` is not empty.
@@ -135,6 +147,8 @@
         # holds.
         self.late_grants: list[tuple[dict, float]] = []
         self.needs_hold = service == "keyed"
+        # The requests at work by their ids.
+        self.at_work: dict[str, Work] = {}
         self.work_s = 0.01
         self.heartbeat_task: asyncio.Task | None = None
         self.runner: web.AppRunner | None = None
@@ -210,7 +224,12 @@
         return self.heartbeat_interval_s
 
     async def _grant(self, request: web.Request) -> web.Response:
-        body = await request.json()
+        try:
+            body = await request.json()
+        except ValueError:
+            body = None
+        if not _is_valid_grant(body):
+            return web.Response(status=400)
         until = time.monotonic() + body["holdS"]
         fault, delay_s = self.grant_fault, self.grant_delay_s
         if fault is GrantFault.CARRIED_OUT_LATE:
@@ -226,24 +245,47 @@
     def carry_out_grant(self, body: dict, until: float) -> int:
         """Take the keys until ``until`` and return the status of the answer."""
         first, last, fence = body["from"], body["target"], body["fence"]
-        for begin, end, seen_fence in self.seen_fences:
-            if begin <= last and first <= end and seen_fence > fence:
-                return 409
+        if self.has_seen_higher(first, last, fence):
+            return 409
         self.seen_fences.add((first, last, fence))
         if body.get("handover"):
             self.record.handovers.append(body["handover"])
         if until > time.monotonic():
             self.record.note_grant(self.life, first, last, fence, until)
             self.holds.append((first, last, fence, until))
+            self._extend_work(first, last, until)
         return 200
 
+    def has_seen_higher(self, first: int, last: int, fence: int) -> bool:
+        """Return whether a grant of any of these keys had a higher fence."""
+        return any(
+            begin <= last and first <= end and seen_fence > fence
+            for begin, end, seen_fence in self.seen_fences
+        )
+
+    def _extend_work(self, first: int, last: int, until: float) -> None:
+        """Let the work on these keys last as long as their new hold."""
+        now = time.monotonic()
+        for work in self.at_work.values():
+            if first <= work.key <= last and work.until > now:
+                work.until = max(work.until, until)
+
+    def is_at_work(self, first: int, last: int) -> bool:
+        """Return whether requests on these keys run, and have not lost their hold."""
+        now = time.monotonic()
+        return any(
+            first <= work.key <= last and work.until > now
+            for work in self.at_work.values()
+        )
+
     async def _release(self, request: web.Request) -> web.Response:
         body = await request.json()
         first, last = body["from"], body["target"]
         self.holds = [
             part for hold in self.holds for part in self._without(hold, first, last)
         ]
-        await asyncio.sleep(self.work_s)
+        while self.is_at_work(first, last):  # noqa: ASYNC110
+            await asyncio.sleep(WORK_CHECK_S)
         self.record.note_release(self.life, first, last)
         return web.Response(headers={"Handover": f"token-{self.id}-{first}"})
 
@@ -261,24 +303,45 @@
         return web.Response(status=status, headers={"Instance-Id": self.id})
 
     async def _request(self, request: web.Request) -> web.Response:
-        request_id = request.headers["Request-Id"]
+        request_id = request.headers.get("Request-Id", "")
         headers = {"Request-Id": request_id}
+        refused = {**headers, "Not-Executed": "1"}
+        if not request_id:
+            return web.Response(status=400, headers=refused)
         if request.headers.get("Expected-Instance") != self.id:
-            return web.Response(status=421, headers={**headers, "Not-Executed": "1"})
-        if self.needs_hold and not self.holds_key(int(request.headers["Shard-Key"])):
-            return web.Response(status=421, headers={**headers, "Not-Executed": "1"})
+            return web.Response(status=421, headers=refused)
+        work = Work(-1, float("inf"))
+        if self.needs_hold:
+            key = int(request.headers["Shard-Key"])
+            work = Work(key, self.held_until(key))
+            if work.until <= time.monotonic():
+                return web.Response(status=421, headers=refused)
         self.record.runs.setdefault(request_id, []).append(self.id)
         body = await request.read()
-        await asyncio.sleep(self.work_s)
+        self.at_work[request_id] = work
+        try:
+            await self._work(request_id)
+        finally:
+            del self.at_work[request_id]
+        if work.until <= time.monotonic():
+            return web.Response(status=500, headers=headers)
         headers["Response-Seal"] = f"seal-{request_id}"
         caller = request.headers["Caller-Service"]
         text = f"{request.method} {request.rel_url} {caller} {body.decode()}"
         return web.Response(text=text, headers=headers)
 
+    async def _work(self, request_id: str) -> None:
+        """Work on a request until it can be answered."""
+        await asyncio.sleep(self.work_s)
+
+    def held_until(self, key: int) -> float:
+        """Return the end of the longest hold of a key; 0 if there is none."""
+        ends = [end for first, last, _, end in self.holds if first <= key <= last]
+        return max(ends, default=0.0)
+
     def holds_key(self, key: int) -> bool:
         """Return whether the worker holds a key now."""
-        now = time.monotonic()
-        return any(f <= key <= last and end > now for f, last, _, end in self.holds)
+        return self.held_until(key) > time.monotonic()
 
 
 class HeartbeatWorkerStandin(WorkerStandin):
@@ -287,45 +350,78 @@
     def __init__(self, ip: str, ports: dict, service: str, record: Record) -> None:
         super().__init__(ip, ports, service, record)
         self.released: list[tuple[int, int, str]] = []
+        # First key, last key and fence of released ranges with requests at work.
+        self.finishing: list[tuple[int, int, int]] = []
 
     def _heartbeat(self) -> dict:
         now = time.monotonic()
         self.holds = [hold for hold in self.holds if hold[3] > now]
+        self._note_finished()
         held = [list(hold[:3]) for hold in self.holds]
+        held += [list(part) for part in self.finishing]
         return {**super()._heartbeat(), "holds": held, "released": self.released}
 
+    def _note_finished(self) -> None:
+        """Report the released ranges on which no request is at work any longer."""
+        for part in list(self.finishing):
+            first, last, _ = part
+            if self.is_at_work(first, last):
+                continue
+            self.finishing.remove(part)
+            self.record.note_release(self.life, first, last)
+            self.released.append((first, last, f"token-{self.id}-{first}"))
+
     def _take_answer(self, answer: dict, sent_at: float) -> float:
         self.released = []
         if "holds" not in answer:
             return self.heartbeat_interval_s
         until = sent_at + answer["holdS"]
-        before, self.holds = self.holds, []
+        now = time.monotonic()
+        before = [hold for hold in self.holds if hold[3] > now]
+        self.holds = []
         for first, last, fence, handover in answer["holds"]:
+            if self.has_seen_higher(first, last, fence):
+                self.holds += _within(before, first, last)
+                continue
+            self.seen_fences.add((first, last, fence))
             if handover:
                 self.record.handovers.append(handover)
             self.record.note_grant(self.life, first, last, fence, until)
             self.holds.append((first, last, fence, until))
-        for first, last, _, _ in before:
-            for begin, end in self._gaps(first, last):
-                self.record.note_release(self.life, begin, end)
-                self.released.append((begin, end, f"token-{self.id}-{begin}"))
-        return RELEASE_HEARTBEAT_S if self.released else self.heartbeat_interval_s
-
-    def _gaps(self, first: int, last: int) -> list[tuple[int, int]]:
-        """Return the parts of a range that are no longer held."""
-        gaps = []
-        for begin, end, _, _ in sorted(self.holds):
-            if end < first or last < begin:
-                continue
-            if first < begin:
-                gaps.append((first, begin - 1))
-            first = max(first, end + 1)
-        if first <= last:
-            gaps.append((first, last))
-        return gaps
+            self._extend_work(first, last, until)
+        ordered = [(first, last) for first, last, _, _ in answer["holds"]]
+        for first, last, fence, _ in before:
+            gaps = uncovered(first, last, ordered)
+            self.finishing += [(begin, end, fence) for begin, end in gaps]
+        return RELEASE_HEARTBEAT_S if self.finishing else self.heartbeat_interval_s
 
     async def _grant(self, request: web.Request) -> web.Response:
         self.record.problems.append(f"{self.id} cannot take the call {request.path}")
         return web.Response(status=400)
 
     _release = _grant
+
+
+def _is_valid_grant(body: object) -> bool:
+    """Return whether a grant has all its fields with values of the right kind."""
+    if not isinstance(body, dict):
+        return False
+    keys = [body.get(name) for name in ("from", "target", "fence")]
+    hold_s = body.get("holdS")
+    if any(type(key) is not int for key in keys):
+        return False
+    if type(hold_s) not in (int, float) or hold_s <= 0:
+        return False
+    first, last, fence = keys
+    return 0 <= first <= last <= LAST_KEY and fence >= 0
+
+
+def _within(
+    holds: list[tuple[int, int, int, float]], first: int, last: int
+) -> list[tuple[int, int, int, float]]:
+    """Return the parts of holds that are within a range."""
+    return [
+        (max(begin, first), min(end, last), fence, until)
+        for begin, end, fence, until in holds
+        if begin <= last and first <= end
+    ]
