--- /dev/null
+++ b/tests/checker/faults_put_back.py
@@ -0,0 +1,359 @@
+"""Faults of ownership that this project had, each as a small patch of the product.
+
+Run it as ``python -m tests.checker.faults_put_back`` for the table of the orders and
+seconds that the checker needs to find each. The names begin with the page of
+``docs/incidents``; those that begin with "own" are faults that no test knew before.
+"""
+
+import argparse
+import os
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, ExitStack, contextmanager
+from contextvars import ContextVar
+from dataclasses import dataclass
+from unittest.mock import patch
+
+from sesamepost.errors import RouterError
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.nodes import NODE_PREFIX, Registration
+from sesamepost.internal.forwarding.connection_groups import ConnectionGroups
+from sesamepost.internal.forwarding.endpoint_pool import Listening
+from sesamepost.internal.forwarding.endpoint_watch import EndpointWatch
+from sesamepost.internal.ranges import holds, takeover
+from sesamepost.internal.ranges.absent_nodes import AbsentNodes
+from sesamepost.internal.ranges.fence_groups import FenceGroups
+from sesamepost.internal.ranges.grant_right import GrantRight
+from sesamepost.internal.ranges.heartbeat_holds import HeartbeatHolds
+from sesamepost.internal.ranges.holds import HoldTracker
+from sesamepost.internal.ranges.keeper import RangeKeeper
+from sesamepost.internal.ranges.table_store import TableStore
+from sesamepost.internal.ranges.takeover import Takeover
+from sesamepost.platform import endpoint_commands
+from sesamepost.platform.endpoint_commands import WorkerCommands
+from tests.checker.invariants import Breach
+from tests.checker.order import Order, draw_order, run_order
+from tests.checker.trace import no_logs
+
+# Rules that a fault of ownership breaks; the others tell of other faults.
+OWNER_RULES = frozenset({"hold", "fence", "work", "request"})
+HASH_SEED = "0"
+SEED = "1"
+MAX_ORDERS = 2000
+
+PLANNED_AT: ContextVar[float] = ContextVar("planned_at")
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault and where it shows; ``put_back`` patches the product."""
+
+    name: str
+    put_back: Callable[[], AbstractContextManager]
+    nodes: int = 2
+    by_heartbeat: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """How many orders and seconds of processor time it took to find a fault.
+
+    ``breach`` is empty if the fault was not found.
+    """
+
+    orders: int
+    seconds: float
+    seed: str
+    breach: str
+
+
+def find(fault: Fault, most: int) -> Found:
+    """Run orders with a fault until one breaks a rule of ownership.
+
+    An order that breaks one without the fault as well does not count.
+    """
+    began = time.process_time()
+    with no_logs():
+        for number in range(most):
+            order = draw_order(f"{SEED}-{number}", fault.nodes, fault.by_heartbeat)
+            with fault.put_back():
+                breach = _first_owner_breach(order)
+            if breach is not None and _first_owner_breach(order) is None:
+                seconds = time.process_time() - began
+                return Found(number + 1, seconds, order.seed, str(breach))
+    return Found(most, time.process_time() - began, "", "")
+
+
+def _first_owner_breach(order: Order) -> Breach | None:
+    breaches = run_order(order).breaches
+    return next((b for b in breaches if b.rule in OWNER_RULES), None)
+
+
+@contextmanager
+def patched(*patches: AbstractContextManager) -> Iterator[None]:
+    """Apply several patches together."""
+    with ExitStack() as stack:
+        for each in patches:
+            stack.enter_context(each)
+        yield
+
+
+def outdated_table() -> AbstractContextManager:
+    """Grant from a table that is older than the lease."""
+    return patch.object(GrantRight, "covers", lambda self, key_range: True)
+
+
+def late_write() -> AbstractContextManager:
+    """Write ranges without a condition on the record of the lease."""
+    original = TableStore.__init__
+
+    def init(self, *arguments) -> None:
+        original(self, *arguments)
+        self.lease_key = ""
+
+    return patch.object(TableStore, "__init__", init)
+
+
+def fence_of_former_life() -> AbstractContextManager:
+    """Send a fence over any group of connections."""
+    return patched(
+        patch.object(FenceGroups, "claim", lambda self, fence, group: True),
+        patch.object(FenceGroups, "is_claimable", lambda self, fence, group: True),
+    )
+
+
+def fences_not_inherited() -> AbstractContextManager:
+    """Use the fences of the former process of the node again."""
+    return patch.object(FenceGroups, "note_inherited", lambda self, fences: None)
+
+
+def release_without_accepted_fence() -> AbstractContextManager:
+    """Let a release count though a grant of the former process may follow.
+
+    The fences of the former process are used as well, as they were then.
+    """
+
+    def unanswered_until(self, first: int, last: int) -> float:
+        found = [*self._overlapping(first, last), *self._past_overlapping(first, last)]
+        return max((h.unanswered_until for h in found), default=0.0)
+
+    return patch.object(HoldTracker, "unanswered_until", unanswered_until)
+
+
+def odd_heartbeat_voids_holds() -> AbstractContextManager:
+    """Take a heartbeat of another incarnation for the end of the earlier one."""
+    original = RangeKeeper.set_endpoint
+
+    def set_endpoint(self, endpoint, is_gone: bool, is_confirmed: bool = True) -> None:
+        is_replaced = endpoint is None and self.incarnation is not None
+        original(self, endpoint, is_gone or is_replaced, is_confirmed)
+
+    return patched(
+        patch.object(RangeKeeper, "set_endpoint", set_endpoint),
+        patch.object(RangeKeeper, "_held_until", lambda self: 0.0),
+    )
+
+
+def length_of_grant_from_past() -> AbstractContextManager:
+    """Compute the length of a grant when it is planned, not when it is sent."""
+    original = RangeKeeper._grant
+
+    async def grant(self, key, command, planned_at: float) -> None:
+        PLANNED_AT.set(planned_at)
+        await original(self, key, command, planned_at)
+
+    async def send_grant(self, connection, body: dict, end: float) -> bool:
+        sent = self.groups.note_sent()
+        hold_s = holds.hold_s_until(end, PLANNED_AT.get())
+        body["holdS"] = round(hold_s, 3)
+        try:
+            response = await self._post(connection, endpoint_commands.GRANT_PATH, body)
+        except RouterError as error:
+            raise endpoint_commands._unanswered(
+                repr(error), connection, hold_s
+            ) from None
+        self.groups.note_answer(connection, sent)
+        return response.status != 409
+
+    return patched(
+        patch.object(RangeKeeper, "_grant", grant),
+        patch.object(WorkerCommands, "_send_grant", send_grant),
+    )
+
+
+def unanswered_write_is_rejected() -> AbstractContextManager:
+    """Take a write whose answer is missing for one that has no effect."""
+    return patch.object(
+        TableStore, "has_unanswered_write", lambda self, first, last: False
+    )
+
+
+def takeover_without_end_of_lease() -> AbstractContextManager:
+    """Take the ranges of a node whose entry is missing while its lease may live."""
+
+    async def end_leases(self, vms, delay_s: float) -> None:
+        return
+
+    def without_lease_since(self, vm: str, now: float) -> float:
+        return self.mirror.missing_since(NODE_PREFIX + vm, now)
+
+    return patched(
+        patch.object(AbsentNodes, "end_leases", end_leases),
+        patch.object(AbsentNodes, "without_lease_since", without_lease_since),
+    )
+
+
+def closed_port_is_end() -> AbstractContextManager:
+    """Take a closed port without open connections for the end of a worker."""
+    return patch.object(EndpointWatch, "_is_silent", lambda self: True)
+
+
+def refused_connection_is_end() -> AbstractContextManager:
+    """Take one refused connection for the end of a worker."""
+
+    def note_not_listening(self, info, listening: Listening) -> bool:
+        return listening is Listening.NO
+
+    return patch.object(EndpointWatch, "_note_not_listening", note_not_listening)
+
+
+def report_without_condition() -> AbstractContextManager:
+    """Take the ranges of a reported worker without a condition on its entry."""
+    original = Takeover._conditions
+
+    def conditions(self, lost) -> dict[str, int]:
+        return original(self, {owner for owner in lost if owner not in self.ended})
+
+    return patch.object(Takeover, "_conditions", conditions)
+
+
+def takeover_without_slack() -> AbstractContextManager:
+    """Wait for the longest hold only, as if no timer fired late."""
+    return patch.object(takeover, "TAKEOVER_SLACK_S", 0.0)
+
+
+def unanswered_grant_is_over() -> AbstractContextManager:
+    """Let a release count though an unanswered grant may be carried out later."""
+    return patch.object(HoldTracker, "unanswered_until", lambda self, first, last: 0.0)
+
+
+def connection_joins_without_answer() -> AbstractContextManager:
+    """Take any connection for one to the process that the group leads to."""
+
+    async def add_newcomer(self) -> None:
+        connection = await self._open()
+        if connection.is_open:
+            self._join(connection)
+
+    return patch.object(ConnectionGroups, "_add_newcomer", add_newcomer)
+
+
+def renewal_counts_from_answer() -> AbstractContextManager:
+    """Count the right to grant from the answer to a renewal, not from its sending."""
+    original = Registration._renew_or_write
+
+    async def renew_or_write(self) -> None:
+        await original(self)
+        self.renewed_at = boottime()
+
+    return patch.object(Registration, "_renew_or_write", renew_or_write)
+
+
+def grants_in_flight_ignored() -> AbstractContextManager:
+    """Release keys while a grant of them is on its way."""
+
+    async def wait_for_grants(self, first: int, last: int) -> None:
+        return
+
+    return patch.object(RangeKeeper, "_wait_for_grants", wait_for_grants)
+
+
+def heartbeat_always_follows() -> AbstractContextManager:
+    """Take each heartbeat for one that was sent after the last answer."""
+    original = HeartbeatHolds.note_report
+
+    def note_report(self, tracker, report, now: float) -> None:
+        report = type(report)(report.held, report.released, True)
+        original(self, tracker, report, now)
+
+    return patch.object(HeartbeatHolds, "note_report", note_report)
+
+
+def order_without_right() -> AbstractContextManager:
+    """Order holds for the longest time, whatever the node's right is."""
+    original = HeartbeatHolds.order
+
+    def order(self, tracker, moving, may_grant_until: float, now: float):
+        return original(self, tracker, moving, now + holds.HOLD_S, now)
+
+    return patch.object(HeartbeatHolds, "order", order)
+
+
+FAULTS = (
+    Fault("review-outdated-table", outdated_table, nodes=3),
+    Fault("review-late-write", late_write),
+    Fault("review-odd-check-in", odd_heartbeat_voids_holds),
+    Fault("valstock-norte-owner: fence of a former life", fence_of_former_life),
+    Fault("valstock-norte-owner: fences not inherited", fences_not_inherited),
+    Fault(
+        "valstock-norte-owner: release without an accepted fence",
+        release_without_accepted_fence,
+    ),
+    Fault("valstock-norte-owner: refused is the end", refused_connection_is_end),
+    Fault("valstock-norte-owner-again: closed port is the end", closed_port_is_end),
+    Fault(
+        "valstock-norte-owner-again: length of a grant from the past",
+        length_of_grant_from_past,
+    ),
+    Fault(
+        "valstock-norte-owner-again: unanswered write is rejected",
+        unanswered_write_is_rejected,
+    ),
+    Fault(
+        "valstock-norte-owner-again: takeover without the end of the lease",
+        takeover_without_end_of_lease,
+    ),
+    Fault(
+        "valstock-norte-owner-again: report without a condition",
+        report_without_condition,
+    ),
+    Fault("takeover without slack", takeover_without_slack),
+    Fault("unanswered grant is over", unanswered_grant_is_over),
+    Fault("own: connection joins without an answer", connection_joins_without_answer),
+    Fault("own: renewal counts from its answer", renewal_counts_from_answer),
+    Fault("own: grants in flight ignored", grants_in_flight_ignored),
+    Fault(
+        "own: heartbeat always follows the answer",
+        heartbeat_always_follows,
+        by_heartbeat=True,
+    ),
+    Fault("own: order without the right", order_without_right, by_heartbeat=True),
+)
+
+
+def main(arguments: list[str]) -> int:
+    """Print the table; return 1 if a fault was not found."""
+    parser = argparse.ArgumentParser(prog="python -m tests.checker.faults_put_back")
+    parser.add_argument("--orders", type=int, default=MAX_ORDERS)
+    parser.add_argument("--only", default="", help="a part of the name of a fault")
+    options = parser.parse_args(arguments)
+    is_missed = False
+    for fault in FAULTS:
+        if options.only not in fault.name:
+            continue
+        found = find(fault, options.orders)
+        is_missed |= not found.seed
+        what = f"{found.seed}: {found.breach}" if found.seed else "not found"
+        print(
+            f"{fault.name} | {found.orders} | {found.seconds:.1f} | {what}", flush=True
+        )
+    return int(is_missed)
+
+
+if __name__ == "__main__":
+    if os.environ.get("PYTHONHASHSEED") != HASH_SEED:
+        os.environ["PYTHONHASHSEED"] = HASH_SEED
+        command = [sys.executable, "-m", "tests.checker.faults_put_back", *sys.argv[1:]]
+        os.execv(sys.executable, command)
+    sys.exit(main(sys.argv[1:]))
