--- /dev/null
+++ b/tests/checker/drawing.py
@@ -0,0 +1,257 @@
+"""Draws the events of an order by a seed."""
+
+from random import Random
+
+from tests.checker.events import (
+    AnswersLost,
+    ConnectionsLimited,
+    ConnectionsReset,
+    ConnectionsSilent,
+    EntryRemoved,
+    Event,
+    GrantsLate,
+    HeartbeatsLate,
+    HistoryForgotten,
+    IdleClosed,
+    KeysMoved,
+    LinkCut,
+    LongRequests,
+    NodeFrozen,
+    NodeKilled,
+    NodeSlowed,
+    NodeStopped,
+    NodeStopsAtRead,
+    OddHeartbeat,
+    PeersApart,
+    PortClosed,
+    ReleasesLate,
+    StoreDown,
+    StoreFault,
+    WatchesLate,
+    WorkerFrozen,
+    WorkerKilled,
+    WorkerLeaves,
+)
+
+# All keys have owners that hold them by then, if nothing happens.
+FIRST_EVENT_S = 2.5
+LAST_EVENT_S = 7.5
+MAX_FAULT_S = 4.0
+# Long enough for others to take the ranges of a node that is cut off or frozen.
+LONG_FAULT_S = 11.0
+STORE_FAULTS = ("refused", "rejecting", "silent", "answers lost", "late", "slow")
+
+
+class EventDraw:
+    """Draws events for a fleet of ``nodes`` nodes.
+
+    Most faults of ownership need several things at once on one machine. So events come
+    in groups around one machine, some of them in pairs that meet each other, and some
+    conditions last for most of the order.
+    """
+
+    def __init__(self, random: Random, nodes: int) -> None:
+        self.random = random
+        self.nodes = nodes
+
+    def events(self) -> tuple[Event, ...]:
+        """Return the events of one order, by time."""
+        random = self.random
+        drawn: list[Event] = []
+        for _ in range(random.choice((1, 1, 2, 3))):
+            drawn += self._group()
+        if random.random() < 0.5:
+            drawn += self._conditions(random.randrange(self.nodes))
+        for _ in range(random.choice((0, 1, 3, 6))):
+            drawn.append(self._move(self._time(), random.randrange(self.nodes)))
+        return tuple(sorted(drawn, key=lambda event: event.at))
+
+    def _time(self) -> float:
+        return self.random.uniform(FIRST_EVENT_S, LAST_EVENT_S)
+
+    def _group(self) -> list[Event]:
+        """Return events within a short time, mostly on one machine."""
+        random = self.random
+        focus, begin = random.randrange(self.nodes), self._time()
+        span_s = random.choice((0.1, 1.0, 3.0))
+        drawn: list[Event] = []
+        for _ in range(random.randint(1, 4)):
+            is_focus = random.random() < 0.75
+            node = focus if is_focus else random.randrange(self.nodes)
+            at = begin + random.random() * span_s
+            drawn += self._pair(at, node) if random.random() < 0.4 else []
+            drawn.append(self._event(at, node))
+        return drawn
+
+    def _conditions(self, node: int) -> list[Event]:
+        """Return conditions that last for most of the order."""
+        random = self.random
+        at, duration_s = FIRST_EVENT_S, random.uniform(4.0, 8.0)
+        late_s = random.choice((0.5, 2.0, 4.0)) * random.random()
+        found = [
+            GrantsLate(at, node, duration_s, late_s, random.choice((0.1, 0.5))),
+            HeartbeatsLate(at, node, duration_s, late_s),
+            LongRequests(at, duration_s, random.choice((0.2, 1.0, 3.0))),
+            StoreFault(at, -1, duration_s, "slow", 0.0),
+            WatchesLate(at, node, duration_s, late_s),
+            IdleClosed(at, node, duration_s, random.choice((0.2, 1.0))),
+            ConnectionsLimited(at, node, duration_s, random.randint(1, 4)),
+        ]
+        return random.sample(found, random.choice((1, 1, 2)))
+
+    def _pair(self, at: float, node: int) -> list[Event]:
+        """Return events that meet each other."""
+        random = self.random
+        soon = at + random.choice((0.003, 0.05, 0.4)) * random.random()
+        match random.randrange(9):
+            case 0:
+                return [self._move(at, node), self._kill(soon, node)]
+            case 1:
+                fault = GrantsLate(at, node, 1.0, 4.0 * random.random(), 1.0)
+                kill = self._kill(soon + 1.0, node)
+                move = self._move(kill.at + kill.down_s + random.random(), node)
+                return [fault, kill, move]
+            case 2:
+                return self._long_cut(node)
+            case 3:
+                long_s = random.uniform(8.0, LONG_FAULT_S)
+                return [NodeFrozen(FIRST_EVENT_S, node, long_s)]
+            case 4:
+                lag_s = 4.0 * random.random()
+                return [EntryRemoved(at, node), WatchesLate(at - 0.5, node, 6.0, lag_s)]
+            case 5:
+                return self._unanswered_move(at, node)
+            case 6:
+                # The next life gets its predecessor's grants before its heartbeat.
+                down_s = random.choice((0.0, 0.02))
+                silent_s = random.uniform(0.5, 3.0)
+                keeps_id = random.random() < 0.5
+                return [WorkerKilled(at, node, down_s, keeps_id, 0.0, silent_s)]
+            case 7:
+                closed = PortClosed(at, node, 3.0, True)
+                stops = NodeStopsAtRead(soon, node, random.randint(1, 60), 1.0, False)
+                return [closed, stops]
+        closed = PortClosed(at, node, 3.0, True)
+        return [closed, NodeStopped(soon, node, 1.0)]
+
+    def _long_cut(self, node: int) -> list[Event]:
+        """Cut a node off the store until others have taken its ranges."""
+        random = self.random
+        long_s = random.uniform(8.0, LONG_FAULT_S)
+        how = random.choice(("rejecting", "silent", "answers lost"))
+        fault = StoreFault(FIRST_EVENT_S, node, long_s, how, 1.0)
+        end = FIRST_EVENT_S + long_s
+        return [fault, WatchesLate(end - 0.5, node, 3.0, random.random())]
+
+    def _unanswered_move(self, at: float, node: int) -> list[Event]:
+        """Let the target of a move vanish while its write is unanswered."""
+        random = self.random
+        how = random.choice(("answers lost", "late"))
+        fault = StoreFault(at, node, 0.5, how, 4.0 * random.random())
+        move = self._move(at + 0.1, node)
+        found = [fault, move]
+        if random.random() < 0.5:
+            found.append(EntryRemoved(at + 0.2, move.target))
+        return found
+
+    def _event(self, at: float, node: int) -> Event:
+        random = self.random
+        duration_s = random.choice((0.3, 1.0, 2.0, MAX_FAULT_S)) * random.random()
+        kind = random.choices((1, 2, 3, 4), weights=(5, 5, 3, 4))[0]
+        match kind:
+            case 1:
+                return self._node_event(at, node, duration_s)
+            case 2:
+                return self._worker_event(at, node, duration_s)
+            case 3:
+                return self._link_event(at, node, duration_s)
+        return self._shared_event(at, node, duration_s)
+
+    def _kill(self, at: float, node: int) -> Event:
+        random = self.random
+        down_s = random.choice((0.05, 0.5, 3.0)) * random.random()
+        late_s = random.choice((0.0, 1.0, 3.0)) * random.random()
+        return NodeKilled(at, node, down_s, late_s)
+
+    def _node_event(self, at: float, node: int, duration_s: float) -> Event:
+        random = self.random
+        match random.randrange(8):
+            case 0 | 1:
+                return self._kill(at, node)
+            case 2:
+                return NodeStopped(at, node, random.choice((0.05, 2.0)))
+            case 3:
+                return NodeFrozen(at, node, duration_s)
+            case 4 | 5 | 6:
+                is_slow = random.random() < 0.5
+                stop_s = min(duration_s, 1.0 if is_slow else MAX_FAULT_S)
+                return NodeStopsAtRead(at, node, random.randint(1, 60), stop_s, is_slow)
+        return NodeSlowed(at, node, duration_s, random.choice((0.002, 0.01, 0.04)))
+
+    def _worker_event(self, at: float, node: int, duration_s: float) -> Event:
+        random = self.random
+        down_s = random.choice((0.0, 0.02, 0.5, 2.0, None))
+        keeps_id = random.random() < 0.5
+        late_s = random.choice((0.5, 2.0, 4.0)) * random.random()
+        match random.randrange(10):
+            case 0 | 1 | 2:
+                step_s = random.choice((0.0, 0.0, -20.0, 3.0))
+                silent_s = random.choice((0.0, 0.5, 3.0)) * random.random()
+                return WorkerKilled(at, node, down_s, keeps_id, step_s, silent_s)
+            case 3:
+                return WorkerFrozen(at, node, duration_s)
+            case 4:
+                serves_s = random.choice((0.3, 2.5))
+                sends_leave = random.random() < 0.5
+                return WorkerLeaves(at, node, serves_s, down_s, sends_leave, keeps_id)
+            case 5:
+                share = random.choice((0.1, 0.5, 1.0))
+                return GrantsLate(at, node, duration_s, late_s, share)
+            case 6:
+                late_s = random.choice((0.3, 1.5, None))
+                return AnswersLost(at, node, duration_s, late_s)
+            case 7:
+                return ReleasesLate(at, node, duration_s, random.choice((0.5, None)))
+            case 8:
+                return HeartbeatsLate(at, node, duration_s, late_s)
+        return OddHeartbeat(at, node)
+
+    def _link_event(self, at: float, node: int, duration_s: float) -> Event:
+        random = self.random
+        match random.randrange(6):
+            case 0:
+                return LinkCut(at, node, duration_s)
+            case 1:
+                return ConnectionsSilent(at, node)
+            case 2:
+                return ConnectionsReset(at, node)
+            case 3:
+                return PortClosed(at, node, duration_s, random.random() < 0.5)
+            case 4:
+                return ConnectionsLimited(at, node, duration_s, random.randint(1, 4))
+        return IdleClosed(at, node, duration_s, random.choice((0.2, 1.0)))
+
+    def _shared_event(self, at: float, node: int, duration_s: float) -> Event:
+        random = self.random
+        late_s = random.choice((0.5, 2.0, 4.0)) * random.random()
+        match random.randrange(9):
+            case 0 | 1 | 2:
+                how = random.choice(STORE_FAULTS)
+                whom = -1 if random.random() < 0.2 else node
+                return StoreFault(at, whom, duration_s, how, late_s)
+            case 3:
+                return StoreDown(at, duration_s, random.random() < 0.5)
+            case 4:
+                return EntryRemoved(at, node)
+            case 5:
+                return HistoryForgotten(at, random.random() < 0.5)
+            case 6:
+                return PeersApart(at, duration_s)
+            case 7:
+                return WatchesLate(at, node, duration_s, late_s)
+        return LongRequests(at, duration_s, random.choice((0.2, 1.0, 3.0)))
+
+    def _move(self, at: float, node: int) -> Event:
+        target = (node + self.random.randrange(1, self.nodes)) % self.nodes
+        begin = self.random.choice((0.0, self.random.random()))
+        return KeysMoved(at, node, target, begin, self.random.random())
--- /dev/null
+++ b/tests/checker/finding.py
@@ -0,0 +1,85 @@
+"""Tells how many orders the checker needs to find each fault that is put back.
+
+Run it as ``python -m tests.checker.finding``.
+"""
+
+import argparse
+import os
+import sys
+import time
+from dataclasses import dataclass
+
+from tests.checker.faults_put_back import FAULTS, Fault
+from tests.checker.invariants import Breach
+from tests.checker.order import Order, draw_order, run_order
+from tests.checker.trace import no_logs
+
+# Rules that a fault of ownership breaks; the others tell of other faults.
+OWNER_RULES = frozenset({"hold", "fence", "work", "request"})
+HASH_SEED = "0"
+SEED = "1"
+MAX_ORDERS = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """How many orders and seconds of processor time it took to find a fault.
+
+    ``breach`` is empty if the fault was not found.
+    """
+
+    orders: int
+    seconds: float
+    seed: str
+    breach: str
+
+
+def find(fault: Fault, most: int) -> Found:
+    """Run orders with a fault until one breaks a rule of ownership.
+
+    An order that breaks one without the fault as well does not count.
+    """
+    began = time.process_time()
+    with no_logs():
+        for number in range(most):
+            order = draw_order(f"{SEED}-{number}", fault.nodes, fault.by_heartbeat)
+            with fault.put_back():
+                breach = _first_owner_breach(order)
+            if breach is not None and _first_owner_breach(order) is None:
+                seconds = time.process_time() - began
+                return Found(number + 1, seconds, order.seed, str(breach))
+    return Found(most, time.process_time() - began, "", "")
+
+
+def _first_owner_breach(order: Order) -> Breach | None:
+    breaches = run_order(order).breaches
+    return next((b for b in breaches if b.rule in OWNER_RULES), None)
+
+
+def main(arguments: list[str]) -> int:
+    """Print the table; return 1 if a fault was not found."""
+    parser = argparse.ArgumentParser(prog="python -m tests.checker.finding")
+    parser.add_argument("--orders", type=int, default=MAX_ORDERS)
+    parser.add_argument("--only", default="", help="a part of the name of a fault")
+    parser.add_argument("--part", default="1/1", help="such as 2/3, to run a third")
+    options = parser.parse_args(arguments)
+    part, parts = (int(number) for number in options.part.split("/"))
+    is_missed = False
+    for index, fault in enumerate(FAULTS):
+        if options.only not in fault.name or index % parts != part - 1:
+            continue
+        found = find(fault, options.orders)
+        is_missed |= not found.seed
+        what = f"{found.seed}: {found.breach}" if found.seed else "not found"
+        print(
+            f"{fault.name} | {found.orders} | {found.seconds:.1f} | {what}", flush=True
+        )
+    return int(is_missed)
+
+
+if __name__ == "__main__":
+    if os.environ.get("PYTHONHASHSEED") != HASH_SEED:
+        os.environ["PYTHONHASHSEED"] = HASH_SEED
+        command = [sys.executable, "-m", "tests.checker.finding", *sys.argv[1:]]
+        os.execv(sys.executable, command)
+    sys.exit(main(sys.argv[1:]))
--- a/tests/checker/order.py
+++ b/tests/checker/order.py
@@ -7,7 +7,8 @@
 
 from sesamepost.internal.coordination.store import StoreError
 from tests.checker.disturbing import Disturber, end_of
-from tests.checker.events import Event, EventDraw
+from tests.checker.drawing import EventDraw
+from tests.checker.events import Event
 from tests.checker.fleet import Fleet
 from tests.checker.invariants import Breach
 from tests.checker.loop import StuckError, virtual_loop
