--- a/tests/checker/disturbing.py
+++ b/tests/checker/disturbing.py
@@ -15,7 +15,9 @@
 
 # A killed process has made its last calls to the store within this time.
 LAST_CALLS_S = 0.3
-SLOW_STORE_S = 0.3
+# A call to a slow store is answered within the time-out of its client.
+SLOW_CALL_S = 0.05
+MAX_SLOW_ANSWER_S = 0.7
 
 
 def end_of(event: events.Event) -> float:
@@ -275,4 +277,4 @@
             return store_client.AnswersLost()
         case "late":
             return store_client.LateExecution(late_s)
-    return store_client.Reachable(SLOW_STORE_S, SLOW_STORE_S)
+    return store_client.Reachable(SLOW_CALL_S, min(late_s, MAX_SLOW_ANSWER_S))
--- a/tests/checker/drawing.py
+++ b/tests/checker/drawing.py
@@ -92,7 +92,7 @@
             GrantsLate(at, node, duration_s, late_s, random.choice((0.1, 0.5))),
             HeartbeatsLate(at, node, duration_s, late_s),
             LongRequests(at, duration_s, random.choice((0.2, 1.0, 3.0))),
-            StoreFault(at, -1, duration_s, "slow", 0.0),
+            StoreFault(at, -1, duration_s, "slow", 0.3),
             WatchesLate(at, node, duration_s, late_s),
             IdleClosed(at, node, duration_s, random.choice((0.2, 1.0))),
             ConnectionsLimited(at, node, duration_s, random.randint(1, 4)),
@@ -103,7 +103,7 @@
         """Return events that meet each other."""
         random = self.random
         soon = at + random.choice((0.003, 0.05, 0.4)) * random.random()
-        match random.randrange(9):
+        match random.randrange(13):
             case 0:
                 return [self._move(at, node), self._kill(soon, node)]
             case 1:
@@ -117,8 +117,7 @@
                 long_s = random.uniform(8.0, LONG_FAULT_S)
                 return [NodeFrozen(FIRST_EVENT_S, node, long_s)]
             case 4:
-                lag_s = 4.0 * random.random()
-                return [EntryRemoved(at, node), WatchesLate(at - 0.5, node, 6.0, lag_s)]
+                return self._unseen_removal(at, node)
             case 5:
                 return self._unanswered_move(at, node)
             case 6:
@@ -127,6 +126,26 @@
                 silent_s = random.uniform(0.5, 3.0)
                 keeps_id = random.random() < 0.5
                 return [WorkerKilled(at, node, down_s, keeps_id, 0.0, silent_s)]
+            case 8:
+                # Connections look open, though the process at their end has ended.
+                silent_s = random.uniform(0.5, 3.0)
+                next_life = WorkerKilled(soon, node, 0.0, True, 0.0, silent_s)
+                return [ConnectionsSilent(at, node), next_life]
+            case 9:
+                late_s = random.uniform(0.1, 0.9)
+                fault = GrantsLate(at, node, 3.0, late_s, 1.0)
+                moves = [self._move(at + 3.0 * random.random(), node) for _ in "123"]
+                return [fault, *moves]
+            case 10 | 11:
+                # The end of a hold is known by its length only.
+                stops = [
+                    NodeStopsAtRead(
+                        at + 0.7 * i, node, random.randint(1, 20), 0.5, True
+                    )
+                    for i in range(3)
+                ]
+                move = self._move(at + 1.5 + random.random(), node)
+                return [ReleasesLate(at, node, 8.0, None), *stops, move]
             case 7:
                 closed = PortClosed(at, node, 3.0, True)
                 stops = NodeStopsAtRead(soon, node, random.randint(1, 60), 1.0, False)
@@ -134,6 +153,23 @@
         closed = PortClosed(at, node, 3.0, True)
         return [closed, NodeStopped(soon, node, 1.0)]
 
+    def _unseen_removal(self, at: float, node: int) -> list[Event]:
+        """Remove the entry of a node that goes on and does not hear of that."""
+        random = self.random
+        found = [
+            EntryRemoved(at, node),
+            WatchesLate(at - 0.5, node, 6.0, 4.0 * random.random()),
+        ]
+        if random.random() < 0.5:
+            found.append(StoreFault(at - 1.0, node, 4.0, "slow", random.random()))
+        if random.random() < 0.3:
+            found.append(NodeFrozen(at - 0.3 + random.random(), node, MAX_FAULT_S))
+        if random.random() < 0.5:
+            # The node loses the store before its watch shows the removal.
+            lost_at = at + random.uniform(1.0, 4.0)
+            found.append(StoreFault(lost_at, node, 6.0, "silent", 0.0))
+        return found
+
     def _long_cut(self, node: int) -> list[Event]:
         """Cut a node off the store until others have taken its ranges."""
         random = self.random
--- a/tests/checker/faults_put_back.py
+++ b/tests/checker/faults_put_back.py
@@ -21,9 +21,11 @@
 from sesamepost.internal.ranges.absent_nodes import AbsentNodes
 from sesamepost.internal.ranges.fence_groups import FenceGroups
 from sesamepost.internal.ranges.grant_right import GrantRight
+from sesamepost.internal.ranges.granting import GrantSender
 from sesamepost.internal.ranges.heartbeat_holds import HeartbeatHolds
+from sesamepost.internal.ranges.hold_ends import HoldEnds
 from sesamepost.internal.ranges.holds import HoldTracker
-from sesamepost.internal.ranges.keeper import RangeKeeper
+from sesamepost.internal.ranges.local_owner import LocalOwner
 from sesamepost.internal.ranges.table_store import TableStore
 from sesamepost.internal.ranges.takeover import Takeover
 from sesamepost.platform import endpoint_commands
@@ -95,21 +97,21 @@
 
 def odd_heartbeat_voids_holds() -> AbstractContextManager:
     """Take a heartbeat of another incarnation for the end of the earlier one."""
-    original = RangeKeeper.set_endpoint
+    original = LocalOwner.set_endpoint
 
-    def set_endpoint(self, endpoint, is_gone: bool, is_confirmed: bool = True) -> None:
+    def set_endpoint(self, endpoint, is_gone: bool, is_confirmed: bool) -> None:
         is_replaced = endpoint is None and self.incarnation is not None
         original(self, endpoint, is_gone or is_replaced, is_confirmed)
 
     return patched(
-        patch.object(RangeKeeper, "set_endpoint", set_endpoint),
-        patch.object(RangeKeeper, "_held_until", lambda self: 0.0),
+        patch.object(LocalOwner, "set_endpoint", set_endpoint),
+        patch.object(HoldEnds, "assumed_until", lambda self, tracker: 0.0),
     )
 
 
 def length_of_grant_from_past() -> AbstractContextManager:
     """Compute the length of a grant when it is planned, not when it is sent."""
-    original = RangeKeeper._grant
+    original = GrantSender._grant
 
     async def grant(self, key, command, planned_at: float) -> None:
         PLANNED_AT.set(planned_at)
@@ -129,7 +131,7 @@
         return response.status != 409
 
     return patched(
-        patch.object(RangeKeeper, "_grant", grant),
+        patch.object(GrantSender, "_grant", grant),
         patch.object(WorkerCommands, "_send_grant", send_grant),
     )
 
@@ -215,10 +217,10 @@
 def grants_in_flight_ignored() -> AbstractContextManager:
     """Release keys while a grant of them is on its way."""
 
-    async def wait_for_grants(self, first: int, last: int) -> None:
+    async def wait_for(self, first: int, last: int) -> None:
         return
 
-    return patch.object(RangeKeeper, "_wait_for_grants", wait_for_grants)
+    return patch.object(GrantSender, "wait_for", wait_for)
 
 
 def heartbeat_always_follows() -> AbstractContextManager:
--- a/tests/checker/test_checker.py
+++ b/tests/checker/test_checker.py
@@ -98,8 +98,8 @@
 def test_an_interrupted_run_prints_what_was_run():
     """The result of a long run could be lost with Ctrl-C."""
     process = start_checker("--orders", "100000")
-    line = process.stdout.readline()
-    assert " orders, " in line
+    while " orders, " not in process.stdout.readline():
+        assert process.poll() is None
     process.send_signal(signal.SIGINT)
     output, errors = process.communicate(timeout=60)
     assert "interrupted" in output
