--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -9,6 +9,8 @@
 from aiohttp import web
 
 MAX_EVENTS = 500
+MAX_ENTRIES = 32
+LEASE_CHECK_INTERVAL_S = 0.05
 SILENCE_S = 60.0
 
 
@@ -24,7 +26,8 @@
     def __init__(self) -> None:
         self.items: dict[str, dict] = {}
         self.events: list[dict] = []
-        self.revision = 0
+        # The counter starts above 0, which stands for a key that does not exist.
+        self.revision = 1
         self.leases: dict[int, list[float]] = {}
         self.lease_ids = itertools.count(1000)
         self.changed = asyncio.Condition()
@@ -33,6 +36,7 @@
         self.rejected: set[str] = set()
         self.lost_share = 0.0
         self.oldest_revision = 0
+        self.checked_leases_at = 0.0
         self.calls = 0
         self.runner: web.AppRunner | None = None
         self.expiry_task: asyncio.Task | None = None
@@ -55,6 +59,7 @@
         await self.runner.setup()
         await web.TCPSite(self.runner, "127.0.0.1", 0).start()
         self.address = "{}:{}".format(*self.runner.addresses[0][:2])
+        self.checked_leases_at = asyncio.get_running_loop().time()
         self.expiry_task = asyncio.create_task(self._expire_leases())
         return self
 
@@ -128,6 +133,9 @@
 
     async def _txn(self, request: web.Request) -> web.Response:
         body = await request.json()
+        rows = [*body["expectedRevision"], *body["setKeys"], *body["remove"]]
+        if len(rows) > MAX_ENTRIES:
+            return web.json_response({"error": "too many entries"}, status=400)
         expected = {row["key"]: row["revision"] for row in body["expectedRevision"]}
         present = [self.items[key] for key in expected if key in self.items]
         revisions = {item["key"]: item["revision"] for item in present}
@@ -139,6 +147,9 @@
         self.revision += 1
         for write in body["setKeys"]:
             self._apply(write["key"], write["value"], write["lease"])
+        for key in body["remove"]:
+            if self.items.pop(key, None) is not None:
+                self._record_deletion(key)
         await self._notify()
         return web.json_response({"revision": self.revision})
 
@@ -165,11 +176,13 @@
         await self._notify()
 
     def _apply(self, key: str, value: str, lease: int) -> None:
+        former = self.items.get(key)
+        created = former["createdRevision"] if former else self.revision
         item = {
             "key": key,
             "value": value,
             "revision": self.revision,
-            "createdRevision": self.revision,
+            "createdRevision": created,
             "lease": lease,
         }
         self.items[key] = item
@@ -177,27 +190,37 @@
 
     def _record(self, event: dict) -> None:
         self.events.append(event)
-        del self.events[:-MAX_EVENTS]
+        if len(self.events) > MAX_EVENTS:
+            self.oldest_revision = self.events.pop(0)["revision"]
+
+    def _record_deletion(self, key: str) -> None:
+        self._record({"key": key, "revision": self.revision, "deleted": True})
 
     async def _end_lease(self, lease: int) -> None:
         self.leases.pop(lease, None)
         for key in [k for k, i in self.items.items() if i["lease"] == lease]:
             del self.items[key]
             self.revision += 1
-            self._record({"key": key, "revision": self.revision, "deleted": True})
+            self._record_deletion(key)
         await self._notify()
 
     async def _expire_leases(self) -> None:
         while True:
-            await asyncio.sleep(0.05)
-            now = asyncio.get_running_loop().time()
-            if self.is_down:
-                await self._notify()
-                for lease in self.leases.values():
-                    lease[1] += 0.05
-                continue
-            for lease in [i for i, (_, end) in self.leases.items() if end < now]:
-                await self._end_lease(lease)
+            await asyncio.sleep(LEASE_CHECK_INTERVAL_S)
+            await self.check_leases()
+
+    async def check_leases(self) -> None:
+        """End the leases that are over; those of a store that is down pause."""
+        now = asyncio.get_running_loop().time()
+        passed_s, self.checked_leases_at = now - self.checked_leases_at, now
+        if self.is_down:
+            await self._notify()
+            for lease in self.leases.values():
+                lease[1] += passed_s
+            return
+        due = [(end, number) for number, (_, end) in self.leases.items() if end <= now]
+        for _, number in sorted(due):
+            await self._end_lease(number)
 
     async def _notify(self) -> None:
         async with self.changed:
