--- a/tests/checker/disturbing.py
+++ b/tests/checker/disturbing.py
@@ -7,6 +7,7 @@
 from tests.checker.fleet import WORK_S, Fleet, Machine
 from tests.checker.node_process import SERVICE
 from tests.checker.worker_server import (
+    Ignored,
     LateAnswer,
     LateExecution,
     NoAnswer,
@@ -137,7 +138,7 @@
                 server.faulty_share = 1.0
                 self._set(server, "next_grant_fault", fault, Prompt(), duration_s)
             case events.ReleasesLate(_, _, duration_s, late_s):
-                fault = NoAnswer() if late_s is None else LateAnswer(late_s)
+                fault = Ignored() if late_s is None else LateAnswer(late_s)
                 self._set(server, "release_fault", fault, Prompt(), duration_s)
             case events.LinkCut(_, _, duration_s):
                 link = network.link_to(machine.vm)
--- a/tests/checker/drawing.py
+++ b/tests/checker/drawing.py
@@ -107,10 +107,7 @@
             case 0:
                 return [self._move(at, node), self._kill(soon, node)]
             case 1:
-                fault = GrantsLate(at, node, 1.0, 4.0 * random.random(), 1.0)
-                kill = self._kill(soon + 1.0, node)
-                move = self._move(kill.at + kill.down_s + random.random(), node)
-                return [fault, kill, move]
+                return self._kill_amid_late_grants(at, node)
             case 2:
                 return self._long_cut(node)
             case 3:
@@ -140,11 +137,11 @@
                 # The end of a hold is known by its length only.
                 stops = [
                     NodeStopsAtRead(
-                        at + 0.7 * i, node, random.randint(1, 20), 0.5, True
+                        at + 1.2 * i, node, random.randint(1, 24), 1.0, True
                     )
-                    for i in range(3)
+                    for i in range(2)
                 ]
-                move = self._move(at + 1.5 + random.random(), node)
+                move = self._move(at + random.uniform(1.2, 3.5), node)
                 return [ReleasesLate(at, node, 8.0, None), *stops, move]
             case 7:
                 closed = PortClosed(at, node, 3.0, True)
@@ -153,6 +150,21 @@
         closed = PortClosed(at, node, 3.0, True)
         return [closed, NodeStopped(soon, node, 1.0)]
 
+    def _kill_amid_late_grants(self, at: float, node: int) -> list[Event]:
+        """Kill a node whose grants are carried out after it has started again.
+
+        Its worker then leaves, or the node moves keys.
+        """
+        random = self.random
+        fault = GrantsLate(at, node, 1.5, random.uniform(0.5, 4.0), 1.0)
+        kill = self._kill(at + 1.5, node)
+        if random.random() < 0.5:
+            leaves_at = kill.at - 0.3 * random.random()
+            leave = WorkerLeaves(leaves_at, node, 4.0, 0.5, False, True)
+            return [fault, kill, leave]
+        move = self._move(kill.at + kill.down_s + random.random(), node)
+        return [fault, kill, move]
+
     def _unseen_removal(self, at: float, node: int) -> list[Event]:
         """Remove the entry of a node that goes on and does not hear of that."""
         random = self.random
--- a/tests/checker/events.py
+++ b/tests/checker/events.py
@@ -128,7 +128,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleasesLate:
-    """A worker answers releases late, or with ``late_s`` of None never."""
+    """Releases are answered late, or with ``late_s`` of None never reach the worker."""
 
     at: float
     node: int
