--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -39,6 +39,9 @@
 # be unchanged, because the node's entry may have reappeared and vanished again
 # unobserved. So do the node's own writes of ranges, which the store may carry out late.
 LAST_LEASE_PREFIX = "sesamepost/leases/"
+# The key under this prefix holds the incarnation of the last endpoint that left a node.
+# It outlives the lease, so that no later process of the node uses that endpoint.
+LEFT_PREFIX = "sesamepost/left/"
 # Marks the record of a lease that another node has ended.
 ENDED_SUFFIX = b" ended"
 RETRY_DELAY_S = 0.2
@@ -142,6 +145,18 @@
         return 0
 
 
+_LEFT_DECODER = msgspec.msgpack.Decoder(tuple[Name, Count])
+
+
+def decode_left(item: Item) -> tuple[str, int] | None:
+    """Return the incarnation that left a node, or None if the item is unreadable."""
+    try:
+        return _LEFT_DECODER.decode(item.value)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        log.warning("left_endpoint_unreadable", key=item.key, error=repr(error))
+        return None
+
+
 class NodeTable:
     """The node entries in the mirror, decoded once per change."""
 
@@ -203,11 +218,14 @@
         self.entry = entry
         self.key = NODE_PREFIX + entry.vm
         self.last_lease_key = LAST_LEASE_PREFIX + entry.vm
+        self.left_key = LEFT_PREFIX + entry.vm
         self.lease = 0
         self.recorded_lease = 0
         # Revision of the first write of the entry under the recorded lease.
         self.lease_revision = 0
         self.written_entry: NodeEntry | None = None
+        # The value of a write under way, which the watch may show before its answer.
+        self.pending_value: bytes | None = None
         self.renewed_at = float("-inf")
         # When the lease was last opened or renewed; a write of the entry does not.
         self.lease_renewed_at = float("-inf")
@@ -252,7 +270,7 @@
         if event.key != self.key or self.written_entry is None:
             return
         if isinstance(event, Item):
-            if event.value != self.written_entry.encode():
+            if event.value not in (self.written_entry.encode(), self.pending_value):
                 log.warning("own_entry_overwritten", revision=event.revision)
                 self.written_entry = None
                 # The record may name the lease of the process that wrote the entry.
@@ -315,14 +333,15 @@
             ttl_s = OWNER_LEASE_S if self.is_owner else LEASE_S
             self.lease_renewed_at = boottime()
             self.lease = await self.store.open_lease(ttl_s)
-        entry = self.entry
+        entry, lease = self.entry, self.lease
         value = entry.encode()
         expected = self.mirror.revision_of(self.key)
-        lease_record = encode_lease_record(self.lease)
-        writes = [Write(self.key, value, self.lease)]
-        if self.recorded_lease != self.lease:
-            writes.append(Write(self.last_lease_key, lease_record))
+        is_recorded = self.recorded_lease == lease
+        writes = [Write(self.key, value, lease), *self._left_writes(entry)]
+        if not is_recorded:
+            writes.append(Write(self.last_lease_key, encode_lease_record(lease)))
         transaction = Transaction({self.key: expected}, tuple(writes))
+        self.pending_value = value
         try:
             revision = await self.store.commit(transaction)
         except LeaseEndedError:
@@ -337,15 +356,27 @@
             else:
                 self.mirror.offer(item)
             raise
+        finally:
+            self.pending_value = None
         self.written_entry = entry
-        if self.recorded_lease != self.lease:
+        if not is_recorded:
             self.lease_revision = revision
-            self.mirror.offer(Item(self.last_lease_key, lease_record, revision))
-        self.recorded_lease = self.lease
-        self.mirror.offer(Item(self.key, value, revision, self.lease))
+            self.recorded_lease = lease
+        for write in writes:
+            self.mirror.offer(Item(write.key, write.value, revision, write.lease))
         log.info("entry_written", revision=revision, lease=self.lease)
         written, self.written = self.written, asyncio.Event()
         written.set()
         if self.mirror.revision_of(self.key) != revision:
             # The watch has reported a later removal or write already.
             self._note_entry_lost(self.mirror.revision)
+
+    def _left_writes(self, entry: NodeEntry) -> list[Write]:
+        """Return the write that records that the endpoint has left, if it is needed."""
+        if entry.endpoint is None or not entry.endpoint.has_left:
+            return []
+        value = msgpack.packb(entry.endpoint.incarnation)
+        item = self.mirror.get(self.left_key)
+        if item is not None and item.value == value:
+            return []
+        return [Write(self.left_key, value)]
