--- a/tests/checker/test_checker.py
+++ b/tests/checker/test_checker.py
@@ -114,12 +114,18 @@
     assert _counts(first) == _counts(second)
 
 
-def _counts(output: str) -> str:
-    """Return the totals, without the rate, which differs from run to run.
+def _counts(output: str) -> list[str]:
+    """Return the totals and the failing orders, without the rate of the run.
 
-    How many lines of progress come before them depends on the machine.
+    The progress lines before the totals come at times of the machine's clock.
     """
-    return output.splitlines()[-1].partition("a second, ")[2]
+    lines = output.splitlines()
+    totals = [line for line in lines if " orders, " in line][-1]
+    return [totals.partition("a second, ")[2], *_failing(lines)]
+
+
+def _failing(lines: list[str]) -> list[str]:
+    return [line for line in lines if line.startswith(("failed:", "unhandled:"))]
 
 
 def test_a_replayed_order_prints_its_events():
