--- a/tests/checker/walk_steps.py
+++ b/tests/checker/walk_steps.py
@@ -129,7 +129,7 @@
     if not has_ended:
         return
     since = node.absent(other, world.now).without_lease_since(VMS[other], world.now)
-    lost = lost_owners(node.table, {VMS[n]}, {VMS[other]: since}, world.now)
+    lost = lost_owners(node.table, {VMS[other]: since}, world.now)
     if lost:
         ranges = [r for r in node.table.ranges if r.owner in lost]
         table = _reassigned(node.table, ranges, n, node)
