--- a/tests/coordination/failure_domain.py
+++ b/tests/coordination/failure_domain.py
@@ -1,6 +1,6 @@
-"""The nodes of one failure domain, each with a mirror and a ``ReaderFeed``."""
+"""Nodes in failure domains, each with a mirror and a ``ReaderFeed``."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
@@ -21,6 +21,8 @@
 class Member:
     """One node; ``store`` is its direct access to the store, without relays."""
 
+    entry: NodeEntry
+    pool: PeerPool
     mirror: Mirror
     feed: ReaderFeed
     relayed: RelayedStore
@@ -31,24 +33,55 @@
 async def failure_domain(
     store: MemoryStore, count: int, view_of_store: Callable[[], CoordinationStore]
 ) -> AsyncIterator[list[Member]]:
-    """Run ``count`` nodes on separate loopback addresses; the first is the reader."""
+    """Run the nodes of one failure domain, which relay no calls; see ``fleet``."""
+    async with fleet(store, [count], view_of_store, relays=False) as members:
+        yield members
+
+
+@asynccontextmanager
+async def fleet(
+    store: MemoryStore,
+    sizes: Sequence[int],
+    view_of_store: Callable[[], CoordinationStore],
+    relays: bool = True,
+) -> AsyncIterator[list[Member]]:
+    """Run failure domains of these sizes; the first node of each is its reader.
+
+    Each node has a loopback address of its own. With ``relays``, all nodes may relay
+    calls of the store for each other.
+    """
+    domains = [str(number) for number, size in enumerate(sizes) for _ in range(size)]
     async with AsyncExitStack() as stack:
         pools, entries = [], []
-        for index in range(count):
+        for index, domain in enumerate(domains):
             vm = f"127.0.0.{index + 1}"
             pool = await stack.enter_async_context(PeerPool(new_node_id(vm), KEY))
             address = await pool.listen(Address(vm, 0))
             pools.append(pool)
-            entries.append(NodeEntry(vm, vm, 1, address.port, "a", "r", None))
+            entries.append(NodeEntry(vm, vm, 1, address.port, domain, "r", None))
         for entry in entries:
             await put(store, NODE_PREFIX + entry.vm, entry.encode())
         members = []
         for pool, entry in zip(pools, entries, strict=True):
-            view = view_of_store()
-            relayed = RelayedStore(view, pool, list)
-            mirror = Mirror(relayed)
-            mirror.feed = ReaderFeed(entry, NodeTable(mirror), mirror, relayed)
-            await stack.enter_async_context(mirror)
-            members.append(Member(mirror, mirror.feed, relayed, view))
+            member = create_member(pool, entry, view_of_store(), relays)
+            await stack.enter_async_context(member.mirror)
+            members.append(member)
         await until(lambda: all(member.mirror.in_contact for member in members))
         yield members
+
+
+def create_member(
+    pool: PeerPool, entry: NodeEntry, view: CoordinationStore, relays: bool
+) -> Member:
+    """Create the parts of one node that learn changes of the store."""
+    others: Callable[[], list[NodeEntry]] = list
+    relayed = RelayedStore(view, pool, lambda: others())
+    mirror = Mirror(relayed)
+    nodes = NodeTable(mirror)
+    if relays:
+
+        def others() -> list[NodeEntry]:
+            return [node for node in nodes.nodes.values() if node.vm != entry.vm]
+
+    mirror.feed = ReaderFeed(entry, nodes, mirror, relayed)
+    return Member(entry, pool, mirror, mirror.feed, relayed, view)
