Send no watch into a silence that is known, and bound the peers in time

A watch that another call found to be lost now goes to a peer. While the store counts as lost a direct watch is a probe of 0.4 s, and no further peer is tried after 1.0 s.

--- a/src/sesamepost/internal/coordination/relay.py
+++ b/src/sesamepost/internal/coordination/relay.py
@@ -41,6 +41,11 @@
 RELAYED_WATCH_WAIT_S = 0.5
 RELAYED_WATCH_TIMEOUT_S = 0.9
 MAX_PEERS_TRIED = 3
+# No further peer is tried after this time.
+MAX_RELAY_S = 1.0
+# A watch that is sent while the store may be silent must not wait in that silence.
+PROBE_WAIT_S = 0.1
+PROBE_TIMEOUT_S = 0.4
 
 # The store was reached and answered with these, so no other peer is tried.
 CONCLUSIVE_ERRORS = (ConditionFailedError, HistoryGoneError, LeaseEndedError)
@@ -161,6 +166,8 @@
         self.counters[f"direct_{operation}"] += 1
         if operation != "watch":
             return await perform(self.direct, operation, arguments)
+        if self.is_lost:
+            return await self._probe(arguments)
         wait_s = arguments[-1]
         sent_at = boottime()
         try:
@@ -170,11 +177,22 @@
             if took_s > wait_s:
                 log.info("watch_overdue", reason=str(error), took_s=round(took_s, 2))
                 raise WatchOverdueError(str(error)) from None
-            # A watch may be cut while the store is healthy, so try once more. If the
-            # store is unreachable, the second call fails too.
             log.info("watch_cut", reason=str(error), took_s=round(took_s, 2))
+            if self.is_lost:
+                raise
+            # A watch may be cut while the store is healthy, so try once more.
             return await self._watch_direct(arguments)
 
+    async def _probe(self, arguments: list):
+        """Watch briefly, to learn whether the store answers again."""
+        prefix, after, wait_s = arguments
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                probe = [prefix, after, min(wait_s, PROBE_WAIT_S)]
+                return await perform(self.direct, "watch", probe)
+        except TimeoutError:
+            raise StoreSilentError("the store is still silent") from None
+
     async def _watch_direct(self, arguments: list):
         watch = asyncio.ensure_future(perform(self.direct, "watch", arguments))
         lost_task = asyncio.ensure_future(self.lost_event.wait())
@@ -214,7 +232,10 @@
         random.shuffle(peers)
         # The peer that relayed the last call probably still has contact.
         peers.sort(key=lambda peer: peer.vm != self.preferred_peer)
+        end = boottime() + MAX_RELAY_S
         for peer in peers[:MAX_PEERS_TRIED]:
+            if boottime() >= end:
+                break
             try:
                 return await self._call_through(peer, operation, arguments)
             except CONCLUSIVE_ERRORS:
--- a/tests/coordination/test_relay.py
+++ b/tests/coordination/test_relay.py
@@ -19,6 +19,7 @@
 from sesamepost.internal.identity import new_node_id
 from sesamepost.internal.wire.pool import Address, PeerPool
 from tests.coordination.memory_store import MemoryStore, put
+from tests.coordination.switched_store import CALL_TIMEOUT_S, SwitchedStore
 from tests.waiting import until
 
 KEY = b"k" * 32
@@ -38,6 +39,10 @@
         raise StoreSilentError("no answer")
 
 
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 @asynccontextmanager
 async def two_nodes(first_store, second_store):
     names = ("127.0.0.1", "127.0.0.2")
@@ -223,3 +228,52 @@
 
     def pace(self):
         return self.fixed_pace
+
+
+async def test_a_watch_is_not_sent_again_into_a_known_silence():
+    # Guards against a watch that another call found to be lost and that was then sent
+    # once more into the same silence (CONFIG on trouble-1 of grown Valstock).
+    store = MemoryStore()
+    view = SwitchedStore(store)
+    async with two_nodes(view, store) as (relayed, _, _):
+        watch = asyncio.ensure_future(relayed.watch("", 0, 2.0))
+        await until(lambda: "watch" in view.calls)
+        view.silence()
+        started_at = now()
+        renewal = asyncio.ensure_future(relayed.renew_lease(1))
+        await put(store, "settings", b"new")
+        batch = await watch
+        assert [event.key for event in batch.events] == ["settings"]
+        assert now() - started_at < CALL_TIMEOUT_S + 0.3
+        assert view.calls.count("watch") == 1
+        await asyncio.gather(renewal, return_exceptions=True)
+
+
+async def test_a_watch_does_not_wait_for_a_store_that_was_lost():
+    # Guards against a watch of the whole wait that is sent to find out whether the
+    # store answers again. The node learned nothing meanwhile, though peers could tell.
+    store = MemoryStore()
+    view = SwitchedStore(store)
+    async with two_nodes(view, store) as (relayed, _, _):
+        view.silence()
+        await asyncio.gather(relayed.renew_lease(1), return_exceptions=True)
+        assert not relayed.is_direct
+        await put(store, "settings", b"new")
+        relayed.direct_retry_at = 0.0
+        started_at = now()
+        batch = await relayed.watch("", 0, 2.0)
+        assert [event.key for event in batch.events] == ["settings"]
+        assert now() - started_at < 0.8
+
+
+async def test_the_peers_that_are_tried_are_bounded_in_time():
+    # Guards against three silent peers, each within its limit, that together delay a
+    # call by 2.7 s.
+    async with two_nodes(RejectingStore(), MemoryStore()) as (relayed, _, second):
+        second.handlers.clear()
+        (peer,) = relayed.peers()
+        relayed.peers = lambda: [peer, peer, peer]
+        started_at = now()
+        with pytest.raises(StoreSilentError):
+            await relayed.watch("", 5, 20.0)
+        assert now() - started_at < 2.0
