Date what a node knows from the answer of the store, not from its arrival

Followers of a reader whose answers were under way for long had new settings late, although they reached the store themselves: the reader counted the age of its data from their arrival, passed for fresh and kept its followers. The logged gaps were too short by the same time.

--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -159,19 +159,11 @@
         unanswered_calls = 0
         while True:
             try:
-                sent_at = boottime()
                 if not listed:
-                    batch = await self.store.list(self.prefix)
-                    self._replace(batch)
-                    self._record_confirmation(sent_at, "listing", batch, sent_at)
+                    await self._list()
                     listed = True
-                elif (batch := await self._follow(sent_at)) is not None:
-                    self._apply_batch(batch)
-                else:
-                    batch = await self._watch()
-                    self.has_just_changed = bool(batch.events)
-                    self._apply_batch(batch)
-                    self._record_confirmation(boottime(), "watch", batch, sent_at)
+                elif not await self._follow():
+                    await self._watch()
                 retry_s = RETRY_MIN_S
                 unanswered_calls = 0
                 self._set_contact(True, "")
@@ -194,19 +186,27 @@
                 listed = False
                 await asyncio.sleep(RETRY_MAX_S)
 
-    async def _follow(self, sent_at: float) -> Batch | None:
-        """Return the changes from the feed, or None if the store must be watched."""
+    async def _list(self) -> None:
+        sent_at = boottime()
+        batch = await self.store.list(self.prefix)
+        self._replace(batch)
+        self._record_confirmation(sent_at, "listing", batch, sent_at)
+
+    async def _follow(self) -> bool:
+        """Apply changes from the feed; return whether the store need not be watched."""
         if self.feed is None:
-            return None
+            return False
+        sent_at = boottime()
         followed = await self.feed.follow(self.revision)
         if followed is None:
-            return None
+            return False
         batch, age_s = followed
         self.counters["follows"] += 1
-        self._record_confirmation(boottime() - age_s, "reader", batch, sent_at)
-        return batch
+        self._apply_batch(batch)
+        self._record_confirmation(sent_at - age_s, "reader", batch, sent_at)
+        return True
 
-    async def _watch(self) -> Batch:
+    async def _watch(self) -> None:
         pace = WATCH_PACE if self.feed is None else self.feed.pace()
         if self.has_just_changed:
             await asyncio.sleep(pace.pause_s)
@@ -214,7 +214,12 @@
         self.counters["watches"] += 1
         # Contact is confirmed only when a watch ends, so the first one is short.
         wait_s = pace.wait_s if self.in_contact else FIRST_WATCH_WAIT_S
-        return await self.store.watch(self.prefix, self.revision, wait_s)
+        sent_at = boottime()
+        batch = await self.store.watch(self.prefix, self.revision, wait_s)
+        self.has_just_changed = bool(batch.events)
+        self._apply_batch(batch)
+        as_of = max(sent_at, batch.answered_at)
+        self._record_confirmation(as_of, "watch", batch, sent_at)
 
     def _record_confirmation(
         self, as_of: float, source: str, batch: Batch, sent_at: float
--- a/src/sesamepost/internal/coordination/relay.py
+++ b/src/sesamepost/internal/coordination/relay.py
@@ -324,7 +324,11 @@
             raise StoreRejectedError(
                 "the relaying node has no contact with the store either"
             )
-        return await self._call_direct(operation, arguments)
+        result = await self._call_direct(operation, arguments)
+        if operation == "watch":
+            # Times of this node's clock mean nothing to the peer.
+            return result[:2]
+        return result
 
 
 def _may_be_executed(operation: str, failure: StoreError) -> bool:
@@ -341,7 +345,8 @@
         case "list", [prefix]:
             return encode_batch(await store.list(prefix))
         case "watch", [prefix, after, wait_s]:
-            return encode_batch(await store.watch(prefix, after, wait_s))
+            batch = await store.watch(prefix, after, wait_s)
+            return [*encode_batch(batch), batch.answered_at]
         case "commit", [conditions, writes, deletes]:
             values = tuple(Write(*write) for write in writes)
             return await store.commit(Transaction(conditions, values, tuple(deletes)))
@@ -362,8 +367,8 @@
 
 def decode_batch(array: list) -> Batch:
     """Return the batch that ``encode_batch`` wrote as ``array``."""
-    revision, events = array
-    return Batch(revision, tuple(decode_event(event) for event in events))
+    revision, events, *answered_at = array
+    return Batch(revision, tuple(decode_event(e) for e in events), *answered_at)
 
 
 def _decode_error(reply: StoreReply) -> StoreError:
--- a/src/sesamepost/internal/coordination/store.py
+++ b/src/sesamepost/internal/coordination/store.py
@@ -68,10 +68,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Batch:
-    """The items or changes up to ``revision`` of the store."""
+    """The items or changes up to ``revision`` of the store.
+
+    The store had no later change at ``answered_at`` or before the call was sent,
+    whichever is later. It is a time of ``internal/clock``.
+    """
 
     revision: int
     events: tuple[Item | Deletion, ...]
+    answered_at: float = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesamepost/platform/store.py
+++ b/src/sesamepost/platform/store.py
@@ -6,12 +6,14 @@
 from base64 import b64encode
 from collections import Counter
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 import aiohttp
 import structlog
 from msgspec import Raw, Struct
 from msgspec.json import Decoder
 
+from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.store import (
     Batch,
     ConditionFailedError,
@@ -67,6 +69,15 @@
     events: list[Raw] = []
 
 
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A conclusive response; its head arrived at ``answered_at``."""
+
+    status: int
+    content: bytes
+    answered_at: float
+
+
 _ITEM_DECODER = Decoder(ItemFields)
 _RESPONSE_DECODER = Decoder(ResponseFields)
 
@@ -98,11 +109,11 @@
 
     async def get(self, key: str) -> tuple[Item | None, int]:
         """Return the current item at ``key``, or None, and the store's revision."""
-        status, content = await self._call("GET", "/kv-key", {"key": key})
-        revision = _fields(content, status).at_revision
-        if status == 404:
+        reply = await self._call("GET", "/kv-key", {"key": key})
+        revision = _fields(reply).at_revision
+        if reply.status == 404:
             return None, revision
-        items = _events([content])
+        items = _events([reply.content])
         if not items:
             raise StoreSilentError(f"the item {key} cannot be read")
         return items[0], revision
@@ -113,8 +124,7 @@
         revision = None
         query = {"prefix": prefix}
         while True:
-            status, content = await self._call("GET", "/kv-range", query)
-            fields = _fields(content, status)
+            fields = _fields(await self._call("GET", "/kv-range", query))
             page = _events(fields.items)
             events += page
             if revision is None:
@@ -135,13 +145,12 @@
             "waitMs": str(int(wait_s * 1000)),
         }
         timeout_s = wait_s + WATCH_GRACE_S
-        status, content = await self._call(
-            "GET", "/kv-watch", query, timeout_s=timeout_s
-        )
-        if status == 410:
+        reply = await self._call("GET", "/kv-watch", query, timeout_s=timeout_s)
+        if reply.status == 410:
             raise HistoryGoneError(f"no history after revision {after}")
-        fields = _fields(content, status)
-        return Batch(fields.at_revision, tuple(_events(fields.events)))
+        fields = _fields(reply)
+        events = tuple(_events(fields.events))
+        return Batch(fields.at_revision, events, reply.answered_at)
 
     async def commit(self, transaction: Transaction) -> int:
         """Apply a transaction and return the revision of the change."""
@@ -160,23 +169,23 @@
             ],
             "remove": list(transaction.deletes),
         }
-        status, content = await self._call("POST", "/kv-txn", body=body)
-        if status == 412:
-            items = tuple(_events(_fields(content, status).items))
+        reply = await self._call("POST", "/kv-txn", body=body)
+        if reply.status == 412:
+            items = tuple(_events(_fields(reply).items))
             raise ConditionFailedError(", ".join(transaction.conditions), items)
-        if status == 404:
+        if reply.status == 404:
             raise LeaseEndedError("the lease bound to a written key has ended")
-        return _fields(content, status).revision
+        return _fields(reply).revision
 
     async def open_lease(self, ttl_s: float) -> int:
         """Open a lease and return its id."""
-        status, content = await self._call("POST", "/kv-lease", body={"ttlS": ttl_s})
-        return _fields(content, status).lease
+        reply = await self._call("POST", "/kv-lease", body={"ttlS": ttl_s})
+        return _fields(reply).lease
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease; raise ``LeaseEndedError`` if it has ended."""
-        status, _ = await self._call("POST", f"/kv-keep/{lease}")
-        if status == 404:
+        reply = await self._call("POST", f"/kv-keep/{lease}")
+        if reply.status == 404:
             raise LeaseEndedError(str(lease))
 
     async def end_lease(self, lease: int) -> None:
@@ -190,8 +199,8 @@
         query: dict[str, str] | None = None,
         body: dict | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, bytes]:
-        """Return the status and the content of a conclusive response.
+    ) -> Reply:
+        """Return a conclusive response.
 
         Raise ``StoreRejectedError`` if the call was not executed, and
         ``StoreSilentError`` if its outcome is unknown.
@@ -207,6 +216,7 @@
                 async with self.session.request(
                     method, self.url + path, params=query, data=data, headers=headers
                 ) as response:
+                    answered_at = boottime()
                     content = await self._read(response)
                     status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -215,7 +225,7 @@
             raise StoreRejectedError(f"{method} {path}: status {status}")
         if status not in (200, 404, 410, 412):
             raise StoreSilentError(f"{method} {path}: status {status}: {content[:80]}")
-        return status, content
+        return Reply(status, content, answered_at)
 
     async def _read(self, response: aiohttp.ClientResponse) -> bytes:
         """Return the body; raise ``StoreSilentError`` if it exceeds a limit."""
@@ -237,12 +247,12 @@
         return bytes(content)
 
 
-def _fields(content: bytes, status: int) -> ResponseFields:
+def _fields(reply: Reply) -> ResponseFields:
     """Return the fields of a response; only a refusal may lack them."""
     try:
-        return _RESPONSE_DECODER.decode(content)
+        return _RESPONSE_DECODER.decode(reply.content)
     except (ValueError, RecursionError) as error:
-        if status == 200:
+        if reply.status == 200:
             raise StoreSilentError(f"the response cannot be read: {error}") from None
         return ResponseFields()
 
--- a/tests/coordination/memory_store.py
+++ b/tests/coordination/memory_store.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import suppress
 
+from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.store import (
     Batch,
     ConditionFailedError,
@@ -64,7 +65,7 @@
                     await self.changed.wait()
                     self._check_watch()
         found = self._events_after(prefix, after)
-        return Batch(self.revision, tuple(found))
+        return Batch(self.revision, tuple(found), boottime())
 
     async def commit(self, transaction: Transaction) -> int:
         self._check()
--- /dev/null
+++ b/tests/platform/test_store_calls.py
@@ -0,0 +1,63 @@
+"""Tests of ``PlatformStore`` on slow links and on connections that fall silent."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+from sesamepost.internal.clock import boottime
+from sesamepost.platform.store import PlatformStore
+
+PARTS = 10
+PART_INTERVAL_S = 0.15
+
+
+def encoded_response(**fields) -> bytes:
+    body = json.dumps(fields).encode()
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+@asynccontextmanager
+async def store_of(answer: Callable) -> AsyncIterator[PlatformStore]:
+    """Run a server that calls ``answer(number, writer)`` for each request.
+
+    ``number`` counts the connections from 0.
+    """
+    writers = []
+
+    async def serve(reader, writer):
+        number = len(writers)
+        writers.append(writer)
+        while await reader.readuntil(b"\r\n\r\n"):
+            await answer(number, writer)
+
+    async def serve_quietly(reader, writer):
+        try:
+            await serve(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    server = await asyncio.start_server(serve_quietly, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    async with PlatformStore(f"http://127.0.0.1:{port}") as store:
+        yield store
+    server.close()
+    for writer in writers:
+        writer.close()
+
+
+async def test_the_answer_to_a_watch_dates_from_its_head():
+    # Guards against data that count as recent although they were under way for long.
+    response = encoded_response(events=[], atRevision=7)
+
+    async def answer(number, writer):
+        await asyncio.sleep(0.2)
+        writer.write(response[:-5])
+        await asyncio.sleep(0.3)
+        writer.write(response[-5:])
+
+    async with store_of(answer) as store:
+        sent_at = boottime()
+        batch = await store.watch("x/", 3, 0.5)
+        assert 0.15 < batch.answered_at - sent_at < 0.4 < boottime() - sent_at
