Let a listing go on while its parts arrive

A page of a listing may have 1 MB, a call 0.8 s, and a link 5 or 10 Mbit/s: the page could not arrive in time, and each try transferred it again. A node that had fallen behind, or that started, then never caught up.

A listing or a watch goes on for up to 3 s while a part arrives every 0.4 s.

--- a/src/sesamepost/platform/store.py
+++ b/src/sesamepost/platform/store.py
@@ -28,6 +28,10 @@
 from sesamepost.platform.connector import BoundedConnector
 
 CALL_TIMEOUT_S = 0.8
+# A listing or a watch goes on after its timeout while parts of its response arrive,
+# each within this time of the one before. A repeated call would transfer them again.
+PART_TIMEOUT_S = 0.4
+MAX_TRANSFER_S = 3.0
 # The store answers a watch at most this long after its wait has ended.
 WATCH_GRACE_S = 1.0
 # TCP keepalive detects dead connections on which a watch is waiting.
@@ -124,7 +128,8 @@
         revision = None
         query = {"prefix": prefix}
         while True:
-            fields = _fields(await self._call("GET", "/kv-range", query))
+            reply = await self._call("GET", "/kv-range", query, is_bulk=True)
+            fields = _fields(reply)
             page = _events(fields.items)
             events += page
             if revision is None:
@@ -145,7 +150,9 @@
             "waitMs": str(int(wait_s * 1000)),
         }
         timeout_s = wait_s + WATCH_GRACE_S
-        reply = await self._call("GET", "/kv-watch", query, timeout_s=timeout_s)
+        reply = await self._call(
+            "GET", "/kv-watch", query, timeout_s=timeout_s, is_bulk=True
+        )
         if reply.status == 410:
             raise HistoryGoneError(f"no history after revision {after}")
         fields = _fields(reply)
@@ -199,6 +206,7 @@
         query: dict[str, str] | None = None,
         body: dict | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        is_bulk: bool = False,
     ) -> Reply:
         """Return a conclusive response.
 
@@ -212,12 +220,12 @@
             data = json.dumps(body, separators=(",", ":")).encode()
             headers["Content-Type"] = "application/json"
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
                 async with self.session.request(
                     method, self.url + path, params=query, data=data, headers=headers
                 ) as response:
                     answered_at = boottime()
-                    content = await self._read(response)
+                    content = await self._read(response, limit if is_bulk else None)
                     status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise StoreSilentError(f"{method} {path}: {error!r}") from None
@@ -227,11 +235,21 @@
             raise StoreSilentError(f"{method} {path}: status {status}: {content[:80]}")
         return Reply(status, content, answered_at)
 
-    async def _read(self, response: aiohttp.ClientResponse) -> bytes:
-        """Return the body; raise ``StoreSilentError`` if it exceeds a limit."""
+    async def _read(
+        self, response: aiohttp.ClientResponse, limit: asyncio.Timeout | None
+    ) -> bytes:
+        """Return the body; raise ``StoreSilentError`` if it exceeds a limit of bytes.
+
+        ``limit`` is the time limit to be moved while parts arrive.
+        """
         content = bytearray()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + MAX_TRANSFER_S
         try:
             async for part in response.content.iter_any():
+                if limit is not None:
+                    part_end = min(loop.time() + PART_TIMEOUT_S, end)
+                    limit.reschedule(max(limit.when(), part_end))
                 content += part
                 self.bytes_in_flight += len(part)
                 if (
--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -5,8 +5,11 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
+import pytest
+
 from sesamepost.internal.clock import boottime
-from sesamepost.platform.store import PlatformStore
+from sesamepost.internal.coordination.store import StoreSilentError
+from sesamepost.platform.store import CALL_TIMEOUT_S, PlatformStore
 
 PARTS = 10
 PART_INTERVAL_S = 0.15
@@ -47,6 +50,33 @@
         writer.close()
 
 
+async def test_a_listing_goes_on_while_its_parts_arrive():
+    # Guards against listings that begin anew after each 0.8 s: over a narrow link a
+    # page takes longer, so a node that had fallen behind never caught up.
+    response = encoded_response(items=[], atRevision=7)
+
+    async def answer(number, writer):
+        for part in range(PARTS):
+            first = part * len(response) // PARTS
+            writer.write(response[first : (part + 1) * len(response) // PARTS])
+            await asyncio.sleep(PART_INTERVAL_S)
+
+    assert PARTS * PART_INTERVAL_S > CALL_TIMEOUT_S
+    async with store_of(answer) as store:
+        assert (await store.list("x/")).revision == 7
+
+
+async def test_a_listing_whose_parts_cease_fails_soon():
+    async def answer(number, writer):
+        writer.write(encoded_response(items=[], atRevision=7)[:-3])
+
+    async with store_of(answer) as store:
+        started_at = boottime()
+        with pytest.raises(StoreSilentError):
+            await store.list("x/")
+        assert boottime() - started_at < CALL_TIMEOUT_S + 0.5
+
+
 async def test_the_answer_to_a_watch_dates_from_its_head():
     # Guards against data that count as recent although they were under way for long.
     response = encoded_response(events=[], atRevision=7)
