Close idle connections to the store after a silent call

Connections may fall silent for good while new ones work. Calls then ran into their time limit one after the other, each on another kept connection.

A call without any answer now closes the connections on which no call waits. The new test (four kept connections fall silent, the next call but one succeeds) failed before and passes.

--- a/src/sesamepost/platform/connector.py
+++ b/src/sesamepost/platform/connector.py
@@ -34,3 +34,10 @@
     def __init__(self, **options) -> None:
         super().__init__(**options)
         self._factory = partial(BoundedResponses, loop=self._loop)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no call waits for a response."""
+        for connections in self._conns.values():
+            for protocol, _ in connections:
+                protocol.abort()
+        self._conns.clear()
--- a/src/sesamepost/platform/store.py
+++ b/src/sesamepost/platform/store.py
@@ -219,6 +219,7 @@
         if body is not None:
             data = json.dumps(body, separators=(",", ":")).encode()
             headers["Content-Type"] = "application/json"
+        answered_at = None
         try:
             async with asyncio.timeout(timeout_s) as limit:
                 async with self.session.request(
@@ -228,6 +229,9 @@
                     content = await self._read(response, limit if is_bulk else None)
                     status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            if answered_at is None:
+                # The other connections may have fallen silent as well.
+                self.session.connector.close_idle()
             raise StoreSilentError(f"{method} {path}: {error!r}") from None
         if status in REJECTED_STATUSES:
             raise StoreRejectedError(f"{method} {path}: status {status}")
--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -91,3 +91,22 @@
         sent_at = boottime()
         batch = await store.watch("x/", 3, 0.5)
         assert 0.15 < batch.answered_at - sent_at < 0.4 < boottime() - sent_at
+
+
+async def test_a_silent_call_closes_the_idle_connections():
+    # Guards against calls that time out one after the other, each on another kept
+    # connection that has fallen silent for good.
+    silent_since = 4
+
+    async def answer(number, writer):
+        if number >= silent_since or not is_silent:
+            await asyncio.sleep(0.05)
+            writer.write(encoded_response(items=[], atRevision=7))
+
+    is_silent = False
+    async with store_of(answer) as store:
+        await asyncio.gather(*(store.list("x/") for _ in range(silent_since)))
+        is_silent = True
+        with pytest.raises(StoreSilentError):
+            await store.list("x/")
+        assert (await store.list("x/")).revision == 7
