Check more often while an owner is absent

Traced: 5.6 s from the end of the lease to the write of the range table, of which the hold and its slack are 5.4 s.

A check comes each 0.05 s while an owner is absent. No rule changes.

--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -28,6 +28,8 @@
 from sesamepost.internal.tasks import PeriodicTask
 
 CHECK_INTERVAL_S = 0.2
+# While an owner is absent: several checks in a row delay the service of its keys.
+ABSENT_CHECK_INTERVAL_S = 0.05
 # Nodes that start together should all be known when the first table is made.
 SETTLE_S = 0.8
 MAX_SETTLE_S = 4.0
@@ -67,8 +69,6 @@
 class Takeover(PeriodicTask):
     """Reassigns the ranges of a partitioned service that have no live owner."""
 
-    interval_s = CHECK_INTERVAL_S
-
     def __init__(
         self, vm: str, tables: TableStore, nodes: NodeTable, mirror: Mirror
     ) -> None:
@@ -92,6 +92,11 @@
         self.logged_lost: set[Owner] = set()
         self.on_assigned: Callable[[], None] = lambda: None
 
+    @property
+    def interval_s(self) -> float:
+        """The time between two checks."""
+        return ABSENT_CHECK_INTERVAL_S if self.absent.records else CHECK_INTERVAL_S
+
     async def __aexit__(self, *error) -> None:
         await super().__aexit__(*error)
         if self.ending is not None:
