--- a/tests/checker/checker.py
+++ b/tests/checker/checker.py
@@ -7,6 +7,7 @@
 
 import argparse
 import os
+import signal
 import sys
 import time
 from dataclasses import dataclass, field
@@ -183,6 +184,8 @@
 def main(arguments: list[str]) -> int:
     """Run the command and return its exit code."""
     options = parse_arguments(arguments)
+    # A shell starts background commands with the signal ignored.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     if options.replay is not None:
         return int(replay(options.replay, options.nodes, options.by_heartbeat))
     tally = check(options.seed, options.orders, options.nodes, options.by_heartbeat)
--- a/tests/checker/test_checker.py
+++ b/tests/checker/test_checker.py
@@ -95,8 +95,20 @@
     assert not output
 
 
-def test_an_interrupted_run_prints_what_was_run():
-    """The result of a long run could be lost with Ctrl-C."""
+@pytest.mark.parametrize("handler", [signal.SIG_DFL, signal.SIG_IGN])
+def test_an_interrupted_run_prints_what_was_run(handler):
+    """The result of a long run could be lost with Ctrl-C, also in the background.
+
+    A shell starts background commands with the signal ignored, which they inherit.
+    """
+    previous = signal.signal(signal.SIGINT, handler)
+    try:
+        check_interrupted_run()
+    finally:
+        signal.signal(signal.SIGINT, previous)
+
+
+def check_interrupted_run() -> None:
     process = start_checker("--orders", "100000")
     while " orders, " not in process.stdout.readline():
         assert process.poll() is None
