--- a/tests/checker/checker.py
+++ b/tests/checker/checker.py
@@ -97,24 +97,41 @@
     return {f"node {vm_of(number - 1)}" for number in numbers}
 
 
+class Interruption:
+    """Notes an interrupt signal, so that the order under way can end.
+
+    A second signal interrupts at once. The handler is also needed because a shell
+    starts background commands with the signal ignored.
+    """
+
+    def __init__(self) -> None:
+        self.is_requested = False
+        signal.signal(signal.SIGINT, self._note_signal)
+
+    def _note_signal(self, number, frame) -> None:
+        self.is_requested = True
+        signal.signal(signal.SIGINT, signal.default_int_handler)
+
+
 def check(seed: int, orders: int, nodes: int, by_heartbeat: bool) -> Tally:
     """Run orders, print the progress and each failure, and return what was seen."""
     tally = Tally()
+    interruption = Interruption()
     began = printed = time.monotonic()
-    try:
-        for number in range(orders):
-            order = draw_order(order_seed(seed, number), nodes, by_heartbeat)
+    for number in range(orders):
+        order = draw_order(order_seed(seed, number), nodes, by_heartbeat)
+        with no_logs():
+            outcome = run_order(order)
+        tally.add(order.seed, outcome)
+        if outcome.has_failed and len(tally.failed) <= MAX_SHORTENED:
             with no_logs():
-                outcome = run_order(order)
-            tally.add(order.seed, outcome)
-            if outcome.has_failed and len(tally.failed) <= MAX_SHORTENED:
-                with no_logs():
-                    report_failure(order)
-            if time.monotonic() - printed >= PROGRESS_INTERVAL_S:
-                printed = time.monotonic()
-                _print_progress(tally, printed - began)
-    except KeyboardInterrupt:
-        print("interrupted", flush=True)
+                report_failure(order)
+        if interruption.is_requested:
+            print("interrupted", flush=True)
+            break
+        if time.monotonic() - printed >= PROGRESS_INTERVAL_S:
+            printed = time.monotonic()
+            _print_progress(tally, printed - began)
     _print_progress(tally, time.monotonic() - began)
     for failed_seed, rule in tally.failed:
         print(f"failed: {failed_seed} {rule}", flush=True)
@@ -184,8 +201,6 @@
 def main(arguments: list[str]) -> int:
     """Run the command and return its exit code."""
     options = parse_arguments(arguments)
-    # A shell starts background commands with the signal ignored.
-    signal.signal(signal.SIGINT, signal.default_int_handler)
     if options.replay is not None:
         return int(replay(options.replay, options.nodes, options.by_heartbeat))
     tally = check(options.seed, options.orders, options.nodes, options.by_heartbeat)
