Bound how late the answer to a watch may be dated

The head of an answer may be under way for long as well, in the queue of a link or in the buffer of a process that stands still. It then counted as recent from its arrival, which is what was to end.

The store answers a watch at the end of its wait at the latest, so knowledge dates from then and 0.1 s at most. The new test (an answer 1.0 s under way) fails before and passes.

--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -32,6 +32,8 @@
 UNANSWERED_CALLS_BEFORE_LISTING = 2
 # Exceeds the number of node entries in the largest fleet.
 MAX_DELETIONS = 4096
+# Of a call and the head of its response together.
+MAX_TRANSIT_S = 0.1
 # A longer gap between two confirmations of the data may delay new settings.
 LONG_GAP_S = 2.0
 
@@ -218,7 +220,9 @@
         batch = await self.store.watch(self.prefix, self.revision, wait_s)
         self.has_just_changed = bool(batch.events)
         self._apply_batch(batch)
-        as_of = max(sent_at, batch.answered_at)
+        # What arrives later than this was under way, or waited for this process.
+        latest = sent_at + wait_s + MAX_TRANSIT_S
+        as_of = max(sent_at, min(batch.answered_at, latest))
         self._record_confirmation(as_of, "watch", batch, sent_at)
 
     def _record_confirmation(
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -1,8 +1,12 @@
 """Tests of ``Mirror``: lost history, failures and own writes."""
 
+import asyncio
+from dataclasses import replace
+
 from structlog.testing import capture_logs
 
-from sesamepost.internal.coordination.mirror import LONG_GAP_S, Mirror
+from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.mirror import LONG_GAP_S, WATCH_PACE, Mirror
 from sesamepost.internal.coordination.store import (
     HistoryGoneError,
     Item,
@@ -93,3 +97,25 @@
     assert line["source"] == "watch"
     assert line["events"] == 1
     assert line["gap_s"] > LONG_GAP_S
+
+
+class DelayedStore(MemoryStore):
+    """Answers watches whose responses arrive, with their heads, ``DELAY_S`` late."""
+
+    DELAY_S = 1.0
+
+    async def watch(self, prefix, after, wait_s):
+        batch = await super().watch(prefix, after, wait_s)
+        await asyncio.sleep(self.DELAY_S)
+        return replace(batch, answered_at=boottime())
+
+
+async def test_a_response_that_was_under_way_for_long_does_not_count_as_recent():
+    # Guards against a reader that keeps its followers although its knowledge is old: a
+    # queue on the link, or a freeze of the process, delays the whole response.
+    async with Mirror(DelayedStore()) as mirror:
+        await until(lambda: mirror.has_listed)
+        listed_at = mirror.confirmed_at
+        await until(lambda: mirror.confirmed_at > listed_at)
+        assert boottime() - mirror.confirmed_at >= DelayedStore.DELAY_S - 0.2
+        assert mirror.confirmed_at <= listed_at + WATCH_PACE.wait_s + 0.2
