--- a/tests/checker/checker.py
+++ b/tests/checker/checker.py
@@ -164,7 +164,8 @@
     return outcome.has_failed
 
 
-def _number(text: str, least: int, most: int) -> int:
+def number_between(text: str, least: int, most: int) -> int:
+    """Return the number that an argument names, or raise the error of its parser."""
     try:
         number = int(text)
     except ValueError:
@@ -186,12 +187,14 @@
 def parse_arguments(arguments: list[str]) -> argparse.Namespace:
     """Return the checked arguments; exit with code 2 and a line if one is wrong."""
     parser = argparse.ArgumentParser(prog="python -m tests.checker.checker")
-    parser.add_argument("--seed", type=lambda t: _number(t, 0, MAX_SEED), default=1)
     parser.add_argument(
-        "--orders", type=lambda t: _number(t, 1, MAX_ORDERS), default=1000
+        "--seed", type=lambda t: number_between(t, 0, MAX_SEED), default=1
     )
     parser.add_argument(
-        "--nodes", type=lambda t: _number(t, MIN_NODES, MAX_NODES), default=2
+        "--orders", type=lambda t: number_between(t, 1, MAX_ORDERS), default=1000
+    )
+    parser.add_argument(
+        "--nodes", type=lambda t: number_between(t, MIN_NODES, MAX_NODES), default=2
     )
     parser.add_argument("--by-heartbeat", action="store_true")
     parser.add_argument("--replay", type=_replay_seed, metavar="SEED")
--- a/tests/checker/loop.py
+++ b/tests/checker/loop.py
@@ -225,6 +225,10 @@
         """Connect to a listener of the simulated network."""
         return await self.network.connect(factory, host, port)
 
+    async def create_server(self, factory, host, port):
+        """Listen in the running process at a host of the simulated network."""
+        return self.network.listen(factory, host, port)
+
     def spawn_outside(self, work) -> None:
         """Run a coroutine that belongs to no process."""
         task = self.create_task(work, context=Context())
--- a/tests/checker/network.py
+++ b/tests/checker/network.py
@@ -43,6 +43,10 @@
     def set_write_buffer_limits(self, high=None, low=None) -> None:
         """Accept any limit; nothing is buffered here."""
 
+    def get_write_buffer_size(self) -> int:
+        """Return 0, as nothing is buffered here."""
+        return 0
+
     def pause_reading(self) -> None:
         """Accept the call; messages here are short."""
 
@@ -147,6 +151,23 @@
     is_closed: bool = False
 
 
+class ListeningServer:
+    """Stands in for the server and for the socket that an event loop returns."""
+
+    def __init__(self, listener: Listener, address: tuple[str, int]) -> None:
+        self.listener = listener
+        self.address = address
+        self.sockets = [self]
+
+    def getsockname(self) -> tuple[str, int]:
+        """Return the host and the port."""
+        return self.address
+
+    def close(self) -> None:
+        """Refuse connections from now on."""
+        self.listener.is_closed = True
+
+
 class Network:
     """The listeners and connections of an order."""
 
@@ -167,6 +188,12 @@
         """Return the link to a host."""
         return self.links.setdefault(host, Link())
 
+    def listen(self, factory, host: str, port: int) -> "ListeningServer":
+        """Let the running process serve a host; a host has one port here."""
+        listener = Listener(PROCESS.get(), factory)
+        self.listeners[host] = listener
+        return ListeningServer(listener, (host, port))
+
     async def connect(self, factory, host: str, port: int):
         """Open a connection from the running process to an address."""
         process = PROCESS.get()
