Let the reader of a test be slow only once its followers follow

Since knowledge dates from the store's answer such a reader rejects its followers most of the time, so the wait may take over 10 s.

--- a/tests/coordination/test_news_in_time.py
+++ b/tests/coordination/test_news_in_time.py
@@ -112,13 +112,15 @@
 
 
 class LateStore(SwitchedStore):
-    """Answers watches, but the answers are ``UNDER_WAY_S`` under way."""
+    """Answers watches; the answers are ``UNDER_WAY_S`` under way once ``is_late``."""
 
     UNDER_WAY_S = 0.9
+    is_late = False
 
     async def watch(self, prefix, after, wait_s):
         batch = await super().watch(prefix, after, wait_s)
-        await asyncio.sleep(self.UNDER_WAY_S)
+        if self.is_late:
+            await asyncio.sleep(self.UNDER_WAY_S)
         return batch
 
 
@@ -138,6 +140,7 @@
     views = iter([LateStore(store), *(SwitchedStore(store) for _ in range(5))])
     async with fleet(store, [MIN_GROUP_NODES], lambda: next(views)) as members:
         await until(lambda: followers_follow(members))
+        members[0].store.is_late = True
         changes = asyncio.ensure_future(change_often(store))
         try:
             await asyncio.sleep(2.0 + offset_s)
