--- a/tests/ranges/test_removed_entries.py
+++ b/tests/ranges/test_removed_entries.py
@@ -55,6 +55,17 @@
     return registration
 
 
+async def known_to_b(store: MemoryStore) -> tuple[NodeTable, TableStore]:
+    """Return what B knows: both nodes, and a table in which both own keys."""
+    mirror = Mirror(store)
+    nodes, tables = NodeTable(mirror), TableStore(store, mirror, "desk")
+    await put_and_mirror(store, mirror, nodes.node_key(B.vm), entry(B).encode())
+    mirror._replace(await store.list(""))
+    mirror.in_contact = True
+    await tables.change("test", lambda table: new_table([A, B]))
+    return nodes, tables
+
+
 async def renew(registration: Registration) -> None:
     """Renew the lease if the store still knows it; it rejects all writes."""
 
@@ -70,12 +81,8 @@
     """Remove the entry of A while a takeover runs; return when its ranges are B's."""
     store = RemovingStore()
     registration = await registered(store)
-    mirror = Mirror(store)
-    nodes, tables = NodeTable(mirror), TableStore(store, mirror, "desk")
-    await put_and_mirror(store, mirror, nodes.node_key(B.vm), entry(B).encode())
-    mirror._replace(await store.list(""))
-    mirror.in_contact = True
-    await tables.change("test", lambda table: new_table([A, B]))
+    nodes, tables = await known_to_b(store)
+    mirror = tables.mirror
     async with Takeover(B.vm, tables, nodes, mirror) as takeover:
         # Only the first node in the order of names acts without a delay.
         takeover._rank = lambda: 0
@@ -102,12 +109,8 @@
     # Others counted the longest hold from the removal.
     store = RemovingStore()
     registration = await registered(store)
-    mirror = Mirror(store)
-    nodes, tables = NodeTable(mirror), TableStore(store, mirror, "desk")
-    await put_and_mirror(store, mirror, nodes.node_key(B.vm), entry(B).encode())
-    mirror._replace(await store.list(""))
-    mirror.in_contact = True
-    await tables.change("test", lambda table: new_table([A, B]))
+    nodes, tables = await known_to_b(store)
+    mirror = tables.mirror
     takeover = Takeover(B.vm, tables, nodes, mirror)
     mirror._apply(store.remove(registration.key), boottime())
     removed_at = boottime()
