Decode what hard load needs: cold times, allowed regions, downloads, link rate

Cause: the fields that the parts of hard load are based on were not read. Change: routes have allowed regions, services a cold start and the rate that they tolerate then, node settings descriptors and the rate of the link, heartbeats the cold time. Requests of the kind download are retryable, as safe ones are. The prefix of evacuations and the names of two headers are passed to the node; nothing decides by them yet.

--- a/src/sesamepost/internal/forwarding/endpoint.py
+++ b/src/sesamepost/internal/forwarding/endpoint.py
@@ -81,6 +81,7 @@
         self.demand_s = {w: DecayingSum(w) for w in BUSY_WINDOWS_S}
         self.start_futures: dict[int, asyncio.Future] = {}
         self.next_ticket = 0
+        self.cold_until = 0.0
         # A stopping node must have the answers to all requests by this time.
         self.latest_deadline = float("inf")
         self.failure_share = 0.0
@@ -111,6 +112,11 @@
         if slots == 0:
             self._reject_queue()
 
+    def note_cold(self, incarnation: tuple[str, int], cold_s: float) -> None:
+        """Record that this run of the endpoint says it stays cold for ``cold_s``."""
+        if self.info is not None and self.info.incarnation == incarnation:
+            self.cold_until = boottime() + cold_s
+
     def hint(self) -> LoadHint:
         """Return the current load as a message to other nodes."""
         gate = self.gate
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -70,7 +70,8 @@
 
     ``settings_key`` is the key of the operator's settings in the store.
     ``decode_routing`` decodes their value into routing settings, or returns None if it
-    is invalid.
+    is invalid. A key of the store that consists of ``evacuation_prefix`` and the name
+    of a failure domain evacuates that domain; there are none if it is empty.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         names: HeaderNames,
         settings_key: str,
         decode_routing: Callable[[bytes], RoutingSettings | None],
+        evacuation_prefix: str = "",
     ) -> None:
         self.settings = settings
         self.direct_store = store
@@ -88,6 +90,7 @@
         self.names = names
         self.settings_key = settings_key
         self.decode_routing = decode_routing
+        self.evacuation_prefix = evacuation_prefix
         self.id = new_node_id(settings.vm)
         self.index: RouteIndex | None = None
         self.is_stopping = False
--- a/src/sesamepost/internal/forwarding/node_settings.py
+++ b/src/sesamepost/internal/forwarding/node_settings.py
@@ -13,7 +13,8 @@
     ``max_hold_s`` limits how long a hold lasts, ``heartbeat_interval_s`` is the time
     between two heartbeats of the endpoint, and ``stop_timeout_s`` is the time from
     SIGTERM until the process is killed. A process that uses more than ``memory_bytes``
-    is killed.
+    is killed, ``file_descriptors`` bounds its open files and sockets, and the link of
+    its VM carries ``link_bytes_per_s`` in each direction.
     """
 
     name: str
@@ -32,3 +33,5 @@
     heartbeat_interval_s: float
     stop_timeout_s: float
     memory_bytes: int
+    file_descriptors: int = 4096
+    link_bytes_per_s: float = 125e6
--- a/src/sesamepost/internal/forwarding/protocol_names.py
+++ b/src/sesamepost/internal/forwarding/protocol_names.py
@@ -9,7 +9,9 @@
 
     An endpoint sets ``not_run`` if it refused a request without running it.
     ``caller_service`` names the service of the local endpoint of the node that received
-    the request, and ``expected_endpoint`` the only endpoint that may run it.
+    the request, and ``expected_endpoint`` the only endpoint that may run it. In
+    ``load``, an endpoint tells its load with each response, and in ``cold_ms`` for how
+    many milliseconds it stays cold.
     """
 
     request_id: str
@@ -19,3 +21,5 @@
     expected_endpoint: str
     key: str
     endpoint_id: str
+    load: str = ""
+    cold_ms: str = ""
--- a/src/sesamepost/internal/forwarding/routes.py
+++ b/src/sesamepost/internal/forwarding/routes.py
@@ -17,7 +17,8 @@
     """The rules for requests whose path starts with ``prefix``.
 
     ``timeout_s`` is 0 if there is no timeout. ``target_latency_s`` is the time within
-    which an answer has its full value. ``priority`` 0 is the most urgent.
+    which an answer has its full value. ``priority`` 0 is the most urgent. Its
+    requests run, and their bodies are stored, only in ``allowed_regions``, if any.
     """
 
     name: str
@@ -29,6 +30,7 @@
     max_endpoints: int
     priority: int
     shares: tuple[Share, ...]
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +38,8 @@
     """A service of the operator; it is partitioned if its keys have owners.
 
     With ``grants_by_heartbeat``, its endpoints take keys only with the answers to their
-    heartbeats.
+    heartbeats. An endpoint is cold for ``cold_start_s`` after its start. While it is
+    cold, it tolerates ``cold_requests_per_s``, or any number if that is 0.
     """
 
     name: str
@@ -44,6 +47,8 @@
     max_connections: int
     health_path: str
     grants_by_heartbeat: bool = False
+    cold_start_s: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesamepost/platform/control_plane.py
+++ b/src/sesamepost/platform/control_plane.py
@@ -5,7 +5,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from functools import partial
-from typing import Annotated
+from typing import Annotated, Any
 
 import structlog
 from aiohttp import web
@@ -33,6 +33,7 @@
 )
 
 MAX_REPORTED_RANGES = 4096
+MAX_COLD_S = 600.0
 # A heartbeat with the largest number of ranges and of tokens has about 400 KB.
 MAX_MESSAGE_BYTES = 512 << 10
 
@@ -62,11 +63,16 @@
     slots: Slots
 
 
-class StatusFields(Struct):
-    """What a worker says about itself; ``sequence`` rises with each heartbeat."""
+class StatusFields(Struct, rename="camel"):
+    """What a worker says about itself; ``sequence`` rises with each heartbeat.
+
+    ``cold_remaining_s`` is the time for which it stays cold. A value that is not a
+    valid time counts as none.
+    """
 
     state: Name
     sequence: Count
+    cold_remaining_s: Any = 0.0
 
 
 class HeartbeatFields(Struct, rename="camel"):
@@ -105,6 +111,7 @@
 
     endpoint: EndpointInfo
     sequence: int
+    cold_s: float
     held: tuple[HeldRange, ...]
     released: tuple[ReleasedRange, ...]
 
@@ -138,11 +145,19 @@
     return Heartbeat(
         endpoint,
         fields.status.sequence,
+        _cold_s(fields.status.cold_remaining_s),
         tuple(HeldRange(*row) for row in fields.holds),
         tuple(ReleasedRange(*row) for row in fields.released),
     )
 
 
+def _cold_s(value: Any) -> float:
+    """Return for how long a worker stays cold, 0 if ``value`` is no valid time."""
+    if type(value) not in (int, float) or not 0 <= value <= MAX_COLD_S:
+        return 0.0
+    return float(value)
+
+
 def encode_order(order: HoldOrder | None) -> dict:
     """Return the fields of the answer to a heartbeat; without holds it renews none."""
     if order is None:
@@ -229,6 +244,7 @@
         order = await self.node.ownership.answer_heartbeat(
             heartbeat.endpoint, heartbeat.sequence, report
         )
+        self.node.local.note_cold(heartbeat.endpoint.incarnation, heartbeat.cold_s)
         if not heartbeat.endpoint.is_ready:
             await self._publish_leave()
         self.answered_on = request.transport
--- a/src/sesamepost/platform/main.py
+++ b/src/sesamepost/platform/main.py
@@ -24,7 +24,12 @@
 from sesamepost.internal.telemetry.logs import NonBlockingOutput, configure_logs
 from sesamepost.platform.control_plane import ControlPlane
 from sesamepost.platform.endpoint_commands import WorkerCommands
-from sesamepost.platform.names import HEADERS, OPERATOR_KEY, SETTINGS_VARIABLE
+from sesamepost.platform.names import (
+    EVACUATION_PREFIX,
+    HEADERS,
+    OPERATOR_KEY,
+    SETTINGS_VARIABLE,
+)
 from sesamepost.platform.routing import decode_routing
 from sesamepost.platform.settings import SettingsError, read_settings
 from sesamepost.platform.store import PlatformStore
@@ -49,7 +54,15 @@
         commands = await stack.enter_async_context(
             WorkerCommands(settings.endpoint_address)
         )
-        node = Node(settings, store, commands, HEADERS, OPERATOR_KEY, decode_routing)
+        node = Node(
+            settings,
+            store,
+            commands,
+            HEADERS,
+            OPERATOR_KEY,
+            decode_routing,
+            EVACUATION_PREFIX,
+        )
         await stack.enter_async_context(node)
         loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
         await stack.enter_async_context(ControlPlane(node))
--- a/src/sesamepost/platform/names.py
+++ b/src/sesamepost/platform/names.py
@@ -10,11 +10,15 @@
     expected_endpoint="Expected-Instance",
     key="Shard-Key",
     endpoint_id="Instance-Id",
+    load="Server-Load",
+    cold_ms="Cold-Milliseconds",
 )
 HANDOVER_HEADER = "Handover"
 
 SETTINGS_VARIABLE = "SESAMEPOST_BOOT"
 OPERATOR_KEY = "op/config"
+# The rest of such a key names a zone whose workers are to get no requests.
+EVACUATION_PREFIX = "op/evacuate/"
 
 READY_PATH = "/readiness"
 METRICS_PATH = "/metrics"
--- a/src/sesamepost/platform/routing.py
+++ b/src/sesamepost/platform/routing.py
@@ -13,10 +13,12 @@
     Service,
     Share,
 )
-from sesamepost.internal.limits import Count
+from sesamepost.internal.limits import Count, Name
 
-# Requests of this kind may be executed more than once.
-RETRYABLE_KIND = "safe"
+# Requests of these kinds may be executed more than once. Responses of downloads are
+# large.
+DOWNLOAD_KIND = "download"
+RETRYABLE_KINDS = frozenset({"safe", DOWNLOAD_KIND})
 # Workers of such a service take their keys with the answers to their heartbeats.
 GRANTS_BY_HEARTBEAT = "heartbeat"
 
@@ -47,6 +49,7 @@
     target_latency_s: Seconds = 0.0
     max_attempts: Count = 1
     priority: Count = 0
+    allowed_regions: list[Name] = []
 
 
 class HostFields(Struct):
@@ -64,6 +67,8 @@
     max_connections: Count = 100
     health_check_path: str = "/health"
     grants: str = ""
+    cold_start_s: Seconds = 0.0
+    cold_per_s: Weight = 0.0
 
 
 _DEFAULTS = Limits()
@@ -129,12 +134,13 @@
         name=path.name,
         host=host,
         prefix=path.prefix,
-        is_retryable=path.kind == RETRYABLE_KIND,
+        is_retryable=path.kind in RETRYABLE_KINDS,
         timeout_s=path.timeout_s,
         target_latency_s=path.target_latency_s,
         max_endpoints=path.max_attempts,
         priority=path.priority,
         shares=shares,
+        allowed_regions=frozenset(path.allowed_regions),
     )
 
 
@@ -145,4 +151,6 @@
         fields.max_connections,
         fields.health_check_path,
         fields.grants == GRANTS_BY_HEARTBEAT,
+        fields.cold_start_s,
+        fields.cold_per_s,
     )
--- a/src/sesamepost/platform/settings.py
+++ b/src/sesamepost/platform/settings.py
@@ -10,7 +10,10 @@
 DEFAULT_HEARTBEAT_INTERVAL_S = 1.5
 DEFAULT_STOP_TIMEOUT_S = 6.0
 DEFAULT_MEMORY_MB = 300
+DEFAULT_FILE_DESCRIPTORS = 4096
+DEFAULT_LINK_MBPS = 1000.0
 BYTES_PER_MB = 1_000_000
+BYTES_PER_S_PER_MBPS = 125_000
 PEER_PORT_OFFSET = 0
 METRICS_PORT_OFFSET = 1
 
@@ -38,7 +41,8 @@
     listen = fields["listenAddresses"]
     first_port = int(fields["internalPortRange"][0])
     bounds = fields.get("bounds", {})
-    memory_mb = fields.get("limits", {}).get("memoryMb", DEFAULT_MEMORY_MB)
+    limits = fields.get("limits", {})
+    link_mbps = float(limits.get("linkMbps", DEFAULT_LINK_MBPS))
     return NodeSettings(
         name=fields["nodeName"],
         vm=fields["ip"],
@@ -57,7 +61,9 @@
             fields.get("heartbeatIntervalS", DEFAULT_HEARTBEAT_INTERVAL_S)
         ),
         stop_timeout_s=float(bounds.get("gracePeriodS", DEFAULT_STOP_TIMEOUT_S)),
-        memory_bytes=int(memory_mb) * BYTES_PER_MB,
+        memory_bytes=int(limits.get("memoryMb", DEFAULT_MEMORY_MB)) * BYTES_PER_MB,
+        file_descriptors=int(limits.get("fileDescriptors", DEFAULT_FILE_DESCRIPTORS)),
+        link_bytes_per_s=link_mbps * BYTES_PER_S_PER_MBPS,
     )
 
 
