Tell refused callers to return at the pace of answers, and name the endpoint of a late request

Cause: callers that were refused together got the same wait plus up to 30%, came back together, before there was room, and were refused again. A request that was not sent before its deadline was answered 504, which tells a caller nothing, although it has certainly not run. The log line of a request that was under way at its deadline did not say at which endpoint. Change: the node that answers gives each refused caller the next free place in the pace at which the service, or the owner of the key, answers its callers (return_times.py). Status 503 for deadline_not_run. A step 'deadline' or 'cancelled' in the log line.

--- a/src/sesamepost/errors.py
+++ b/src/sesamepost/errors.py
@@ -110,7 +110,7 @@
         503, Outcome.NOT_RUN, "no connection to the endpoint could be opened"
     ),
     ErrorKind.DEADLINE_NOT_RUN: Answer(
-        504, Outcome.NOT_RUN, "the deadline passed before the request was sent"
+        503, Outcome.NOT_RUN, "the deadline passed before the request was sent"
     ),
     ErrorKind.SHUTTING_DOWN: Answer(
         503, Outcome.NOT_RUN, "this daemon is stopping; use another VM"
--- a/src/sesamepost/internal/forwarding/endpoint.py
+++ b/src/sesamepost/internal/forwarding/endpoint.py
@@ -10,6 +10,7 @@
 from sesamepost.errors import ErrorKind, RouterError
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import EndpointInfo
+from sesamepost.internal.decay import DecayingSum
 from sesamepost.internal.forwarding.endpoint_connection import EndpointResponse
 from sesamepost.internal.forwarding.endpoint_pool import EndpointPool
 from sesamepost.internal.forwarding.gate import (
@@ -42,26 +43,6 @@
 log = structlog.get_logger()
 
 
-class DecayingSum:
-    """A sum over about the last ``window_s`` seconds, with exponential decay."""
-
-    __slots__ = ("counted_at", "value", "window_s")
-
-    def __init__(self, window_s: float) -> None:
-        self.window_s = window_s
-        self.value = 0.0
-        self.counted_at = 0.0
-
-    def add(self, now: float, value: float = 1.0) -> None:
-        """Add ``value`` at the time ``now``."""
-        self.value = self.at(now) + value
-        self.counted_at = now
-
-    def at(self, now: float) -> float:
-        """Return the sum at the time ``now``; older values weigh less."""
-        return self.value * math.exp(-(now - self.counted_at) / self.window_s)
-
-
 class LocalEndpoint:
     """Admits requests to the local endpoint and sends them.
 
--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -11,8 +11,9 @@
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import NodeEntry, NodeTable
 from sesamepost.internal.forwarding.endpoint import LocalEndpoint
-from sesamepost.internal.forwarding.loads import LoadTracker
+from sesamepost.internal.forwarding.loads import DEFAULT_MEAN_S, LoadTracker
 from sesamepost.internal.forwarding.messages import Forward
+from sesamepost.internal.forwarding.return_times import ReturnTimes
 from sesamepost.internal.forwarding.routes import Route
 from sesamepost.internal.ranges.table_store import TableStore
 from sesamepost.internal.wire.messages import Answer, Cancel, Refusal
@@ -74,14 +75,22 @@
     retries: int = 0
     waited_s: float = 0.0
     may_have_run: bool = False
-    is_in_flight: bool = False
+    # The node to which the request was sent last, until its outcome is known.
+    sent_to: NodeEntry | None = None
     retry_after_s: float = MIN_RETRY_AFTER_S
+    # Whether ``retry_after_s`` differs from that of other refused callers.
+    is_return_spread: bool = False
     failed_answer: Answer | None = None
 
     def add_step(self, node: NodeEntry, outcome: str) -> None:
         """Record the outcome of one attempt for the log."""
         self.steps.append(f"{node.name}:{outcome}@{self.basis}")
 
+    def add_interrupted_step(self, outcome: str) -> None:
+        """Record for the log where the request was when it was given up."""
+        if self.sent_to is not None:
+            self.add_step(self.sent_to, outcome)
+
     def error(self, kind: ErrorKind, detail: str = "") -> RouterError:
         """Return the final error, which must hold for all attempts together."""
         if self.may_have_run and ANSWERS[kind].outcome is Outcome.NOT_RUN:
@@ -114,6 +123,7 @@
         self.local = local
         self.loads = loads
         self.tables = tables
+        self.return_times = ReturnTimes()
         self.counters: Counter[str] = Counter()
 
     async def run(self, call: Call, progress: Progress) -> Answer:
@@ -126,14 +136,42 @@
         try:
             async with asyncio.timeout(max(0.0, remaining_s)):
                 return await self._run(call, progress)
-        except (RouterError, TimeoutError) as error:
+        except RouterError as error:
+            if progress.failed_answer is not None:
+                return progress.failed_answer
+            self._set_return_time(call, progress, error)
+            raise
+        except TimeoutError:
+            progress.add_interrupted_step("deadline")
             if progress.failed_answer is not None:
                 return progress.failed_answer
-            if isinstance(error, RouterError):
-                raise
-            if progress.is_in_flight:
+            if progress.sent_to is not None:
                 progress.may_have_run = True
             raise progress.error(ErrorKind.DEADLINE_NOT_RUN) from None
+        except asyncio.CancelledError:
+            progress.add_interrupted_step("cancelled")
+            raise
+
+    def _set_return_time(
+        self, call: Call, progress: Progress, error: RouterError
+    ) -> None:
+        """Choose when the caller of a refused request should return."""
+        if ANSWERS[error.kind].outcome is not Outcome.NOT_RUN:
+            return
+        now = boottime()
+        latest_s = call.deadline - now - DEFAULT_MEAN_S
+        progress.retry_after_s = self.return_times.next_wait_s(
+            self._pace_target(call), progress.retry_after_s, latest_s, now
+        )
+        progress.is_return_spread = True
+
+    def _pace_target(self, call: Call) -> str:
+        """Return what the callers of such a request wait for: an owner or a service."""
+        tables = self.tables(call.service)
+        if tables is None or tables.table is None:
+            return call.service
+        owner = tables.table.find(call.key).owner
+        return call.service if owner is None else owner.vm
 
     async def _run(self, call: Call, progress: Progress) -> Answer:
         for _ in range(MAX_ATTEMPTS):
@@ -299,7 +337,7 @@
         )
         self.loads.note_sent(node.vm)
         failed = False
-        progress.is_in_flight = True
+        progress.sent_to = node
         try:
             if node.vm == self.vm:
                 answer = await self._run_locally(request)
@@ -308,6 +346,7 @@
             progress.reached.add(node.vm)
             failed = answer.status >= 500
             ended = boottime()
+            self.return_times.note_answer(self._pace_target(call), ended)
             self.loads.note_time(node.vm, call.route.name, ended - now, ended)
             return answer
         except RouterError as error:
@@ -317,9 +356,9 @@
             raise
         finally:
             self.loads.note_done(node.vm, failed, boottime())
-            # After a cancellation, ``run`` still needs the flag to report a timeout.
+            # After a cancellation, ``run`` still needs it to report a timeout.
             if not _is_cancelled():
-                progress.is_in_flight = False
+                progress.sent_to = None
 
     async def _run_locally(self, request: Forward) -> Answer:
         try:
--- a/src/sesamepost/internal/forwarding/ingress.py
+++ b/src/sesamepost/internal/forwarding/ingress.py
@@ -250,7 +250,9 @@
         answer = ANSWERS[error.kind]
         headers = {ERROR_HEADER: error.kind, OUTCOME_HEADER: answer.outcome}
         if answer.status == 503:
-            wait_s = progress.retry_after_s * (1 + RETRY_AFTER_JITTER * random.random())
+            wait_s = progress.retry_after_s
+            if not progress.is_return_spread:
+                wait_s *= 1 + RETRY_AFTER_JITTER * random.random()
             headers["Retry-After"] = f"{wait_s:.3f}"
         text = f"{error.kind}: {answer.text}"
         if error.detail:
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -146,3 +146,24 @@
     request = call(True, 5)
     assert await outcome(forwarder, request) is ErrorKind.OWNER_UNREACHABLE
     assert request.deadline - boottime() > 1.0
+
+
+async def test_the_log_names_the_endpoint_at_which_a_request_met_its_deadline():
+    # Guards against log lines that do not say where an unanswered request was.
+    forwarder = ScriptedForwarder(False, ["hang"])
+    progress = Progress()
+    with pytest.raises(RouterError):
+        await forwarder.run(call(False, timeout_s=0.1), progress)
+    assert [step.split("@")[0] for step in progress.steps] == ["10.0.0.2:deadline"]
+
+
+async def test_callers_that_are_refused_together_are_told_different_times():
+    # Guards against refused callers that return all at once and are refused again.
+    waits = []
+    forwarder = ScriptedForwarder(True, [ErrorKind.OVERLOADED] * 3)
+    for _ in range(3):
+        progress = Progress()
+        with pytest.raises(RouterError):
+            await forwarder.run(call(False, 5), progress)
+        waits.append(progress.retry_after_s)
+    assert waits[0] + 0.05 < waits[1] < waits[2] - 0.05
