Keep requests and keys out of evacuated domains and of regions that are not allowed

Change: the node beside an endpoint refuses requests while its domain is evacuated, senders skip such endpoints and those outside the regions of the route, owners there hand their ranges over, and takeover and balance choose others. The gossip spreads evacuations, deletions included, as it does the settings.

--- a/src/sesamepost/internal/coordination/gossip.py
+++ b/src/sesamepost/internal/coordination/gossip.py
@@ -1,9 +1,10 @@
-"""Spreads the newest revision of one small and urgent key among the nodes.
+"""Spreads the latest changes of a few small and urgent keys among the nodes.
 
 All other keys come by one watch, whose responses may be large, late or lost. A change
-of the urgent key does not wait for them. A node that learns a new revision sends it to
-peers, and each of them fetches the item. A node whose knowledge of the key is no longer
-recent asks peers for their revision, and if none confirms its own, it reads the key.
+of an urgent key does not wait for them. A node that learns a new revision sends it to
+peers, and each of them fetches the changes. A node whose knowledge of the keys is no
+longer recent asks peers for their revision, and if none confirms its own, it reads the
+keys.
 """
 
 import asyncio
@@ -18,12 +19,16 @@
 from sesamepost.internal.coordination.messages import RevisionNotice, RevisionQuery
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import NodeEntry, NodeTable
-from sesamepost.internal.coordination.relay import RelayedStore, encode_event
-from sesamepost.internal.coordination.store import Item, StoreError
+from sesamepost.internal.coordination.relay import (
+    RelayedStore,
+    decode_event,
+    encode_event,
+)
+from sesamepost.internal.coordination.store import Batch, Deletion, Item, StoreError
 from sesamepost.internal.tasks import PeriodicTask, cancel_all
 from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
 
-FETCH_OPERATION = "gossip_item"
+FETCH_OPERATION = "gossip_changes"
 STEP_S = 0.25
 # Knowledge older than this is confirmed by a peer of the failure domain.
 QUERY_AGE_S = 1.0
@@ -40,19 +45,24 @@
 MAX_LOCAL_RECEIVERS = 12
 REMOTE_RECEIVERS = 3
 
-# As ``encode_event`` returns it.
+# Bounds the response to a peer. Removed keys are remembered only within it.
+MAX_CHANGES = 64
+
+# As ``encode_event`` returns them.
 EncodedItem = tuple[str, int, bytes, int]
+EncodedDeletion = tuple[str, int]
 
 log = structlog.get_logger()
 
 
 class KeyGossip(PeriodicTask):
-    """Keeps one key of a mirror recent by gossip.
+    """Keeps the urgent keys of a mirror recent by gossip.
 
-    ``own`` is the entry of this node. A claim of a peer never takes effect by itself:
-    the item must be fetched from the peer or read from the store, and an item older
-    than the one held is ignored. If neither has a claimed revision, claims up to it are
-    ignored from then on.
+    These are ``key``, which is never removed, and all keys under ``prefix`` unless it
+    is empty. ``own`` is the entry of this node. A claim of a peer never takes effect by
+    itself: the changes must be fetched from the peer or read from the store, and one
+    older than that held is ignored. If neither has a claimed revision, claims up to it
+    are ignored from then on.
     """
 
     interval_s = STEP_S
@@ -64,8 +74,12 @@
         nodes: NodeTable,
         mirror: Mirror,
         store: RelayedStore,
+        prefix: str = "",
     ) -> None:
         self.key = key
+        self.prefix = prefix
+        # The latest change of each urgent key.
+        self.latest: dict[str, Item | Deletion] = {}
         self.own = own
         self.nodes = nodes
         self.mirror = mirror
@@ -93,18 +107,22 @@
 
     @property
     def revision(self) -> int:
-        """The revision of the item held, or 0."""
-        return self.mirror.revision_of(self.key)
+        """The revision of the last known change of an urgent key, or 0."""
+        return max((event.revision for event in self.latest.values()), default=0)
 
     @property
     def age_s(self) -> float:
         """The time since the held revision was known to be the newest."""
-        return boottime() - max(self.known_at, self.mirror.confirmed_at)
+        return boottime() - self.confirmed_at
+
+    @property
+    def confirmed_at(self) -> float:
+        """The time at which the held revision was known to be the newest."""
+        return max(self.known_at, self.mirror.confirmed_at)
 
-    async def serve(self) -> list | None:
-        """Return the item held, for a peer that is behind."""
-        item = self.mirror.get(self.key)
-        return None if item is None else encode_event(item)
+    async def serve(self) -> list[list]:
+        """Return the latest changes, for a peer that is behind."""
+        return [encode_event(event) for event in self.latest.values()]
 
     async def step(self) -> None:
         """Fetch what is missing; have the held revision confirmed if that is due."""
@@ -136,7 +154,7 @@
         self._note_revision(stream.peer.vm, notice.revision)
 
     def _note_revision(self, vm: str, revision: int) -> None:
-        """Record what a peer has stated; fetch the item if it is newer."""
+        """Record what a peer has stated; fetch the changes if it has newer ones."""
         self.revisions[vm] = revision
         if self.mirror.has_listed:
             self._start_catching_up()
@@ -146,7 +164,7 @@
             self.catching_up = self._spawn(self._catch_up())
 
     async def _catch_up(self) -> None:
-        """Fetch the item from peers that have a newer one, and then from the store."""
+        """Fetch the changes from peers that have newer ones, or read the store."""
         tried = set()
         newest = 0
         try:
@@ -179,45 +197,79 @@
         self.counters["fetches"] += 1
         sent_at = boottime()
         try:
-            event = await self.store.call_peer(
-                peer, FETCH_OPERATION, [], FETCH_TIMEOUT_S
+            changes = _decode_changes(
+                await self.store.call_peer(peer, FETCH_OPERATION, [], FETCH_TIMEOUT_S)
             )
-            key, revision, value, lease = msgspec.convert(event, EncodedItem)
         except (StoreError, msgspec.ValidationError) as error:
             log.info("gossip_fetch_failed", peer=peer.vm, error=str(error))
             return
-        self._offer(Item(key, value, revision, lease), peer.vm, sent_at)
+        for event in changes:
+            self._offer(event, peer.vm, sent_at)
 
     async def _read(self, cause: str) -> bool:
-        """Read the key from the store; return whether that succeeded."""
+        """Read the keys from the store; return whether that succeeded."""
         self.counters["reads"] += 1
         sent_at = boottime()
         self.last_read_at = sent_at
-        try:
-            item, _ = await self.store.read_directly(self.key, READ_TIMEOUT_S)
-        except StoreError as error:
+        reads = [self._read_key(sent_at)]
+        if self.prefix:
+            reads.append(self._list_prefix(sent_at))
+        failures = [
+            error
+            for error in await asyncio.gather(*reads, return_exceptions=True)
+            if error is not None
+        ]
+        for error in failures:
+            if not isinstance(error, StoreError):
+                raise error
             log.info("gossip_read_failed", cause=cause, error=str(error))
+        if failures:
             self.read_interval_s = min(2 * self.read_interval_s, MAX_READ_INTERVAL_S)
             return False
         self.read_interval_s = MIN_READ_INTERVAL_S
-        if item is not None:
-            self._offer(item, "store", sent_at)
         self.known_at = max(self.known_at, sent_at)
         return True
 
-    def _offer(self, item: Item, source: str, sent_at: float) -> None:
-        if item.key != self.key or item.revision <= self.revision:
+    async def _read_key(self, sent_at: float) -> None:
+        item, _ = await self.store.read_directly(self.key, READ_TIMEOUT_S)
+        if item is not None:
+            self._offer(item, "store", sent_at)
+
+    async def _list_prefix(self, sent_at: float) -> None:
+        batch = await self.store.list_directly(self.prefix, READ_TIMEOUT_S)
+        for event in (*batch.events, *self._removed_from(batch)):
+            self._offer(event, "store", sent_at)
+
+    def _removed_from(self, batch: Batch) -> list[Deletion]:
+        """Return the removals of the held keys that a listing lacks."""
+        listed = {event.key for event in batch.events}
+        return [
+            Deletion(key, batch.revision)
+            for key, event in self.latest.items()
+            if isinstance(event, Item) and key != self.key and key not in listed
+        ]
+
+    def _is_urgent(self, event: Item | Deletion) -> bool:
+        if event.key == self.key:
+            return isinstance(event, Item)
+        return bool(self.prefix) and event.key.startswith(self.prefix)
+
+    def _offer(self, event: Item | Deletion, source: str, sent_at: float) -> None:
+        held = self.latest.get(event.key)
+        is_newer = held is None or event.revision > held.revision
+        if not self._is_urgent(event) or not is_newer:
             return
         self.counters["learned"] += 1
         log.info(
             "gossip_learned",
+            key=event.key,
             source=source,
-            revision=item.revision,
-            previous=self.revision,
+            revision=event.revision,
+            previous=held.revision if held else 0,
             age_s=round(self.age_s, 2),
             took_s=round(boottime() - sent_at, 2),
         )
-        self.mirror.offer(item)
+        self.mirror.offer(event)
 
     def _on_node(self, vm: str, node: NodeEntry | None) -> None:
         if node is None:
@@ -225,8 +277,9 @@
 
     def _on_change(self, event) -> None:
         """Announce a new revision to the peers that do not have it yet."""
-        if event.key != self.key or not isinstance(event, Item):
+        if not self._is_urgent(event):
             return
+        self._record(event)
         if not self.mirror.has_listed:
             # All nodes list the store when they start.
             return
@@ -237,6 +290,12 @@
             if self.revisions.get(peer.vm, 0) < event.revision:
                 self._send(peer, notice)
 
+    def _record(self, event: Item | Deletion) -> None:
+        self.latest.pop(event.key, None)
+        self.latest[event.key] = event
+        if len(self.latest) > MAX_CHANGES:
+            self.latest.pop(next(key for key in self.latest if key != self.key))
+
     def _peers(self, is_local: bool) -> list[NodeEntry]:
         return [
             peer
@@ -267,5 +326,17 @@
         return task
 
 
+def _decode_changes(arrays: object) -> list[Item | Deletion]:
+    """Return the changes that ``serve`` of a peer returned as ``arrays``.
+
+    Raise ``msgspec.ValidationError`` if they are malformed.
+    """
+    changes = []
+    for array in msgspec.convert(arrays, list[list]):
+        array_type = EncodedDeletion if len(array) == 2 else EncodedItem
+        changes.append(decode_event(msgspec.convert(array, array_type)))
+    return changes
+
+
 def _sample(peers: list[NodeEntry], count: int) -> list[NodeEntry]:
     return random.sample(peers, min(count, len(peers)))
--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -118,9 +118,9 @@
         """Return the time since which ``key`` is absent; record ``now`` if unknown."""
         return self.missing.setdefault(key, now)
 
-    def offer(self, item: Item) -> None:
-        """Apply an item from another source than the watch, such as an own write."""
-        self._apply(item, boottime())
+    def offer(self, event: Item | Deletion) -> None:
+        """Apply a change from another source than the watch, such as an own write."""
+        self._apply(event, boottime())
 
     async def wait_for_change(self, timeout_s: float) -> None:
         """Wait for the next change, for at most ``timeout_s`` seconds."""
--- a/src/sesamepost/internal/coordination/relay.py
+++ b/src/sesamepost/internal/coordination/relay.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from typing import TypeVar
 
 import msgpack
 import structlog
@@ -50,6 +51,8 @@
 # The store was reached and answered with these, so no other peer is tried.
 CONCLUSIVE_ERRORS = (ConditionFailedError, HistoryGoneError, LeaseEndedError)
 
+_Result = TypeVar("_Result")
+
 log = structlog.get_logger()
 
 
@@ -258,9 +261,22 @@
         A failure within ``timeout_s`` seconds does not count as a loss of the store.
         """
         self.counters["direct_get"] += 1
+        return await self._call_once(self.direct.get(key), key, timeout_s)
+
+    async def list_directly(self, prefix: str, timeout_s: float) -> Batch:
+        """Return the items whose key begins with ``prefix``, without a relay.
+
+        A failure within ``timeout_s`` seconds does not count as a loss of the store.
+        """
+        self.counters["direct_list"] += 1
+        return await self._call_once(self.direct.list(prefix), prefix, timeout_s)
+
+    async def _call_once(
+        self, call: Awaitable[_Result], key: str, timeout_s: float
+    ) -> _Result:
         try:
             async with asyncio.timeout(timeout_s):
-                result = await self.direct.get(key)
+                result = await call
         except TimeoutError:
             raise StoreSilentError(f"{key}: no answer in {timeout_s} s") from None
         self._record_direct_result(True, "")
--- a/src/sesamepost/internal/forwarding/endpoint.py
+++ b/src/sesamepost/internal/forwarding/endpoint.py
@@ -88,6 +88,8 @@
         self.retry_budget = RetryBudget(RETRY_PERCENT, MIN_RETRIES_PER_S)
         self.counters: Counter[str] = Counter()
         self.on_suspicion: Callable[[], None] = lambda: None
+        # Whether the failure domain serves requests, by whether they have a key.
+        self.may_serve: Callable[[bool], bool] = lambda has_key: True
         self.poller: asyncio.Task | None = None
 
     async def __aenter__(self) -> "LocalEndpoint":
@@ -217,6 +219,14 @@
             raise RouterError(ErrorKind.NO_ENDPOINT, request.service)
         if request.key != NO_KEY and self.keeper is None:
             raise RouterError(ErrorKind.NOT_OWNER, request.service)
+        self._check_evacuation(request)
+
+    def _check_evacuation(self, request: Forward) -> None:
+        has_key = request.key != NO_KEY
+        if not self.may_serve(has_key):
+            self.counters["refused_evacuated"] += 1
+            kind = ErrorKind.NOT_OWNER if has_key else ErrorKind.NO_ENDPOINT
+            raise RouterError(kind, "the failure domain is evacuated")
 
     async def _wait_for_hold(self, key: int, deadline: float) -> None:
         if self.keeper.may_run(key):
@@ -337,5 +347,8 @@
     async def _poll(self) -> None:
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
+            if self.gate.queued and not self.may_serve(self.keeper is not None):
+                self.counters["refused_evacuated"] += len(self.gate.queued)
+                self._reject_queue()
             if self.gate.queued:
                 self._resolve_waiters(self.gate.poll(boottime()))
--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 from sesamepost.internal.forwarding.loads import LoadTracker
 from sesamepost.internal.forwarding.messages import Forward
 from sesamepost.internal.forwarding.routes import Route
+from sesamepost.internal.ranges.placement import Placement
 from sesamepost.internal.ranges.table_store import TableStore
 from sesamepost.internal.wire.messages import Answer, Cancel, Refusal
 from sesamepost.internal.wire.pool import PeerPool
@@ -28,6 +29,8 @@
 # By then the key has probably been assigned to an owner.
 NO_OWNER_RETRY_AFTER_S = 0.5
 MIN_RETRY_AFTER_S = 0.3
+# An operator takes an evacuation back, or changes the regions, after seconds at least.
+EXCLUDED_RETRY_AFTER_S = 1.0
 MAX_ATTEMPTS = 8
 # A node that refuses requests while it stops is not tried again for this long, since
 # it may have restarted by then.
@@ -107,8 +110,10 @@
         local: LocalEndpoint,
         loads: LoadTracker,
         tables: Callable[[str], TableStore | None],
+        placement: Placement | None = None,
     ) -> None:
         self.vm = vm
+        self.placement = placement or Placement()
         self.pool = pool
         self.nodes = nodes
         self.local = local
@@ -164,7 +169,7 @@
         tables = self.tables(call.service)
         while True:
             if tables is not None:
-                node, reason = self._find_owner(call, tables)
+                node, reason = self._find_owner(call, tables, progress)
                 progress.basis = f"r{tables.revision}"
                 if node is not None:
                     return node
@@ -178,13 +183,15 @@
                 reachable = [
                     n for n in candidates if self.loads.is_reachable(n.vm, now)
                 ]
+                if not candidates:
+                    self._check_placement(call, progress)
                 if reachable or (progress.tried and not candidates):
                     self._raise_overloaded(reachable, progress)
                 reason = ErrorKind.NO_ENDPOINT
             await self._wait_for_node(call, progress, reason)
 
     def _find_owner(
-        self, call: Call, tables: TableStore
+        self, call: Call, tables: TableStore, progress: Progress
     ) -> tuple[NodeEntry | None, ErrorKind]:
         table = tables.table
         owner = None if table is None else table.find(call.key).owner
@@ -193,13 +200,55 @@
         node = self.nodes.nodes.get(owner.vm)
         if node is None or not self.loads.is_reachable(owner.vm, boottime()):
             return None, ErrorKind.OWNER_UNREACHABLE
+        if not self._may_send_to_owner(node, call, progress):
+            return None, ErrorKind.NO_OWNER
         return node, ErrorKind.NO_OWNER
 
+    def _may_send_to_owner(
+        self, owner: NodeEntry, call: Call, progress: Progress
+    ) -> bool:
+        """Return whether a call may be sent to the owner of its key.
+
+        Raise ``RouterError`` if it may not and no other owner is to be expected. The
+        owner serves its keys for a while after the evacuation of its domain.
+        """
+        regions = call.route.allowed_regions
+        is_inside = not regions or owner.region in regions
+        if is_inside and not self.placement.is_evacuated(owner):
+            return True
+        self._check_placement(call, progress)
+        if not is_inside and self.placement.is_eligible(call.service, owner):
+            detail = "the key is owned outside the allowed regions"
+            self._raise_excluded(progress, detail)
+        return is_inside and not self.placement.is_closed(owner)
+
+    def _check_placement(self, call: Call, progress: Progress) -> None:
+        """Raise ``RouterError`` if no ready endpoint may get the call."""
+        regions = call.route.allowed_regions
+        ready = [
+            node
+            for node in self.nodes.endpoints_of(call.service)
+            if not node.is_stopping
+        ]
+        if not ready or any(self.placement.may_run(node, regions) for node in ready):
+            return
+        detail = f"{len(ready)} endpoints are evacuated"
+        if regions:
+            detail += " or outside the allowed regions"
+        self._raise_excluded(progress, detail)
+
+    def _raise_excluded(self, progress: Progress, detail: str) -> None:
+        self.counters["refused_by_placement"] += 1
+        progress.retry_after_s = EXCLUDED_RETRY_AFTER_S
+        raise progress.error(ErrorKind.NO_ENDPOINT, detail)
+
     def _candidates(self, call: Call, progress: Progress) -> list[NodeEntry]:
         return [
             node
             for node in self.nodes.endpoints_of(call.service)
-            if node.vm not in progress.tried and not node.is_stopping
+            if node.vm not in progress.tried
+            and not node.is_stopping
+            and self.placement.may_run(node, call.route.allowed_regions)
         ]
 
     def _pick(self, candidates: list[NodeEntry], call: Call) -> NodeEntry | None:
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack, suppress
 from dataclasses import fields, replace
+from functools import partial
 
 import structlog
 
@@ -32,7 +33,11 @@
 from sesamepost.internal.forwarding.node_settings import NodeSettings
 from sesamepost.internal.forwarding.ownership import Ownership, PeerMessage
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
-from sesamepost.internal.forwarding.routes import RouteIndex, RoutingSettings
+from sesamepost.internal.forwarding.routes import (
+    RouteIndex,
+    RoutingSettings,
+    regions_by_service,
+)
 from sesamepost.internal.forwarding.serving import PeerService
 from sesamepost.internal.identity import new_node_id
 from sesamepost.internal.ranges.balancing import RangeBalancer
@@ -133,6 +138,7 @@
             self.commands,
             self.names,
             settings.max_hold_s,
+            self.evacuation_prefix,
         )
         self.ownership.watch.heartbeat_interval_s = settings.heartbeat_interval_s
         self.ownership.on_endpoint = self._on_endpoint
@@ -142,7 +148,12 @@
         mirror = self.ownership.mirror
         self.feed = ReaderFeed(entry, nodes, mirror, self.store)
         mirror.feed = self.feed
-        self.gossip = KeyGossip(self.settings_key, entry, nodes, mirror, self.store)
+        self.gossip = KeyGossip(
+            self.settings_key, entry, nodes, mirror, self.store, self.evacuation_prefix
+        )
+        evacuations = self.ownership.evacuations
+        evacuations.confirmed_at = lambda: self.gossip.confirmed_at
+        self.local.may_serve = partial(evacuations.may_serve, settings.failure_domain)
         self.local.on_suspicion = self.ownership.watch.suspect
         self.loads = LoadTracker(settings.failure_domain, settings.region)
         nodes.listeners.append(self._on_node)
@@ -153,6 +164,7 @@
             self.local,
             self.loads,
             self.ownership.table_of,
+            self.ownership.placement,
         )
         self.peer_service = await enter(PeerService(self.pool, self.local, self.loads))
         self.peer_service.is_refusing = self._is_refusing
@@ -244,7 +256,9 @@
         """
         if not self.is_stopping or self.is_closing:
             return self.is_closing
-        others = self.ownership.nodes.endpoints_of(service)
+        others = self.ownership.placement.eligible(
+            service, self.ownership.nodes.endpoints_of(service)
+        )
         is_owner = self.local.keeper is not None
         return not is_owner and any(
             node.vm != self.settings.vm and not node.is_stopping for node in others
@@ -314,6 +328,7 @@
             revision=event.revision,
             bytes=len(event.value),
         )
+        self.ownership.placement.regions = regions_by_service(routing)
         self.ownership.set_services(routing.services.values())
 
     def _on_keeper(self, service: str, keeper: RangeKeeper) -> None:
@@ -344,6 +359,7 @@
             "relay": self.store.counters,
             "feed": self.feed.counters,
             "gossip": self.gossip.counters,
+            "evacuations": self.ownership.evacuations.counters,
             "event_loop": self.loop_lag.counters,
             "task_failures": task_failures,
         }
--- a/src/sesamepost/internal/forwarding/ownership.py
+++ b/src/sesamepost/internal/forwarding/ownership.py
@@ -10,6 +10,7 @@
 from functools import partial
 
 from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.evacuations import Evacuations
 from sesamepost.internal.coordination.messages import EndpointEnded
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import (
@@ -31,6 +32,7 @@
 from sesamepost.internal.ranges.heartbeat_holds import HoldOrder, HoldReport
 from sesamepost.internal.ranges.keeper import RangeKeeper
 from sesamepost.internal.ranges.messages import RangeUpdate, range_update
+from sesamepost.internal.ranges.placement import Placement
 from sesamepost.internal.ranges.table import LAST_KEY, Owner
 from sesamepost.internal.ranges.table_store import TableStore
 from sesamepost.internal.ranges.takeover import Takeover
@@ -45,9 +47,10 @@
 class Ownership:
     """The components of one node that decide the ownership of keys.
 
-    ``entry`` describes the node, ``max_hold_s`` bounds the holds of its endpoint. Enter
-    the context, call ``set_services`` whenever the routing settings change, and
-    ``register`` once peers can connect. Three callbacks may be replaced before that:
+    ``entry`` describes the node, ``max_hold_s`` bounds the holds of its endpoint, and
+    keys under ``evacuation_prefix`` name evacuated failure domains. Enter the context,
+    call ``set_services`` whenever the routing settings change, and ``register`` once
+    peers can connect. Three callbacks may be replaced before that:
 
     - ``on_endpoint(info)`` is called after each change of the endpoint or of its
       keeper;
@@ -64,6 +67,7 @@
         commands: EndpointCommands,
         names: HeaderNames,
         max_hold_s: float,
+        evacuation_prefix: str = "",
     ) -> None:
         self.vm = entry.vm
         self.incarnation = entry.incarnation
@@ -72,6 +76,9 @@
         self.commands = commands
         self.max_hold_s = max_hold_s
         self.mirror = Mirror(store)
+        self.evacuations = Evacuations(evacuation_prefix, self.mirror)
+        self.evacuations.listeners.append(self._on_evacuation)
+        self.placement = Placement(self.evacuations)
         self.nodes = NodeTable(self.mirror)
         self.registration = Registration(store, self.mirror, entry)
         self.watch = EndpointWatch(endpoint_pool, names, self._on_endpoint)
@@ -226,6 +233,10 @@
                 )
                 self._spawn(self.send_to_peer(peer, message))
 
+    def _on_evacuation(self, domain: str) -> None:
+        for keeper in self.keepers.values():
+            keeper.wake.set()
+
     def _spawn(self, work: Coroutine) -> None:
         task = asyncio.ensure_future(work)
         self.background_tasks.add(task)
@@ -266,10 +277,11 @@
             self.commands,
             self.max_hold_s,
             settings.grants_by_heartbeat,
+            self.placement,
         )
         keeper.mover.on_moved = partial(self._announce_ranges, service)
         self.keepers[service] = keeper
-        takeover = Takeover(self.vm, tables, self.nodes, self.mirror)
+        takeover = Takeover(self.vm, tables, self.nodes, self.mirror, self.placement)
         takeover.on_assigned = partial(self._announce_ranges, service, 0, LAST_KEY)
         self.takeovers.append(takeover)
         self.on_keeper(service, keeper)
--- a/src/sesamepost/internal/forwarding/routes.py
+++ b/src/sesamepost/internal/forwarding/routes.py
@@ -102,6 +102,25 @@
         return None
 
 
+def regions_by_service(settings: RoutingSettings) -> dict[str, frozenset[str]]:
+    """Return the regions in which the keys of services may be owned.
+
+    Only a service all of whose routes are restricted is included. An owner must be
+    where each of these routes allows it, or else where any of them does.
+    """
+    routes: dict[str, list[Route]] = {}
+    for route in settings.routes:
+        for share in route.shares:
+            routes.setdefault(share.service, []).append(route)
+    found = {}
+    for service, leading in routes.items():
+        allowed = [route.allowed_regions for route in leading]
+        if all(allowed):
+            common = frozenset.intersection(*allowed)
+            found[service] = common or frozenset.union(*allowed)
+    return found
+
+
 class SplitSelector:
     """Selects the services of routes with several shares.
 
--- a/src/sesamepost/internal/ranges/balancing.py
+++ b/src/sesamepost/internal/ranges/balancing.py
@@ -121,7 +121,8 @@
         others = self._others(sizes, now)
         if load.busy >= MIN_BUSY and len(others) < MAX_TARGETS:
             known = {other.owner.vm for other in others}
-            unknown = {owner.vm for owner in sizes if owner} - known - {local_owner.vm}
+            unknown = {owner.vm for owner in self.keeper.receivers()} - known
+            unknown &= {owner.vm for owner in sizes if owner}
             if unknown and self.request_loads(unknown):
                 return []
         pieces = choose_relief(load, others)
@@ -143,7 +144,7 @@
     def _others(self, sizes: dict[Owner | None, int], now: float) -> list[OwnerLoad]:
         """Return the loads of the owners that may receive keys now."""
         others = []
-        for owner in self.keeper.other_owners():
+        for owner in self.keeper.receivers():
             keys = sizes.get(owner, 0)
             busy = self.loads.busy_of(owner.vm, now, MAX_REPORT_AGE_S)
             if now < self.settling_until.get(owner, 0.0) or (busy is None and keys):
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -23,6 +23,7 @@
 from sesamepost.internal.ranges.holds import HoldTracker
 from sesamepost.internal.ranges.local_owner import LocalOwner
 from sesamepost.internal.ranges.moving import RangeMover
+from sesamepost.internal.ranges.placement import Placement, due_handovers
 from sesamepost.internal.ranges.reclaiming import RangeReclaimer
 from sesamepost.internal.ranges.releasing import CommandReleaser, HeartbeatReleaser
 from sesamepost.internal.ranges.table import KeyRange, Owner
@@ -56,12 +57,14 @@
         commands: EndpointCommands,
         max_hold_s: float,
         by_heartbeat: bool = False,
+        placement: Placement | None = None,
     ) -> None:
         self.vm = vm
         self.tables = tables
         self.nodes = nodes
         self.registration = registration
         self.commands = commands
+        self.placement = placement or Placement()
         self.counters: Counter[str] = Counter()
         self.wake = asyncio.Event()
         self.granted = asyncio.Event()
@@ -85,7 +88,13 @@
         if heartbeat_holds is not None:
             releaser = HeartbeatReleaser(self.local.ends, heartbeat_holds)
         self.mover = RangeMover(
-            self.local, tables, nodes, releaser, self.wake, not by_heartbeat
+            self.local,
+            tables,
+            nodes,
+            releaser,
+            self.wake,
+            not by_heartbeat,
+            self.placement,
         )
         self.answers: HeartbeatAnswers | None = None
         if heartbeat_holds is not None:
@@ -198,6 +207,10 @@
         """Return the other endpoints that may own keys of the service."""
         return self.mover.other_owners()
 
+    def receivers(self) -> list[Owner]:
+        """Return the other owners that balance may give keys now."""
+        return self.mover.receivers()
+
     def start_leaving(self) -> None:
         """Send no more grants, and hand all ranges over."""
         self.local.is_leaving = True
@@ -257,7 +270,12 @@
             return
         if not self.local.is_confirmed:
             return
-        self.writer.adopt([r for r in owned if r.owner != self.owner])
+        if self._is_displaced():
+            is_closed = self.placement.is_closed(self.registration.entry)
+            due = due_handovers(owned, self.moves, is_closed)
+            self.mover.hand_over(due, "the endpoint may not own keys")
+        else:
+            self.writer.adopt([r for r in owned if r.owner != self.owner])
         self.writer.raise_refused()
         if self.answers is None:
             self.grants.send_due()
@@ -272,6 +290,13 @@
         for first, last in self.moves:
             self.holds.start_release(first, last)
 
+    def _is_displaced(self) -> bool:
+        """Return whether other endpoints are to own the keys instead of this one."""
+        entry = self.registration.entry
+        if self.placement.is_eligible(self.tables.service, entry):
+            return False
+        return bool(self.other_owners())
+
     def _is_handover_due(self) -> bool:
         """Return whether no endpoint of this node is to hold ranges any more.
 
--- a/src/sesamepost/internal/ranges/moving.py
+++ b/src/sesamepost/internal/ranges/moving.py
@@ -10,6 +10,7 @@
 from sesamepost.internal.coordination.nodes import NodeTable
 from sesamepost.internal.ranges.balance import Move
 from sesamepost.internal.ranges.local_owner import LocalOwner
+from sesamepost.internal.ranges.placement import Placement, owner_on
 from sesamepost.internal.ranges.releasing import Releaser
 from sesamepost.internal.ranges.table import (
     KeyRange,
@@ -46,6 +47,7 @@
         releaser: Releaser,
         wake: asyncio.Event,
         is_stopped_first: bool,
+        placement: Placement,
     ) -> None:
         self.local = local
         self.tables = tables
@@ -53,6 +55,7 @@
         self.releaser = releaser
         self.wake = wake
         self.is_stopped_first = is_stopped_first
+        self.placement = placement
         self.moves: dict[tuple[int, int], asyncio.Task] = {}
         # Earliest time of the next handover of ranges whose move failed.
         self.retry_at: dict[tuple[int, int], float] = {}
@@ -67,12 +70,27 @@
         return any(first <= key <= last for first, last in self.moves)
 
     def other_owners(self) -> list[Owner]:
-        """Return the other endpoints that may own keys of the service."""
-        return [
-            Owner(node.vm, node.endpoint.id, node.endpoint.born)
-            for node in self.nodes.endpoints_of(self.tables.service)
+        """Return the other endpoints that may own keys of the service.
+
+        An endpoint that is not to hold ranges any more leaves them to any other rather
+        than to none.
+        """
+        service = self.tables.service
+        others = [
+            node
+            for node in self.nodes.endpoints_of(service)
             if node.vm != self.local.vm and not node.is_stopping
         ]
+        found = self.placement.eligible(service, others)
+        if not found and not self.local.is_serving:
+            found = self.placement.best(service, others)
+        return [owner_on(node) for node in found]
+
+    def receivers(self) -> list[Owner]:
+        """Return the other owners that balance may give keys now."""
+        nodes = self.nodes.endpoints_of(self.tables.service)
+        returning = {n.vm for n in nodes if self.placement.is_returning(n, nodes)}
+        return [owner for owner in self.other_owners() if owner.vm not in returning]
 
     def move(self, moves: Sequence[Move], reason: str) -> None:
         """Hand adjacent key ranges over to the targets of ``moves`` in one step."""
--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -12,10 +12,15 @@
 
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.mirror import Mirror
-from sesamepost.internal.coordination.nodes import LAST_LEASE_PREFIX, NodeTable
+from sesamepost.internal.coordination.nodes import (
+    LAST_LEASE_PREFIX,
+    NodeEntry,
+    NodeTable,
+)
 from sesamepost.internal.identity import ANY_INCARNATION
 from sesamepost.internal.ranges.absent_nodes import AbsentNodes
 from sesamepost.internal.ranges.holds import HOLD_S, TAKEOVER_SLACK_S
+from sesamepost.internal.ranges.placement import Placement, owner_on
 from sesamepost.internal.ranges.table import (
     SECTIONS,
     KeyRange,
@@ -70,12 +75,18 @@
     """Reassigns the ranges of a partitioned service that have no live owner."""
 
     def __init__(
-        self, vm: str, tables: TableStore, nodes: NodeTable, mirror: Mirror
+        self,
+        vm: str,
+        tables: TableStore,
+        nodes: NodeTable,
+        mirror: Mirror,
+        placement: Placement | None = None,
     ) -> None:
         self.vm = vm
         self.tables = tables
         self.nodes = nodes
         self.mirror = mirror
+        self.placement = placement or Placement()
         self.settling_since: float | None = None
         self.last_joined_at = 0.0
         self.known_vms: set[str] = set()
@@ -137,9 +148,11 @@
     async def step(self) -> None:
         """Distribute ranges without a live owner if it is this node's turn."""
         now = boottime()
-        available = self._available_owners()
-        self._forget_wrong_reports(available)
-        owners = [owner for owner in available if owner not in self.ended]
+        self._forget_wrong_reports(self._available_owners())
+        available = self._available_nodes()
+        live = [node for node in available if owner_on(node) not in self.ended]
+        chosen = self.placement.best(self.tables.service, live)
+        owners = [owner_on(node) for node in chosen]
         if not self.mirror.in_contact or not owners:
             return
         self._end_leases()
@@ -295,8 +308,11 @@
         return self.cached_owners
 
     def _available_owners(self) -> list[Owner]:
+        return [owner_on(node) for node in self._available_nodes()]
+
+    def _available_nodes(self) -> list[NodeEntry]:
         return [
-            Owner(node.vm, node.endpoint.id, node.endpoint.born)
+            node
             for node in self.nodes.endpoints_of(self.tables.service)
             if not node.is_stopping
         ]
