Limit the starts at a cold endpoint, and at one that may be cold

Cause: cold times were not read. After a loss of power, all endpoints of a service returned cold, got the queue and the returning callers in the same second, crashed and came back cold. Change: ColdLimit in the gate spaces the starts at a cold endpoint and refuses the rest at once. An endpoint that is not known to be cold gets a bounded number of requests since the last health response that proves it warm, so it may turn cold unnoticed at any moment. A new process counts the second before as full. LoadHint (101 replaces 96) tells the cold time and the rate; senders share that rate, and balance of keys counts it.

--- a/src/sesamepost/internal/forwarding/endpoint.py
+++ b/src/sesamepost/internal/forwarding/endpoint.py
@@ -3,13 +3,15 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import structlog
 
 from sesamepost.errors import ErrorKind, RouterError
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import EndpointInfo
+from sesamepost.internal.forwarding.cold import ColdLimit
+from sesamepost.internal.forwarding.cold_check import ColdChecker
 from sesamepost.internal.forwarding.endpoint_connection import EndpointResponse
 from sesamepost.internal.forwarding.endpoint_pool import EndpointPool
 from sesamepost.internal.forwarding.gate import (
@@ -20,6 +22,7 @@
 )
 from sesamepost.internal.forwarding.messages import NO_KEY, Forward, LoadHint
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
+from sesamepost.internal.forwarding.routes import Service
 from sesamepost.internal.ranges.balance import KeyCounts
 from sesamepost.internal.ranges.keeper import RangeKeeper
 from sesamepost.internal.routing.retry_budget import RetryBudget
@@ -73,7 +76,10 @@
         self.pool = pool
         self.names = names
         self.info: EndpointInfo | None = None
-        self.gate = EndpointGate(0)
+        self.cold = ColdLimit(boottime())
+        self.cold_checker = ColdChecker(pool, names, self.cold, self._poll_gate)
+        self.services: Mapping[str, Service] = {}
+        self.gate = EndpointGate(0, self.cold)
         self.keeper: RangeKeeper | None = None
         self.key_counts = KeyCounts()
         # Request counts and expected slot time, by window.
@@ -81,7 +87,6 @@
         self.demand_s = {w: DecayingSum(w) for w in BUSY_WINDOWS_S}
         self.start_futures: dict[int, asyncio.Future] = {}
         self.next_ticket = 0
-        self.cold_until = 0.0
         # A stopping node must have the answers to all requests by this time.
         self.latest_deadline = float("inf")
         self.failure_share = 0.0
@@ -96,6 +101,7 @@
 
     async def __aexit__(self, *error) -> None:
         self.poller.cancel()
+        self.cold_checker.close()
 
     def set_info(self, info: EndpointInfo | None) -> None:
         """Set the endpoint's description; one that is not ready gets no requests."""
@@ -106,7 +112,9 @@
         ):
             self.pool.close_idle()
             self.failure_share = 0.0
+            self.cold.note_incarnation(boottime())
         self.info = info
+        self._apply_service()
         slots = info.slots if info is not None and info.is_ready else 0
         self._resolve_waiters(self.gate.set_slots(slots, boottime()))
         if slots == 0:
@@ -114,20 +122,51 @@
 
     def note_cold(self, incarnation: tuple[str, int], cold_s: float) -> None:
         """Record that this run of the endpoint says it stays cold for ``cold_s``."""
-        if self.info is not None and self.info.incarnation == incarnation:
-            self.cold_until = boottime() + cold_s
+        if self.info is None or self.info.incarnation != incarnation:
+            return
+        now = boottime()
+        if cold_s and not self.cold.is_cold(now):
+            log.info("endpoint_cold", endpoint=self.info.id, cold_s=cold_s)
+        self.cold.note_cold(cold_s, now)
+        self._poll_gate()
+
+    def set_services(self, services: Mapping[str, Service]) -> None:
+        """Apply the services in force."""
+        self.services = services
+        self._apply_service()
+
+    def _apply_service(self) -> None:
+        service = self.services.get(self.info.service) if self.info else None
+        if service is not None:
+            self.cold.set_service(service.cold_requests_per_s, service.cold_start_s)
+
+    def _poll_gate(self) -> None:
+        self._resolve_waiters(self.gate.poll(boottime()))
+        self._check_if_cold()
+
+    def _check_if_cold(self) -> None:
+        info = self.info
+        if info is None or not info.is_ready or not self.cold.needs_check(boottime()):
+            return
+        service = self.services.get(info.service)
+        if service is not None:
+            self.cold_checker.start(info, service.health_path)
 
     def hint(self) -> LoadHint:
         """Return the current load as a message to other nodes."""
         gate = self.gate
+        now = boottime()
+        cold_s = self.cold.cold_until - now if self.cold.is_cold(now) else 0.0
         return LoadHint(
             self.info.service if self.info else "",
             len(gate.running),
             len(gate.queued),
             gate.slots,
-            int(gate.recent_mean_s * 1000),
+            int(self.mean_s() * 1000),
             min(10_000, int(self.busy() * 100)),
             int(self.failure_share * 100),
+            math.ceil(cold_s * 1000),
+            int(self.cold.tolerated_per_s * 60) if cold_s else 0,
         )
 
     def busy(self) -> float:
@@ -169,11 +208,20 @@
 
     def _busy_in_window(self, window_s: float, now: float) -> float:
         demand = self.demand_s[window_s].at(now) / window_s / max(1, self.gate.slots)
+        if self.cold.is_cold(now):
+            arrivals_per_s = self.arrivals[window_s].at(now) / window_s
+            demand = max(demand, arrivals_per_s / self.cold.tolerated_per_s)
         return max(self.gate.busy_share(window_s, now), demand)
 
     def mean_s(self) -> float:
-        """Return the recent mean time of a request at the endpoint."""
-        return self.gate.recent_mean_s
+        """Return for how long a request uses a slot at present.
+
+        A cold endpoint starts few requests a second, which counts as a longer time.
+        """
+        if not self.cold.is_cold(boottime()):
+            return self.gate.recent_mean_s
+        cold_s = self.gate.slots / self.cold.tolerated_per_s
+        return max(self.gate.recent_mean_s, cold_s)
 
     async def run(self, request: Forward) -> EndpointResponse:
         """Return the endpoint's response, or raise ``RouterError``.
@@ -213,7 +261,9 @@
 
     def _check_service(self, request: Forward) -> None:
         info = self.info
-        if info is None or not info.is_ready or info.service != request.service:
+        # Until the settings are known, so is not what a cold endpoint tolerates.
+        is_known = info is not None and bool(self.services)
+        if not is_known or not info.is_ready or info.service != request.service:
             raise RouterError(ErrorKind.NO_ENDPOINT, request.service)
         if request.key != NO_KEY and self.keeper is None:
             raise RouterError(ErrorKind.NOT_OWNER, request.service)
@@ -236,8 +286,11 @@
             ticket, request.route, request.rank, target_start, latest_start
         )
         kind = self.gate.submit(waiting, now)
+        self._check_if_cold()
         if kind is not None:
             self.counters["refused"] += 1
+            if self.cold.is_cold(now):
+                self.counters["refused_while_cold"] += 1
             raise RouterError(kind, f"{len(self.gate.queued)} requests wait")
         if ticket in self.gate.running:
             return ticket
@@ -337,5 +390,5 @@
     async def _poll(self) -> None:
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
-            if self.gate.queued:
-                self._resolve_waiters(self.gate.poll(boottime()))
+            if self.gate.queued or self.cold.is_assumed:
+                self._poll_gate()
--- a/src/sesamepost/internal/forwarding/endpoint_watch.py
+++ b/src/sesamepost/internal/forwarding/endpoint_watch.py
@@ -9,6 +9,7 @@
 from sesamepost.errors import RouterError
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import EndpointInfo
+from sesamepost.internal.forwarding.endpoint_connection import EndpointResponse
 from sesamepost.internal.forwarding.endpoint_pool import EndpointPool, Listening
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
 from sesamepost.internal.tasks import PeriodicTask
@@ -29,6 +30,8 @@
 
 log = structlog.get_logger()
 
+OnHealth = Callable[[EndpointInfo, EndpointResponse, float], None]
+
 
 class EndpointWatch(PeriodicTask):
     """Tracks the endpoint by its heartbeats and probes it when they stop.
@@ -52,6 +55,8 @@
         self.on_change = on_change
         # The open connections to the endpoint; those of commands are not in the pool.
         self.count_open: Callable[[], int] = pool.count_open if pool else lambda: 0
+        # Called with a health response and when it was requested.
+        self.on_health: OnHealth = lambda info, answer, sent_at: None
         self.heartbeat_interval_s = DEFAULT_HEARTBEAT_INTERVAL_S
         self.endpoint: EndpointInfo | None = None
         self.is_confirmed = True
@@ -192,6 +197,7 @@
         """
         address = self.pool.address
         headers = [("Host", f"{address.host}:{address.port}")]
+        sent_at = boottime()
         try:
             async with asyncio.timeout(HEALTH_TIMEOUT_S):
                 answer = await self.pool.send("GET", health_path, headers, b"", "")
@@ -203,6 +209,7 @@
         if answer.header(self.names.endpoint_id) == info.id:
             log.info("previous_endpoint_restored", endpoint=info.id, born=info.born)
             self._update(info, is_gone=False, is_confirmed=False)
+            self.on_health(info, answer, sent_at)
 
     def _update(
         self, info: EndpointInfo, is_gone: bool, is_confirmed: bool = True
--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -297,7 +297,7 @@
             call.rank,
             progress.retries,
         )
-        self.loads.note_sent(node.vm)
+        self.loads.note_sent(node.vm, now)
         failed = False
         progress.is_in_flight = True
         try:
--- a/src/sesamepost/internal/forwarding/gate.py
+++ b/src/sesamepost/internal/forwarding/gate.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from sesamepost.errors import ErrorKind
+from sesamepost.internal.forwarding.cold import MAX_QUEUE_S, ColdLimit
 
 Ticket = Hashable
 
@@ -60,11 +61,13 @@
     requests; if such a call fails, the work of the request that made it is wasted.
     Requests that will be late get the remaining slots.
 
-    All times are in seconds on one clock, and ``now`` is passed in.
+    All times are in seconds on one clock, and ``now`` is passed in. ``cold`` limits the
+    starts at an endpoint that is cold.
     """
 
-    def __init__(self, slots: int) -> None:
+    def __init__(self, slots: int, cold: ColdLimit | None = None) -> None:
         self.slots = slots
+        self.cold = cold or ColdLimit(float("-inf"))
         self.running: dict[Ticket, tuple[str, float]] = {}
         self.queued: dict[Ticket, QueuedRequest] = {}
         self.mean_s: dict[str, float] = {}
@@ -84,10 +87,12 @@
         """
         if waiting.latest_start < now:
             return ErrorKind.DEADLINE_NOT_RUN
-        if len(self.running) < self.slots and not self.queued:
+        if not self.queued and self._may_start(now):
             self._start(waiting, now)
             return None
         wait_s = self.expected_wait(waiting, now)
+        if self.cold.is_cold(now) and wait_s > MAX_QUEUE_S:
+            return ErrorKind.OVERLOADED
         if now + wait_s > waiting.target_start:
             # The request will be late. A long wait for a late answer is of no use.
             waiting.target_start = now - 1.0
@@ -102,14 +107,17 @@
         if self.slots == 0:
             return float("inf")
         new_key = new.sort_key(now)
+        ahead = 0
         ahead_s = 0.0
         for waiting in self.queued.values():
             if waiting.sort_key(now) <= new_key:
+                ahead += 1
                 ahead_s += self.expected_time(waiting.kind)
-        if len(self.running) < self.slots and ahead_s == 0:
-            return 0.0
+        cold_wait_s = self.cold.wait_s(ahead, now)
+        if len(self.running) < self.slots and ahead == 0:
+            return cold_wait_s
         # On average, half of the time of a running request remains.
-        return (ahead_s + self.recent_mean_s / 2) / self.slots
+        return max(cold_wait_s, (ahead_s + self.recent_mean_s / 2) / self.slots)
 
     def finish(self, ticket: Ticket, now: float, record_time: bool = True) -> Dequeued:
         """Free the slot of a started request; return tickets that leave the queue."""
@@ -129,17 +137,21 @@
         return self.poll(now)
 
     def poll(self, now: float) -> Dequeued:
-        """Expire requests past their latest start, and start others in free slots."""
+        """Expire requests past their latest start, and start others in free slots.
+
+        If the endpoint is cold, those that would wait too long expire as well.
+        """
         dequeued = Dequeued()
         for ticket, waiting in list(self.queued.items()):
             if waiting.latest_start < now:
                 del self.queued[ticket]
                 dequeued.expired.append(ticket)
-        while self.queued and len(self.running) < self.slots:
+        while self.queued and self._may_start(now):
             waiting = min(self.queued.values(), key=lambda w: w.sort_key(now))
             del self.queued[waiting.ticket]
             self._start(waiting, now)
             dequeued.started.append(waiting.ticket)
+        dequeued.expired += self._drop_excess(now)
         return dequeued
 
     def busy_share(self, window_s: float, now: float) -> float:
@@ -159,8 +171,23 @@
         weight = MEAN_WEIGHT * min(1.0, time_s / max(self.recent_mean_s, MIN_MEAN_S))
         self.recent_mean_s += weight * (time_s - self.recent_mean_s)
 
+    def _may_start(self, now: float) -> bool:
+        return len(self.running) < self.slots and self.cold.may_start(now)
+
+    def _drop_excess(self, now: float) -> list[Ticket]:
+        """Remove what a cold endpoint cannot start soon; return the tickets."""
+        limit = self.cold.max_queued(now)
+        if limit is None or len(self.queued) <= limit:
+            return []
+        in_order = sorted(self.queued.values(), key=lambda w: w.sort_key(now))
+        excess = [waiting.ticket for waiting in in_order[limit:]]
+        for ticket in excess:
+            del self.queued[ticket]
+        return excess
+
     def _start(self, waiting: QueuedRequest, now: float) -> None:
         self._update_busy(now)
+        self.cold.note_start(now)
         self.running[waiting.ticket] = (waiting.kind, now)
 
     def _update_busy(self, now: float) -> None:
--- a/src/sesamepost/internal/forwarding/loads.py
+++ b/src/sesamepost/internal/forwarding/loads.py
@@ -6,6 +6,7 @@
 from enum import IntEnum
 
 from sesamepost.internal.coordination.nodes import NodeEntry
+from sesamepost.internal.forwarding.cold import ColdShare
 from sesamepost.internal.forwarding.messages import LoadHint
 
 # Expected times within this share of the target latency leave room for slow requests.
@@ -64,6 +65,7 @@
     failures_updated_at: float = 0.0
     unreachable_until: float = 0.0
     times: dict[str, RouteTime] = field(default_factory=dict)
+    cold: ColdShare = field(default_factory=ColdShare)
 
     def age_text(self, now: float) -> str:
         """Return the age of the hint for the log."""
@@ -87,7 +89,8 @@
             slots = self.hint.slots
         if slots <= 0:
             return float("inf")
-        return max(0, ahead + 1 - slots) * mean_s / slots
+        wait_s = max(0, ahead + 1 - slots) * mean_s / slots
+        return max(wait_s, self.cold.wait_s(now))
 
     def time_of(self, route: str, now: float) -> float:
         """Return the expected time of a request, without its time in the queue.
@@ -116,6 +119,8 @@
         self.failure_domain = failure_domain
         self.region = region
         self.loads: dict[str, EndpointLoad] = {}
+        # How many nodes share the rate of a cold endpoint.
+        self.senders = 1
 
     def load_of(self, vm: str) -> EndpointLoad:
         """Return the load of the endpoint on ``vm``."""
@@ -134,10 +139,23 @@
         load.hint = hint
         load.hint_at = now
         load.sent_since = 0
+        self.note_cold(vm, hint.cold_ms / 1000, hint.cold_per_min / 60, now)
 
-    def note_sent(self, vm: str) -> None:
+    def note_cold(
+        self, vm: str, cold_s: float, tolerated_per_s: float, now: float
+    ) -> None:
+        """Record for how long an endpoint stays cold, and what it takes until then."""
+        self.load_of(vm).cold.note_cold(cold_s, tolerated_per_s, self.senders, now)
+
+    def is_cold(self, vm: str, now: float) -> bool:
+        """Return whether an endpoint is known to be cold."""
+        load = self.loads.get(vm)
+        return load is not None and load.cold.is_cold(now)
+
+    def note_sent(self, vm: str, now: float) -> None:
         """Count a request that is being sent."""
         load = self.load_of(vm)
+        load.cold.note_sent(now)
         load.sent_since += 1
         load.outstanding += 1
 
--- a/src/sesamepost/internal/forwarding/messages.py
+++ b/src/sesamepost/internal/forwarding/messages.py
@@ -30,12 +30,14 @@
     retries: int
 
 
-@message(96)
+@message(101)
 class LoadHint:
     """The load of the sender's endpoint, also sent along with answers.
 
     ``mean_ms`` is the mean time of a request at the endpoint, ``busy_percent`` the
-    recent usage of its slots and ``failed_percent`` the recent share of failures.
+    recent usage of its capacity and ``failed_percent`` the recent share of failures.
+    The endpoint stays cold for ``cold_ms`` and takes ``cold_per_min`` requests a minute
+    until then.
     """
 
     service: str
@@ -45,6 +47,8 @@
     mean_ms: int
     busy_percent: int
     failed_percent: int
+    cold_ms: int = 0
+    cold_per_min: int = 0
 
 
 @message(98)
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+import time
 from collections.abc import Callable
 from contextlib import AsyncExitStack, suppress
 from dataclasses import fields, replace
@@ -144,6 +145,7 @@
         mirror.feed = self.feed
         self.gossip = KeyGossip(self.settings_key, entry, nodes, mirror, self.store)
         self.local.on_suspicion = self.ownership.watch.suspect
+        self.ownership.watch.on_health = self.local.cold_checker.note_answer
         self.loads = LoadTracker(settings.failure_domain, settings.region)
         nodes.listeners.append(self._on_node)
         self.forwarder = Forwarder(
@@ -314,6 +316,7 @@
             revision=event.revision,
             bytes=len(event.value),
         )
+        self.local.set_services(routing.services)
         self.ownership.set_services(routing.services.values())
 
     def _on_keeper(self, service: str, keeper: RangeKeeper) -> None:
@@ -324,8 +327,29 @@
         balancer.start()
 
     def _on_node(self, vm: str, node: NodeEntry | None) -> None:
+        self.loads.senders = len(self.ownership.nodes.nodes)
         if node is None or node.endpoint is None:
             self.loads.forget(vm)
+        elif node.vm != self.settings.vm:
+            self._note_start(node.vm, node.endpoint)
+
+    def _note_start(self, vm: str, endpoint: EndpointInfo) -> None:
+        """Assume that an endpoint that started a moment ago is cold.
+
+        Its first hint replaces the assumption. Clocks that differ only cost accuracy.
+        """
+        service = self.index and self.index.settings.services.get(endpoint.service)
+        load = self.loads.load_of(vm)
+        if not service or load.hint is not None:
+            return
+        age_s = time.time() - endpoint.born / 1000
+        if 0 <= age_s < service.cold_start_s:
+            self.loads.note_cold(
+                vm,
+                service.cold_start_s - age_s,
+                service.cold_requests_per_s,
+                boottime(),
+            )
 
     def _on_endpoint(self, info: EndpointInfo | None) -> None:
         if info != self.local.info:
@@ -338,6 +362,7 @@
             "callers": self.ingress.counters,
             "forwarding": self.forwarder.counters,
             "endpoint": self.local.counters,
+            "cold_checks": self.local.cold_checker.counters,
             "endpoint_connections": self.endpoint_pool.counters,
             "mirror": self.ownership.mirror.counters,
             "registration": self.ownership.registration.counters,
--- a/src/sesamepost/internal/ranges/balance.py
+++ b/src/sesamepost/internal/ranges/balance.py
@@ -81,13 +81,15 @@
 class OwnerLoad:
     """The share of an owner's slots in use (1 for all) and the number of its keys.
 
-    ``mean_s`` is the mean time of a request there, or 0 if it is unknown.
+    ``mean_s`` is the mean time of a request there, or 0 if it is unknown. That of a
+    cold endpoint is longer, in the ratio of what it can take.
     """
 
     owner: Owner
     busy: float
     keys: int
     mean_s: float = 0.0
+    is_cold: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,7 +115,11 @@
     They bring all these owners to the same share of slots in use. The list is empty if
     the difference to the least busy owner is small.
     """
-    known = sorted((o for o in others if o.keys), key=lambda o: (o.busy, o.owner.vm))
+    # A cold endpoint without keys gets only as many as it can serve.
+    known = sorted(
+        (o for o in others if o.keys or o.is_cold),
+        key=lambda o: (o.busy, o.owner.vm),
+    )
     if (
         not known
         or source.busy < MIN_BUSY
@@ -139,7 +145,8 @@
     ratio = 1.0
     if source.mean_s > 0 and target.mean_s > 0:
         ratio = target.mean_s / source.mean_s
-    ratio = min(MAX_TIME_RATIO, max(MIN_TIME_RATIO, ratio))
+    if not target.is_cold:
+        ratio = min(MAX_TIME_RATIO, max(MIN_TIME_RATIO, ratio))
     return max(0.0, level - target.busy) / ratio
 
 
@@ -232,7 +239,10 @@
     An endpoint without keys gets some from the owner with the most keys, however low
     that owner's load is. Several new endpoints get keys from several owners at once.
     """
-    empty = sorted((o for o in others if o.keys == 0), key=lambda o: o.owner.vm)
+    empty = sorted(
+        (o for o in others if o.keys == 0 and not o.is_cold),
+        key=lambda o: o.owner.vm,
+    )
     if empty and source.keys > 1:
         donors = sorted(
             [source, *(o for o in others if o.keys > 0)],
@@ -242,7 +252,11 @@
         return empty[rank] if rank < len(empty) else None
     if source.busy < MIN_SLOW_BUSY:
         return None
-    faster = [o for o in others if _is_faster(o, source) and o.busy < MAX_FAST_BUSY]
+    faster = [
+        o
+        for o in others
+        if _is_faster(o, source) and o.busy < MAX_FAST_BUSY and not o.is_cold
+    ]
     return min(faster, key=lambda o: (o.mean_s, o.owner.vm), default=None)
 
 
--- a/src/sesamepost/internal/ranges/balancing.py
+++ b/src/sesamepost/internal/ranges/balancing.py
@@ -58,6 +58,9 @@
     def mean_of(self, vm: str) -> float | None:
         """Return the mean time of a request in seconds, or None if it is unknown."""
 
+    def is_cold(self, vm: str, now: float) -> bool:
+        """Return whether an endpoint is cold and can take few requests."""
+
 
 class RangeBalancer(PeriodicTask):
     """Moves keys from the local endpoint to less busy or faster ones.
@@ -149,7 +152,8 @@
             if now < self.settling_until.get(owner, 0.0) or (busy is None and keys):
                 continue
             mean_s = self.loads.mean_of(owner.vm) or 0.0
-            others.append(OwnerLoad(owner, busy or 0.0, keys, mean_s))
+            is_cold = self.loads.is_cold(owner.vm, now)
+            others.append(OwnerLoad(owner, busy or 0.0, keys, mean_s, is_cold))
         return others
 
 
--- a/tests/forwarding/test_loads.py
+++ b/tests/forwarding/test_loads.py
@@ -46,14 +46,14 @@
     for vm in ("near", "beside", "far"):
         loads.note_hint(vm, hint(0, mean_ms=200), 0.0)
     for _ in range(4):
-        loads.note_sent("near")
+        loads.note_sent("near", 0.0)
     assert pick(loads, 0.1) is BESIDE
 
 
 def test_a_failing_endpoint_is_avoided_and_tried_again_later():
     loads = LoadTracker("a1", "a")
     for _ in range(4):
-        loads.note_sent("near")
+        loads.note_sent("near", 0.0)
         loads.note_done("near", True, 0.0)
     assert pick(loads, 0.1) is BESIDE
     assert pick(loads, 20.0) is NEAR
