--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -384,7 +384,7 @@
             call.rank,
             progress.retries,
         )
-        self.loads.note_sent(node.vm)
+        self.loads.note_sent(node.vm, now)
         failed = False
         progress.sent_to = node
         try:
