Share a VM's link between all of its peer streams

Cause: each stream kept 256 KiB of bulk and the kernel more, so on 8 Mbit/s a lookup waited behind the downloads of all streams. Change: one queue for the large messages of all streams, ordered by control, rank and size; a token bucket at 92% of a narrow link's rate releases fragments of 3 ms; small messages overtake. All streams together hold at most an eighth of the process's memory before they count as not writable. Links on which 256 KiB take less than 10 ms are not paced.

--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from sesamepost.internal.forwarding.messages import Forward
 from sesamepost.internal.forwarding.routes import Route
 from sesamepost.internal.ranges.table_store import TableStore
+from sesamepost.internal.wire.link import class_of_rank
 from sesamepost.internal.wire.messages import Answer, Cancel, Refusal
 from sesamepost.internal.wire.pool import PeerPool
 from sesamepost.internal.wire.stream import StreamClosedError
@@ -340,7 +341,9 @@
         self.counters["forwarded"] += 1
         call_id, future = stream.new_call()
         try:
-            stream.send(replace(request, id=call_id))
+            stream.send(
+                replace(request, id=call_id), link_class=class_of_rank(request.rank)
+            )
             reply = await future
         except StreamClosedError as error:
             self.counters["streams_lost_with_calls"] += 1
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -43,6 +43,7 @@
 from sesamepost.internal.tasks import task_failures
 from sesamepost.internal.telemetry.loop_lag import LoopLag
 from sesamepost.internal.telemetry.metrics import Metrics
+from sesamepost.internal.wire.link_sender import LinkSender
 from sesamepost.internal.wire.pool import Address, PeerPool
 from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
 
@@ -61,6 +62,8 @@
 # process needs about a quarter for itself, and each answer exceeds its share by up to
 # one read of 256 KiB.
 ANSWER_MEMORY_DIVISOR = 6
+# The part of the memory that messages waiting for the link may use together.
+LINK_MEMORY_DIVISOR = 8
 
 log = structlog.get_logger()
 
@@ -102,7 +105,10 @@
     async def __aenter__(self) -> "Node":
         settings = self.settings
         enter = self.stack.enter_async_context
-        self.pool = await enter(PeerPool(self.id, b"", compressed=True))
+        link = LinkSender(
+            settings.link_bytes_per_s, settings.memory_bytes / LINK_MEMORY_DIVISOR
+        )
+        self.pool = await enter(PeerPool(self.id, b"", compressed=True, link=link))
         self.pool.on(EndpointEnded, self._on_endpoint_ended)
         self.pool.on(RangeUpdate, self._on_range_update)
         self.store = RelayedStore(
--- a/src/sesamepost/internal/forwarding/serving.py
+++ b/src/sesamepost/internal/forwarding/serving.py
@@ -13,6 +13,7 @@
 from sesamepost.internal.forwarding.loads import LoadTracker
 from sesamepost.internal.forwarding.messages import Forward, LoadHint
 from sesamepost.internal.ranges.messages import RangeUpdate
+from sesamepost.internal.wire.link import class_of_rank
 from sesamepost.internal.wire.messages import Cancel, Refusal
 from sesamepost.internal.wire.pool import PeerPool
 from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
@@ -111,7 +112,7 @@
             self._send_hint(stream, isinstance(reply, Refusal))
             if isinstance(reply, Refusal) and reply.kind == ErrorKind.NOT_OWNER:
                 self._send_range(stream, request)
-            stream.send(reply)
+            stream.send(reply, link_class=class_of_rank(request.rank))
         except StreamClosedError as error:
             log.info("answer_lost", request=request.request_id, reason=str(error))
 
--- a/src/sesamepost/internal/wire/frames.py
+++ b/src/sesamepost/internal/wire/frames.py
@@ -10,6 +10,8 @@
 MAX_HANDSHAKE_FRAME_BYTES = 1 << 10
 MAX_MESSAGE_BYTES = 9 << 20
 FRAGMENT_BYTES = 64 << 10
+# Messages up to this size are never split, however small the fragments are.
+SMALL_MESSAGE_BYTES = 4 << 10
 MAX_OPEN_FRAGMENTED_MESSAGES = 64
 # A sender writes the fragments of one message in sequence, so few messages are
 # incomplete at the same time.
@@ -121,18 +123,25 @@
     return LENGTH.pack(len(payload)) + payload
 
 
-def encode_frames(payload: bytes, sequence: int) -> list[bytes]:
-    """Return the frames of an encoded message, split into fragments if large."""
-    if len(payload) <= FRAGMENT_BYTES:
+def encode_frames(
+    payload: bytes, sequence: int, fragment_bytes: int = FRAGMENT_BYTES
+) -> list[bytes]:
+    """Return the frames of an encoded message, split into fragments if large.
+
+    Fragments of messages near the limit are larger than ``fragment_bytes``, since the
+    receiver accepts at most ``MAX_FRAGMENTS`` of one message.
+    """
+    if len(payload) <= max(fragment_bytes, SMALL_MESSAGE_BYTES):
         return [encode_frame(payload)]
     if len(payload) > MAX_MESSAGE_BYTES:
         raise ValueError(
             f"a message of {len(payload)} bytes exceeds the limit of"
             f" {MAX_MESSAGE_BYTES}"
         )
+    fragment_bytes = max(fragment_bytes, -(-len(payload) // MAX_FRAGMENTS))
     frames = []
-    for start in range(0, len(payload), FRAGMENT_BYTES):
-        end = start + FRAGMENT_BYTES
+    for start in range(0, len(payload), fragment_bytes):
+        end = start + fragment_bytes
         fragment = Fragment(sequence, end >= len(payload), payload[start:end])
         frames.append(encode_frame(encode(fragment)))
     return frames
--- a/src/sesamepost/internal/wire/pool.py
+++ b/src/sesamepost/internal/wire/pool.py
@@ -9,6 +9,7 @@
 
 from sesamepost.internal.identity import ANY_INCARNATION, NodeId
 from sesamepost.internal.wire.handshake import Handshake
+from sesamepost.internal.wire.link_sender import LinkSender
 from sesamepost.internal.wire.messages import COMPRESSED_VERSION, PROTOCOL_VERSION
 from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
 
@@ -30,12 +31,19 @@
 class PeerPool:
     """Owns the listener on the peer port and all streams of this daemon.
 
-    ``compressed`` must be the same for all daemons of a fleet. Handlers are
-    registered by message type with ``on``. They run inside the event loop's read
-    callback, so they must not block.
+    ``compressed`` must be the same for all daemons of a fleet. All streams share
+    ``link``, which is not paced by default. Handlers are registered by message type
+    with ``on``. They run inside the event loop's read callback, so they must not block.
     """
 
-    def __init__(self, node: NodeId, key: bytes, compressed: bool = False) -> None:
+    def __init__(
+        self,
+        node: NodeId,
+        key: bytes,
+        compressed: bool = False,
+        link: LinkSender | None = None,
+    ) -> None:
+        self.link = link or LinkSender()
         self.node = node
         self.key = key
         self.version = COMPRESSED_VERSION if compressed else PROTOCOL_VERSION
@@ -164,7 +172,7 @@
 
     def _new_stream(self, handshake: Handshake) -> PeerStream:
         stream = PeerStream(
-            handshake, self._on_message, self._on_closed, self.waiting.add
+            handshake, self._on_message, self._on_closed, self.waiting.add, self.link
         )
         self.opening.add(stream)
         stream.opened.add_done_callback(lambda future: self._on_opened(stream, future))
--- a/src/sesamepost/internal/wire/stream.py
+++ b/src/sesamepost/internal/wire/stream.py
@@ -2,15 +2,15 @@
 
 import asyncio
 import math
-from collections import deque
+import socket
 from collections.abc import Callable, Iterable, Iterator
+from contextlib import suppress
 from typing import Any
 
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.identity import NodeId
 from sesamepost.internal.wire.compression import StreamCompression
 from sesamepost.internal.wire.frames import (
-    FRAGMENT_BYTES,
     MAX_FRAME_BYTES,
     FragmentAssembler,
     FrameReader,
@@ -18,6 +18,8 @@
     encode_frames,
 )
 from sesamepost.internal.wire.handshake import HANDSHAKE_TIMEOUT_S, Handshake
+from sesamepost.internal.wire.link import CONTROL_CLASS
+from sesamepost.internal.wire.link_sender import LinkSender
 from sesamepost.internal.wire.messages import (
     COMPRESSED_VERSION,
     Answer,
@@ -35,12 +37,9 @@
 PING_AFTER_SILENCE_S = 1.0
 CLOSE_AFTER_SILENCE_S = 2.5
 WRITE_HIGH_WATER_BYTES = 4 << 20
-# Bounds the bulk data in the write buffer, behind which small messages have to wait.
-BULK_BUFFER_BYTES = 256 << 10
-BULK_INTERVAL_S = 0.002
-# Three messages of the largest size. Above this, ``writable`` is cleared and callers
-# refuse or drop further messages instead of queueing them.
-BULK_HIGH_WATER_BYTES = 27 << 20
+# On a narrow link, the kernel takes no more bytes than this ahead of those sent, since
+# small messages would wait behind them.
+NARROW_LINK_UNSENT_BYTES = 16 << 10
 # The longest time for which messages are dispatched in one turn of the event loop. A
 # read of 256 KiB may decompress to a hundred times as much.
 MAX_DISPATCH_S = 0.005
@@ -67,7 +66,10 @@
         on_message: Callable[["PeerStream", Any], None],
         on_closed: Callable[["PeerStream"], None],
         on_waiting: Callable[["PeerStream"], None] = lambda stream: None,
+        link: LinkSender | None = None,
     ) -> None:
+        # Shared by all streams of this node.
+        self.link = link or LinkSender()
         self.handshake = handshake
         self.on_message = on_message
         self.on_closed = on_closed
@@ -87,8 +89,6 @@
         self.last_call_id = 0
         self.last_sequence = 0
         self.pending_frames: list[bytes] = []
-        self.bulk_frames: deque[bytes] = deque()
-        self.bulk_timer: asyncio.TimerHandle | None = None
         self.flush_scheduled = False
         self.writable = asyncio.Event()
         self.writable.set()
@@ -115,6 +115,8 @@
         """Send the ``Hello`` and start the timeout of the handshake."""
         self.transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        if self.link.is_paced:
+            _limit_unsent(transport)
         self._write(encode_frame(encode(self.handshake.hello)))
         self.handshake_timer = self.loop.call_later(
             HANDSHAKE_TIMEOUT_S, self._check_handshake_timeout
@@ -148,32 +150,36 @@
         """Set ``writable``, since the peer has read most of the sent data."""
         self.writable.set()
 
-    def send(self, item: Any, expects_reply: bool = True) -> None:
+    def send(
+        self,
+        item: Any,
+        expects_reply: bool = True,
+        link_class: int = CONTROL_CLASS,
+    ) -> None:
         """Queue a message; all messages of a loop iteration are written together.
 
-        The peer is not pinged if it stays silent after a message without a reply.
+        The peer is not pinged if it stays silent after a message without a reply. Large
+        messages of all streams are written in the order of ``link_class``.
         """
         if self.closed_reason is not None:
             raise StreamClosedError(self.closed_reason)
         if expects_reply:
-            self.send_encoded(encode(item))
+            self.send_encoded(encode(item), link_class)
         else:
-            self._queue(encode(item))
+            self._queue(encode(item), link_class)
 
-    def send_encoded(self, payload: bytes) -> None:
+    def send_encoded(self, payload: bytes, link_class: int = CONTROL_CLASS) -> None:
         """Queue an encoded message."""
         if self.waiting_since is None:
             self.waiting_since = self.loop.time()
             self.on_waiting(self)
-        self._queue(payload)
+        self._queue(payload, link_class)
 
-    def _queue(self, payload: bytes) -> None:
+    def _queue(self, payload: bytes, link_class: int = CONTROL_CLASS) -> None:
         self.last_sequence += 1
-        frames = encode_frames(payload, self.last_sequence)
+        frames = encode_frames(payload, self.last_sequence, self.link.fragment_bytes)
         if len(frames) > 1:
-            self.bulk_frames.extend(frames)
-            if len(self.bulk_frames) * FRAGMENT_BYTES > BULK_HIGH_WATER_BYTES:
-                self.writable.clear()
+            self.link.add(self, frames, link_class)
         else:
             self.pending_frames.extend(frames)
         if not self.flush_scheduled:
@@ -309,28 +315,25 @@
             data = b"".join(self.pending_frames)
             self.pending_frames.clear()
             self._write(data)
-        if self.bulk_frames and self.bulk_timer is None:
-            self._flush_bulk()
+        self.link.flush()
 
-    def _flush_bulk(self) -> None:
-        self.bulk_timer = None
-        if self.closed_reason is not None:
-            return
-        while (
-            self.bulk_frames
-            and self.transport.get_write_buffer_size() < BULK_BUFFER_BYTES
-        ):
-            self._write(self.bulk_frames.popleft())
-        if self.bulk_frames:
-            self.bulk_timer = self.loop.call_later(BULK_INTERVAL_S, self._flush_bulk)
-        if len(self.bulk_frames) * FRAGMENT_BYTES <= BULK_HIGH_WATER_BYTES // 2:
-            self.writable.set()
+    def write_frame(self, frame: bytes) -> int:
+        """Write a frame of a large message; return the number of written bytes."""
+        return self._write_bytes(frame)
+
+    def write_buffer_bytes(self) -> int:
+        """Return how much written data the kernel has not taken yet."""
+        return self.transport.get_write_buffer_size()
 
     def _write(self, data: bytes) -> None:
+        self.link.note_small(self._write_bytes(data))
+
+    def _write_bytes(self, data: bytes) -> int:
         if self.compression is not None:
             data = self.compression.compress(data)
         self.bytes_sent += len(data)
         self.transport.write(data)
+        return len(data)
 
     def _check_handshake_timeout(self) -> None:
         if not self.handshake.proven:
@@ -381,8 +384,7 @@
             self.handshake_timer.cancel()
         if self.deadline_timer is not None:
             self.deadline_timer.cancel()
-        if self.bulk_timer is not None:
-            self.bulk_timer.cancel()
+        self.link.drop(self)
         self.deadlines.clear()
         self.writable.set()
         if not self.opened.done():
@@ -393,3 +395,12 @@
             if not future.done():
                 future.set_exception(StreamClosedError(reason))
         self.on_closed(self)
+
+
+def _limit_unsent(transport: asyncio.Transport) -> None:
+    connection = transport.get_extra_info("socket")
+    option = getattr(socket, "TCP_NOTSENT_LOWAT", None)
+    if connection is None or option is None:
+        return
+    with suppress(OSError):
+        connection.setsockopt(socket.IPPROTO_TCP, option, NARROW_LINK_UNSENT_BYTES)
