--- a/tests/coordination/failure_domain.py
+++ b/tests/coordination/failure_domain.py
@@ -17,6 +17,7 @@
 
 KEY = b"k" * 32
 URGENT_KEY = "settings"
+EVACUATION_PREFIX = "evacuate/"
 
 
 @dataclass(slots=True)
@@ -88,5 +89,5 @@
             return [node for node in nodes.nodes.values() if node.vm != entry.vm]
 
     mirror.feed = ReaderFeed(entry, nodes, mirror, relayed)
-    gossip = KeyGossip(URGENT_KEY, entry, nodes, mirror, relayed)
+    gossip = KeyGossip(URGENT_KEY, entry, nodes, mirror, relayed, EVACUATION_PREFIX)
     return Member(entry, pool, mirror, mirror.feed, relayed, gossip, view)
--- a/tests/coordination/memory_store.py
+++ b/tests/coordination/memory_store.py
@@ -91,6 +91,13 @@
             raise StoreSilentError("the response was lost")
         return self.revision
 
+    async def remove(self, key: str) -> None:
+        """Remove a key, as the operator does."""
+        del self.items[key]
+        self.revision += 1
+        self.events.append(Deletion(key, self.revision))
+        await self._notify()
+
     async def open_lease(self, ttl_s: float) -> int:
         self._check()
         self.next_lease += 1
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -6,6 +6,7 @@
 
 from sesamepost.errors import ErrorKind, RouterError
 from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.evacuations import Evacuations
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import (
     NODE_PREFIX,
@@ -18,12 +19,14 @@
 from sesamepost.internal.forwarding.loads import LoadTracker
 from sesamepost.internal.forwarding.messages import NO_KEY, Forward
 from sesamepost.internal.forwarding.routes import Route, Share
+from sesamepost.internal.ranges.placement import Placement
 from sesamepost.internal.ranges.table import Owner, new_table
 from sesamepost.internal.ranges.table_store import TableStore
 from sesamepost.internal.wire.messages import Answer
 from tests.coordination.memory_store import MemoryStore
 
 VMS = ("10.0.0.2", "10.0.0.3")
+EVACUATION_PREFIX = "evacuate/"
 
 
 class ScriptedForwarder(Forwarder):
@@ -36,7 +39,8 @@
         nodes = NodeTable(mirror)
         for index, vm in enumerate(VMS):
             endpoint = EndpointInfo("s", f"i-{vm}", 1, 2, "v1", True)
-            entry = NodeEntry(vm, vm, 1, 7600, f"a{index}", "r", endpoint)
+            region = f"r{index}"
+            entry = NodeEntry(vm, vm, 1, 7600, f"a{index}", region, endpoint)
             mirror.offer(Item(NODE_PREFIX + vm, entry.encode(), index + 1))
         tables = TableStore(mirror.store, mirror, "s") if partitioned else None
         if tables:
@@ -45,7 +49,10 @@
             for index, key in enumerate(tables.keys):
                 mirror.offer(Item(key, table.section(index).encode(), 9))
         loads = LoadTracker("a0", "r")
-        super().__init__("10.0.0.1", None, nodes, None, loads, lambda service: tables)
+        placement = Placement(Evacuations(EVACUATION_PREFIX, mirror))
+        super().__init__(
+            "10.0.0.1", None, nodes, None, loads, lambda service: tables, placement
+        )
 
     async def _run_on_peer(self, node: NodeEntry, request: Forward) -> Answer:
         self.sent.append((node.vm, request))
@@ -57,8 +64,11 @@
         raise RouterError(result)
 
 
-def call(retryable: bool, key: int = NO_KEY, timeout_s: float = 2.0) -> Call:
-    route = Route("r", "h", "/", retryable, 0, 0.8, 2, 1, (Share("s", 1.0),))
+def call(
+    retryable: bool, key: int = NO_KEY, timeout_s: float = 2.0, regions: tuple = ()
+) -> Call:
+    shares = (Share("s", 1.0),)
+    route = Route("r", "h", "/", retryable, 0, 0.8, 2, 1, shares, frozenset(regions))
     now = boottime()
     return Call(
         "id", route, "s", key, "POST", "/", [], b"", now + timeout_s, now + 0.8, 1, 7
@@ -146,3 +156,23 @@
     request = call(True, 5)
     assert await outcome(forwarder, request) is ErrorKind.OWNER_UNREACHABLE
     assert request.deadline - boottime() > 1.0
+
+
+@pytest.mark.parametrize(
+    ("key", "expected"), [(NO_KEY, 500), (65535, 500), (5, ErrorKind.NO_ENDPOINT)]
+)
+async def test_a_request_and_its_retry_stay_in_the_allowed_regions(key, expected):
+    # Guards against HOME: bodies that are sent outside, also to the owner of their key.
+    forwarder = ScriptedForwarder(key != NO_KEY, [500] * 9)
+    assert await outcome(forwarder, call(True, key, regions=["r1"])) == expected
+    assert {vm for vm, _ in forwarder.sent} <= {VMS[1]}
+
+
+@pytest.mark.parametrize("key", [NO_KEY, 5])
+async def test_requests_are_refused_at_once_if_all_endpoints_are_excluded(key):
+    # Guards against callers that wait for an operator.
+    forwarder = ScriptedForwarder(key != NO_KEY, [])
+    forwarder.nodes.mirror.offer(Item(EVACUATION_PREFIX + "a1", b"{}", 20))
+    request = call(True, key, regions=["r1", "nowhere"])
+    assert await outcome(forwarder, request) is ErrorKind.NO_ENDPOINT
+    assert request.deadline - boottime() > 1.8
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -71,6 +71,13 @@
         """Write a value, as the operator does."""
         await self._set(key, json.dumps(value).encode(), 0)
 
+    async def remove(self, key: str) -> None:
+        """Remove a key, as the operator does."""
+        del self.items[key]
+        self.revision += 1
+        self._record_deletion(key)
+        await self._notify()
+
     def forget_history(self) -> None:
         """Drop all events, so that watches from older revisions must list again."""
         self.events.clear()
