--- a/src/sesamepost/internal/coordination/messages.py
+++ b/src/sesamepost/internal/coordination/messages.py
@@ -40,7 +40,7 @@
 
 @message(94)
 class RevisionQuery:
-    """Asks a peer for the revision of the key that is spread by gossip.
+    """Asks a peer for the revision of the keys that are spread by gossip.
 
     ``revision`` is the one that the sender has. ``sent_at`` is the time of the sender's
     clock, which the reply returns.
@@ -52,7 +52,7 @@
 
 @message(100)
 class RevisionNotice:
-    """States the revision of the key that is spread by gossip.
+    """States the revision of the keys that are spread by gossip.
 
     ``age_s`` is the age of that knowledge at the sender. ``asked_at`` is the time
     ``sent_at`` of the query, or 0.0 if nobody asked.
