Measure what an endpoint takes well, and choose by the time until done

Cause: senders knew only the slots of the heartbeat and their own few response times, although endpoints of a service differ in speed by three times and some turn slow by 5 to 12 times. Change: the node beside the endpoint measures its speed (median of time over usual time, with late requests in flight) and the number in flight with which it does most work (set on purpose and compared, under overload only). Hints carry both; senders no longer keep response times of their own. Server-Load is read. Result: forwarding, balance and whole-path tests pass.

--- a/src/sesamepost/internal/forwarding/endpoint.py
+++ b/src/sesamepost/internal/forwarding/endpoint.py
@@ -10,6 +10,7 @@
 from sesamepost.errors import ErrorKind, RouterError
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import EndpointInfo
+from sesamepost.internal.forwarding.capacity_log import CapacityLog
 from sesamepost.internal.forwarding.cold import ColdLimit
 from sesamepost.internal.forwarding.cold_check import ColdChecker
 from sesamepost.internal.forwarding.endpoint_connection import EndpointResponse
@@ -23,6 +24,7 @@
 from sesamepost.internal.forwarding.messages import NO_KEY, Forward, LoadHint
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
 from sesamepost.internal.forwarding.routes import Service
+from sesamepost.internal.forwarding.server_load import ServerLoadReader
 from sesamepost.internal.ranges.balance import KeyCounts
 from sesamepost.internal.ranges.keeper import RangeKeeper
 from sesamepost.internal.routing.retry_budget import RetryBudget
@@ -39,6 +41,11 @@
 MIN_RETRIES_PER_S = 1.0
 # Factor on the mean time of a request: it must start that long before its deadline.
 START_MARGIN = 1.1
+# The times of this many kinds are sent along with a hint.
+HINTED_KINDS = 4
+# A request that takes this many times longer than expected, while others end in time,
+# is one that the endpoint has not taken.
+HANG_FACTOR = 5.0
 # From this usage on, ``busy`` uses the short window, so that overload shows at once.
 OVERLOAD_THRESHOLD = 1.1
 
@@ -80,6 +87,8 @@
         self.cold_checker = ColdChecker(pool, names, self.cold, self._poll_gate)
         self.services: Mapping[str, Service] = {}
         self.gate = EndpointGate(0, self.cold)
+        self.capacity_log = CapacityLog(self.gate.speed, self.gate.capacity)
+        self.load_reader = ServerLoadReader()
         self.keeper: RangeKeeper | None = None
         self.key_counts = KeyCounts()
         # Request counts and expected slot time, by window.
@@ -113,6 +122,7 @@
             self.pool.close_idle()
             self.failure_share = 0.0
             self.cold.note_incarnation(boottime())
+            self.gate.capacity.forget()
         self.info = info
         self._apply_service()
         slots = info.slots if info is not None and info.is_ready else 0
@@ -167,6 +177,10 @@
             int(self.failure_share * 100),
             math.ceil(cold_s * 1000),
             int(self.cold.tolerated_per_s * 60) if cold_s else 0,
+            tuple(
+                (kind, math.ceil(time_s * 1000))
+                for kind, time_s in gate.expected_times(HINTED_KINDS)
+            ),
         )
 
     def busy(self) -> float:
@@ -247,6 +261,7 @@
             await self._wait_for_hold(request.key, deadline)
         ticket = await self._admit(request, deadline)
         record_time = False
+        pace = 1.0
         try:
             self._check_service(request)
             if request.key != NO_KEY and not self.keeper.may_run(request.key):
@@ -254,10 +269,26 @@
                     ErrorKind.NOT_OWNER, "the hold ended while the request was queued"
                 )
             answer = await self._send(request, deadline)
-            record_time = True
+            # An endpoint that fails fast must not look fast.
+            record_time = answer.status < 500
+            pace = self._note_load(answer)
             return answer
         finally:
-            self._resolve_waiters(self.gate.finish(ticket, boottime(), record_time))
+            now = boottime()
+            self._resolve_waiters(self.gate.finish(ticket, now, record_time, pace))
+
+    def _note_load(self, answer: EndpointResponse) -> float:
+        """Use the load that the endpoint states; return the pace of its VM."""
+        names = self.names
+        if not names.load:
+            return 1.0
+        now = boottime()
+        load = self.load_reader.read(answer.header(names.load), now)
+        if load is None:
+            return 1.0
+        if load.waiting:
+            self.gate.capacity.note_waiting(load.running, now)
+        return load.pace
 
     def _check_service(self, request: Forward) -> None:
         info = self.info
@@ -334,6 +365,7 @@
                 )
         except TimeoutError:
             self._note_failure(True)
+            self._note_hang(request, remaining_s)
             raise RouterError(
                 ErrorKind.OUTCOME_UNKNOWN, "the endpoint did not answer in time"
             ) from None
@@ -358,10 +390,16 @@
                 self.keeper.note_key_refused(request.key)
             raise RouterError(ErrorKind.NOT_OWNER, "the endpoint answered 421")
         self._note_failure(True)
+        self.gate.capacity.note_rejected(len(self.gate.running), boottime())
         raise RouterError(
             ErrorKind.ENDPOINT_REFUSED, f"the endpoint answered {answer.status}"
         )
 
+    def _note_hang(self, request: Forward, waited_s: float) -> None:
+        if waited_s > HANG_FACTOR * self.gate.expected_time(request.route):
+            self.counters["hangs"] += 1
+            self.gate.capacity.note_rejected(len(self.gate.running), boottime())
+
     def _note_failure(self, failed: bool) -> None:
         self.failure_share += FAILURE_WEIGHT * (float(failed) - self.failure_share)
 
@@ -390,5 +428,9 @@
     async def _poll(self) -> None:
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
+            if self.gate.running:
+                now = boottime()
+                self.gate.follow(now)
+                self.capacity_log.note(self.info.id, now)
             if self.gate.queued or self.cold.is_assumed:
                 self._poll_gate()
--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -307,8 +307,6 @@
                 answer = await self._run_on_peer(node, request)
             progress.reached.add(node.vm)
             failed = answer.status >= 500
-            ended = boottime()
-            self.loads.note_time(node.vm, call.route.name, ended - now, ended)
             return answer
         except RouterError as error:
             failed = error.kind is not ErrorKind.NOT_OWNER
--- a/src/sesamepost/internal/forwarding/gate.py
+++ b/src/sesamepost/internal/forwarding/gate.py
@@ -4,19 +4,21 @@
 from dataclasses import dataclass, field
 
 from sesamepost.errors import ErrorKind
+from sesamepost.internal.forwarding.capacity import (
+    INITIAL_TIME_S,
+    MIN_TIME_S,
+    CapacityEstimate,
+    SpeedEstimate,
+)
 from sesamepost.internal.forwarding.cold import MAX_QUEUE_S, ColdLimit
 
 Ticket = Hashable
 
-# Weight of the newest request in the moving average of its kind.
+# Weight of the newest request in the mean over all kinds.
 MEAN_WEIGHT = 0.08
-INITIAL_TIME_S = 0.1
-MIN_MEAN_S = 0.001
 BUSY_WINDOWS_S = (1.0, 3.0)
 # A request that will be late is queued for at most this share of its remaining time.
 LATE_WAIT_SHARE = 0.5
-# Bounds the memory; operators may define hundreds of routes.
-MAX_KINDS = 1000
 
 
 @dataclass(slots=True)
@@ -27,6 +29,14 @@
     expired: list[Ticket] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class RunningRequest:
+    """A started request."""
+
+    kind: str
+    started_at: float
+
+
 @dataclass(slots=True)
 class QueuedRequest:
     """A request that waits for a slot.
@@ -62,22 +72,34 @@
     Requests that will be late get the remaining slots.
 
     All times are in seconds on one clock, and ``now`` is passed in. ``cold`` limits the
-    starts at an endpoint that is cold.
+    starts at an endpoint that is cold. ``slots`` is the number of requests in flight
+    that the endpoint takes well, at most what it states.
     """
 
     def __init__(self, slots: int, cold: ColdLimit | None = None) -> None:
+        self.capacity = CapacityEstimate()
+        self.capacity.set_slots(slots)
+        self.speed = SpeedEstimate()
         self.slots = slots
         self.cold = cold or ColdLimit(float("-inf"))
-        self.running: dict[Ticket, tuple[str, float]] = {}
+        self.running: dict[Ticket, RunningRequest] = {}
         self.queued: dict[Ticket, QueuedRequest] = {}
-        self.mean_s: dict[str, float] = {}
+        self.mean_usual_s = INITIAL_TIME_S
         self.recent_mean_s = INITIAL_TIME_S
+        # The sum of the usual times of all finished requests.
+        self.work_s = 0.0
         self.busy = {window_s: 0.0 for window_s in BUSY_WINDOWS_S}
         self.busy_updated_at = 0.0
 
     def expected_time(self, kind: str) -> float:
         """Return the mean time of a request of ``kind`` at the endpoint."""
-        return self.mean_s.get(kind, self.recent_mean_s)
+        time_s = self.speed.expected_time(kind)
+        return self.recent_mean_s if time_s is None else time_s
+
+    def expected_times(self, count: int) -> list[tuple[str, float]]:
+        """Return the expected times of the kinds with most recent requests."""
+        kinds = self.speed.recent_kinds().most_common(count)
+        return [(kind, self.expected_time(kind)) for kind, _ in kinds]
 
     def submit(self, waiting: QueuedRequest, now: float) -> ErrorKind | None:
         """Start or queue a request; return the reason if it is refused, or None.
@@ -119,21 +141,41 @@
         # On average, half of the time of a running request remains.
         return max(cold_wait_s, (ahead_s + self.recent_mean_s / 2) / self.slots)
 
-    def finish(self, ticket: Ticket, now: float, record_time: bool = True) -> Dequeued:
-        """Free the slot of a started request; return tickets that leave the queue."""
+    def finish(
+        self,
+        ticket: Ticket,
+        now: float,
+        record_time: bool = True,
+        stated_pace: float = 1.0,
+    ) -> Dequeued:
+        """Free the slot of a started request; return tickets that leave the queue.
+
+        ``stated_pace`` is how long work takes on the endpoint's VM, as it says.
+        """
         self._update_busy(now)
-        kind, started = self.running.pop(ticket)
+        done = self.running.pop(ticket)
         if record_time:
-            self._record_time(kind, now - started)
+            self._record_time(done, stated_pace, now)
+        self.follow(now)
         return self.poll(now)
 
+    def follow(self, now: float) -> None:
+        """Follow the speed of the endpoint and the number that it takes well."""
+        running = self.running.values()
+        self.speed.update([(r.kind, now - r.started_at) for r in running], now)
+        self.recent_mean_s = self.mean_usual_s * self.speed.slowness
+        is_full = bool(self.queued) and not self.cold.is_cold(now)
+        self.capacity.update(is_full, self.work_s, self.recent_mean_s, now)
+        self.slots = self.capacity.limit
+
     def cancel(self, ticket: Ticket) -> None:
         """Remove a request from the queue if it is still there."""
         self.queued.pop(ticket, None)
 
     def set_slots(self, slots: int, now: float) -> Dequeued:
         """Change the number of slots; running requests continue."""
-        self.slots = slots
+        self.capacity.set_slots(slots)
+        self.slots = self.capacity.limit
         return self.poll(now)
 
     def poll(self, now: float) -> Dequeued:
@@ -162,14 +204,16 @@
         self._update_busy(now)
         return self.busy[window_s]
 
-    def _record_time(self, kind: str, time_s: float) -> None:
-        if kind not in self.mean_s and len(self.mean_s) >= MAX_KINDS:
-            self.mean_s.clear()
-        mean_s = self.mean_s.get(kind, time_s)
-        self.mean_s[kind] = mean_s + MEAN_WEIGHT * (time_s - mean_s)
+    def _record_time(
+        self, done: RunningRequest, stated_pace: float, now: float
+    ) -> None:
+        time_s = max(MIN_TIME_S, now - done.started_at)
+        self.speed.note_time(done.kind, time_s, stated_pace, now)
+        usual_s = self.speed.usual_s[done.kind]
+        self.work_s += usual_s
         # Very short requests say nothing about the duration of the others.
-        weight = MEAN_WEIGHT * min(1.0, time_s / max(self.recent_mean_s, MIN_MEAN_S))
-        self.recent_mean_s += weight * (time_s - self.recent_mean_s)
+        weight = MEAN_WEIGHT * min(1.0, usual_s / max(self.mean_usual_s, MIN_TIME_S))
+        self.mean_usual_s += weight * (usual_s - self.mean_usual_s)
 
     def _may_start(self, now: float) -> bool:
         return len(self.running) < self.slots and self.cold.may_start(now)
@@ -188,7 +232,7 @@
     def _start(self, waiting: QueuedRequest, now: float) -> None:
         self._update_busy(now)
         self.cold.note_start(now)
-        self.running[waiting.ticket] = (waiting.kind, now)
+        self.running[waiting.ticket] = RunningRequest(waiting.kind, now)
 
     def _update_busy(self, now: float) -> None:
         elapsed = now - self.busy_updated_at
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -363,6 +363,8 @@
             "forwarding": self.forwarder.counters,
             "endpoint": self.local.counters,
             "cold_checks": self.local.cold_checker.counters,
+            "server_load": self.local.load_reader.counters,
+            "capacity": self.local.gate.capacity.counters,
             "endpoint_connections": self.endpoint_pool.counters,
             "mirror": self.ownership.mirror.counters,
             "registration": self.ownership.registration.counters,
