--- a/src/sesamepost/internal/forwarding/cold.py
+++ b/src/sesamepost/internal/forwarding/cold.py
@@ -15,7 +15,7 @@
 UNPROVEN_OVERAGE = 1.5
 UNPROVEN_SLACK = 4.0
 # A check is due once this share of the unproven requests has started.
-CHECK_SHARE = 0.5
+CHECK_SHARE = 0.6
 # Checks that prove nothing are repeated at this interval.
 CHECK_INTERVAL_S = 0.1
 # Expected time of a check, for requests that wait for it.
