Count requests that were given up as slow ones

Cause: at an endpoint at which no request ends, the last fast ones counted again between two late ones. Change: a request that is given up counts with its age if that is slower.

--- a/src/sesamepost/internal/forwarding/capacity.py
+++ b/src/sesamepost/internal/forwarding/capacity.py
@@ -111,6 +111,15 @@
         self.usual_s[kind] = usual_s + USUAL_WEIGHT * (adjusted_s - usual_s)
         self.samples.append(Sample(now, kind, slowness / pace, pace))
 
+    def note_unfinished(self, kind: str, age_s: float, now: float) -> None:
+        """Record a request that was given up; it counts if it was slower than others.
+
+        Otherwise an endpoint at which all requests are given up would look fast.
+        """
+        slowness = self.slowness_of(kind, age_s)
+        if slowness > self.slowness:
+            self.samples.append(Sample(now, kind, slowness, 1.0))
+
     def update(self, in_flight: Iterable[tuple[str, float]], now: float) -> None:
         """Follow the present speed; ``in_flight`` are kinds and ages.
 
--- a/src/sesamepost/internal/forwarding/gate.py
+++ b/src/sesamepost/internal/forwarding/gate.py
@@ -156,6 +156,8 @@
         done = self.running.pop(ticket)
         if record_time:
             self._record_time(done, stated_pace, now)
+        else:
+            self.speed.note_unfinished(done.kind, now - done.started_at, now)
         self.follow(now)
         return self.poll(now)
 
--- a/tests/forwarding/test_capacity.py
+++ b/tests/forwarding/test_capacity.py
@@ -46,6 +46,7 @@
         self.now = 0.0
         self.next_arrival = 0.0
         self.left_s: dict[int, float] = {}
+        self.give_up_s = 60.0
         self.ticket = 0
         self.finished = 0
 
@@ -67,6 +68,10 @@
                 del self.left_s[ticket]
                 self.finished += 1
                 self._begin(gate.finish(ticket, now, True, self.pace(now)).started)
+        for ticket, running in list(gate.running.items()):
+            if now - running.started_at > self.give_up_s:
+                del self.left_s[ticket]
+                self._begin(gate.finish(ticket, now, False).started)
         gate.follow(now)
         self._begin(gate.poll(now).started)
         while self.next_arrival <= now:
@@ -105,6 +110,15 @@
     assert max(expected(rows, back, 30)) < WORK_S * 1.5
 
 
+@pytest.mark.parametrize("demand", [0.3, 1.5])
+def test_an_endpoint_at_which_all_requests_are_given_up_stays_slow(demand):
+    # Guards against its last fast requests counting again between two late ones.
+    simulation = Simulation(4, demand, lambda n, now: 12 if now >= 10 else 1)
+    simulation.give_up_s = 1.0
+    rows = simulation.run(30.0)
+    assert min(expected(rows, 10 + FOLLOW_S, 30)) > WORK_S * 4
+
+
 @pytest.mark.parametrize("demand", [0.3, 0.8, 1.5])
 def test_a_ramp_of_the_speed_is_followed(demand):
     def ramp(in_flight: int, now: float) -> float:
