--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -395,9 +395,7 @@
                 answer = await self._run_on_peer(node, request)
             progress.reached.add(node.vm)
             failed = answer.status >= 500
-            ended = boottime()
-            self.return_times.note_answer(self._pace_target(call), ended)
-            self.loads.note_time(node.vm, call.route.name, ended - now, ended)
+            self.return_times.note_answer(self._pace_target(call), boottime())
             return answer
         except RouterError as error:
             failed = error.kind is not ErrorKind.NOT_OWNER
