Refuse requests whose answers do not pass the link in time

Cause: downloads that offer more than the link took slots and bytes although they missed their deadline, and the internal lookups at the same endpoints waited. Change: the endpoint's node knows the mean answer size by route and the bytes that wait or are expected; a request of another node is refused at once, not run, if its answer would pass the link after its target latency, or if all large messages would take more than their part of the memory. LinkFull tells the sender when to return, and Retry-After is that time. Request bodies are checked at the sender in the same way. Gauges of queued and expected bytes, counters of refusals.

--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -11,14 +11,16 @@
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import NodeEntry, NodeTable
 from sesamepost.internal.forwarding.endpoint import LocalEndpoint
+from sesamepost.internal.forwarding.link_room import check_request_passes
+from sesamepost.internal.forwarding.link_waits import LinkWaits
 from sesamepost.internal.forwarding.loads import LoadTracker
-from sesamepost.internal.forwarding.messages import Forward
+from sesamepost.internal.forwarding.messages import Forward, LinkFull
 from sesamepost.internal.forwarding.routes import Route
 from sesamepost.internal.ranges.table_store import TableStore
 from sesamepost.internal.wire.link import class_of_rank
 from sesamepost.internal.wire.messages import Answer, Cancel, Refusal
 from sesamepost.internal.wire.pool import PeerPool
-from sesamepost.internal.wire.stream import StreamClosedError
+from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
 
 # Longest total time that a request waits for a reachable node that can run it, such as
 # the owner of its key.
@@ -115,6 +117,7 @@
         self.local = local
         self.loads = loads
         self.tables = tables
+        self.link_waits = LinkWaits()
         self.counters: Counter[str] = Counter()
 
     async def run(self, call: Call, progress: Progress) -> Answer:
@@ -180,6 +183,7 @@
                     n for n in candidates if self.loads.is_reachable(n.vm, now)
                 ]
                 if reachable or (progress.tried and not candidates):
+                    self._note_link_wait(reachable, call, progress)
                     self._raise_overloaded(reachable, progress)
                 reason = ErrorKind.NO_ENDPOINT
             await self._wait_for_node(call, progress, reason)
@@ -205,6 +209,11 @@
 
     def _pick(self, candidates: list[NodeEntry], call: Call) -> NodeEntry | None:
         now = boottime()
+        candidates = [
+            node
+            for node in candidates
+            if not self.link_waits.wait_s(node.vm, call.route.name, now)
+        ]
         max_wait_s = max(
             0.05, call.target_at - now, (call.deadline - now) * MAX_WAIT_SHARE
         )
@@ -218,6 +227,22 @@
             return True
         return self._pick(self._candidates(call, progress), call) is not None
 
+    def _note_link_wait(
+        self, candidates: list[NodeEntry], call: Call, progress: Progress
+    ) -> None:
+        """Let the caller return when one of the links has room."""
+        wait_s = self.link_waits.shortest_s(
+            (node.vm for node in candidates), call.route.name, boottime()
+        )
+        progress.retry_after_s = max(progress.retry_after_s, wait_s)
+
+    def note_link_full(self, stream: PeerStream, message: LinkFull) -> None:
+        """Send no more requests on a route to a VM until its link has room."""
+        self.counters["link_full"] += 1
+        self.link_waits.note(
+            stream.peer.vm, message.route, message.wait_ms / 1000, boottime()
+        )
+
     def _raise_overloaded(
         self, candidates: list[NodeEntry], progress: Progress
     ) -> None:
@@ -266,6 +291,7 @@
             case _ if self.tables(call.service) is None:
                 progress.tried.add(node.vm)
             case ErrorKind.OVERLOADED | ErrorKind.DEADLINE_NOT_RUN:
+                self._note_link_wait([node], call, progress)
                 load = self.loads.load_of(node.vm)
                 wait_s = load.expected_wait_s(node.endpoint.slots, boottime())
                 if wait_s != float("inf"):
@@ -338,6 +364,7 @@
             raise RouterError(
                 ErrorKind.OWNER_UNREACHABLE, "the send buffer of the stream is full"
             )
+        check_request_passes(self.pool.link, request, asyncio.get_running_loop().time())
         self.counters["forwarded"] += 1
         call_id, future = stream.new_call()
         try:
--- a/src/sesamepost/internal/forwarding/messages.py
+++ b/src/sesamepost/internal/forwarding/messages.py
@@ -52,3 +52,14 @@
     """Requests the ``LoadHint`` of the receiver's endpoint."""
 
     id: int
+
+
+@message(110)
+class LinkFull:
+    """The sender's link has no room for answers on ``route`` for ``wait_ms``.
+
+    Sent before the refusal of a request whose answer would have been late.
+    """
+
+    route: str
+    wait_ms: int
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -29,6 +29,7 @@
 from sesamepost.internal.forwarding.ingress import Ingress
 from sesamepost.internal.forwarding.load_exchange import LoadExchange
 from sesamepost.internal.forwarding.loads import LoadTracker
+from sesamepost.internal.forwarding.messages import LinkFull
 from sesamepost.internal.forwarding.node_settings import NodeSettings
 from sesamepost.internal.forwarding.ownership import Ownership, PeerMessage
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
@@ -160,6 +161,7 @@
             self.loads,
             self.ownership.table_of,
         )
+        self.pool.on(LinkFull, self.forwarder.note_link_full)
         self.peer_service = await enter(PeerService(self.pool, self.local, self.loads))
         self.peer_service.is_refusing = self._is_refusing
         self.peer_service.range_of = self.ownership.range_of
@@ -350,11 +352,17 @@
             "relay": self.store.counters,
             "feed": self.feed.counters,
             "gossip": self.gossip.counters,
+            "link": self.peer_service.link_room.counters,
             "event_loop": self.loop_lag.counters,
             "task_failures": task_failures,
         }
         for name, counters in parts.items():
             self.metrics.add_counters(name, counters)
+        room = self.peer_service.link_room
+        self.metrics.add_gauge(
+            "link.queued_bytes", lambda: self.pool.link.scheduler.total_bytes
+        )
+        self.metrics.add_gauge("link.expected_bytes", room.expected_bytes)
 
 
 def _loop_time(at: float) -> float:
--- a/src/sesamepost/internal/forwarding/serving.py
+++ b/src/sesamepost/internal/forwarding/serving.py
@@ -10,11 +10,12 @@
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.forwarding.endpoint import LocalEndpoint
 from sesamepost.internal.forwarding.forwarder import to_message
+from sesamepost.internal.forwarding.link_room import LinkFullError, LinkRoom
 from sesamepost.internal.forwarding.loads import LoadTracker
-from sesamepost.internal.forwarding.messages import Forward, LoadHint
+from sesamepost.internal.forwarding.messages import Forward, LinkFull, LoadHint
 from sesamepost.internal.ranges.messages import RangeUpdate
 from sesamepost.internal.wire.link import class_of_rank
-from sesamepost.internal.wire.messages import Cancel, Refusal
+from sesamepost.internal.wire.messages import Answer, Cancel, Refusal
 from sesamepost.internal.wire.pool import PeerPool
 from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
 
@@ -41,6 +42,7 @@
         self.range_of: Callable[[str, int], RangeUpdate | None] = lambda service, key: (
             None
         )
+        self.link_room = LinkRoom(pool.link)
         self.hint_sent_at: dict[PeerStream, float] = {}
         self.counters: Counter[str] = Counter()
         pool.on(Forward, self._on_forward)
@@ -91,9 +93,10 @@
 
     async def _run(self, stream: PeerStream, request: Forward) -> None:
         try:
-            answer = await self.local.run(request)
-            reply = to_message(request.id, answer)
+            reply = await self._run_if_link_has_room(request)
         except RouterError as error:
+            if isinstance(error, LinkFullError):
+                self._send_wait(stream, request.route, error.wait_s)
             reply = Refusal(request.id, error.kind, error.detail, 0)
             log.info(
                 "request_refused",
@@ -116,6 +119,18 @@
         except StreamClosedError as error:
             log.info("answer_lost", request=request.request_id, reason=str(error))
 
+    async def _run_if_link_has_room(self, request: Forward) -> Answer:
+        time_s = self.local.gate.expected_time(request.route)
+        now = asyncio.get_running_loop().time()
+        with self.link_room.reserve(request, time_s, now) as admitted:
+            answer = await self.local.run(admitted)
+        self.link_room.note_answer(request.route, len(answer.body))
+        return to_message(request.id, answer)
+
+    def _send_wait(self, stream: PeerStream, route: str, wait_s: float) -> None:
+        if stream.is_open:
+            stream.send(LinkFull(route, int(wait_s * 1000)))
+
     def _send_range(self, stream: PeerStream, request: Forward) -> None:
         """Send the key's range before the refusal, so that the peer finds the owner.
 
--- a/src/sesamepost/internal/telemetry/metrics.py
+++ b/src/sesamepost/internal/telemetry/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of one daemon: the counters of its components and request durations.
+"""Metrics of one daemon: counters and gauges of its components, request durations.
 
 The exporter is imported at the first scrape. Importing it at the start would take a
 seventh of the startup time, during which the keys of a restarting node are not served.
@@ -25,6 +25,7 @@
         self.durations = RequestDurations(team_of)
         self.observe_request = self.durations.observe
         self.counters: dict[str, Counter[str]] = {}
+        self.gauges: dict[str, Callable[[], float]] = {}
         self.exporter: Exporter | None = None
 
     def add_counters(self, part: str, counters: Counter[str]) -> None:
@@ -33,6 +34,12 @@
         if self.exporter is not None:
             self.exporter.add_counters(part, counters)
 
+    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Export a value that is read at each scrape."""
+        self.gauges[name] = read
+        if self.exporter is not None:
+            self.exporter.add_gauge(name, read)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         if self.exporter is None:
@@ -50,4 +57,6 @@
         exporter = Exporter(self.durations)
         for part, counters in self.counters.items():
             exporter.add_counters(part, counters)
+        for name, read in self.gauges.items():
+            exporter.add_gauge(name, read)
         return exporter
--- a/src/sesamepost/internal/wire/link.py
+++ b/src/sesamepost/internal/wire/link.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Hashable
 from dataclasses import dataclass, field
 
-from sesamepost.internal.wire.frames import FRAGMENT_BYTES
+from sesamepost.internal.wire.frames import FRAGMENT_BYTES, SMALL_MESSAGE_BYTES
 
 Sender = Hashable
 
@@ -116,6 +116,11 @@
             return STREAM_BUFFER_BYTES
         return int(self.burst_bytes) + self.fragment_bytes
 
+    @property
+    def small_message_bytes(self) -> int:
+        """The largest message that overtakes bulk data, since it is written at once."""
+        return max(self.fragment_bytes, SMALL_MESSAGE_BYTES)
+
     @property
     def total_bytes(self) -> int:
         """The bulk bytes that wait in all streams."""
@@ -227,6 +232,10 @@
         rate = self.bytes_per_s * max(MIN_BULK_SHARE, bulk_share)
         return ((queued + size) * self.written_ratio + debt) / rate
 
+    def time_alone(self, size: float) -> float:
+        """Return the time that ``size`` bytes of bulk data take on an idle link."""
+        return size * self.written_ratio / self.bytes_per_s
+
     def _pop_frame(self, message: BulkMessage) -> bytes:
         frame = message.frames.popleft()
         queue = self.queues[message.sender]
--- a/src/sesamepost/internal/wire/link_sender.py
+++ b/src/sesamepost/internal/wire/link_sender.py
@@ -7,7 +7,8 @@
 from sesamepost.internal.wire.link import CONTROL_CLASS, LinkScheduler
 
 BULK_INTERVAL_S = 0.002
-MIN_PACING_INTERVAL_S = 0.0005
+# The resolution of the timers.
+MIN_PACING_INTERVAL_S = 0.001
 # Three messages of the largest size. Above this, a stream is not writable and callers
 # refuse or drop further messages instead of queueing them.
 STREAM_HIGH_WATER_BYTES = 27 << 20
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -146,3 +146,17 @@
     request = call(True, 5)
     assert await outcome(forwarder, request) is ErrorKind.OWNER_UNREACHABLE
     assert request.deadline - boottime() > 1.0
+
+
+async def test_a_full_link_is_not_asked_again_and_tells_when_to_return():
+    # Guards against attempts at endpoints that have just said they have no room.
+    forwarder = ScriptedForwarder(False, [200])
+    forwarder.link_waits.note(VMS[0], "r", 1.5, boottime())
+    assert await outcome(forwarder, call(False)) == 200
+    assert [vm for vm, _ in forwarder.sent] == [VMS[1]]
+    forwarder.link_waits.note(VMS[1], "r", 0.9, boottime())
+    progress = Progress()
+    with pytest.raises(RouterError) as refusal:
+        await forwarder.run(call(False), progress)
+    assert refusal.value.kind is ErrorKind.OVERLOADED
+    assert 0.8 < progress.retry_after_s <= 0.9
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -102,6 +102,17 @@
         read_settings(path)
 
 
+@pytest.mark.parametrize(
+    ("kind", "is_retryable"), [("safe", True), ("download", True), ("unsafe", False)]
+)
+def test_safe_requests_and_downloads_are_retryable(kind, is_retryable):
+    # Guards against downloads that end with the first failure of an endpoint.
+    fields = json.loads(json.dumps(ROUTING).replace('"safe"', f'"{kind}"'))
+    assert decode_routing(json.dumps(fields).encode()).routes[1].is_retryable is (
+        is_retryable
+    )
+
+
 def test_routing_settings_keep_kinds_times_and_shares():
     routing = decode_routing(json.dumps(ROUTING).encode())
     split, plain = routing.routes
