Write bulk data of one stream while another one is blocked on a wide link

Cause: one timer for all streams delayed new bulk data by up to 2 ms while any stream was blocked. Change: on links that are not paced, new data is written at once; blocked streams alone wait for the timer. Result: tests of wire pass.

--- a/src/sesamepost/internal/wire/link_sender.py
+++ b/src/sesamepost/internal/wire/link_sender.py
@@ -67,32 +67,35 @@
         self.scheduler.note_written(size, _now())
 
     def flush(self) -> None:
-        """Write bulk data, unless it already waits for a time to be written."""
-        if self.timer is None and self.scheduler.has_bulk():
-            self._flush()
+        """Write new bulk data, unless the link is busy."""
+        if self.scheduler.ready and (self.timer is None or not self.is_paced):
+            self._write_ready()
 
     def drop(self, stream: BulkStream) -> None:
         """Forget a closed stream."""
         self.scheduler.drop(stream)
         self.unwritable.discard(stream)
 
-    def _flush(self) -> None:
+    def _on_timer(self) -> None:
         self.timer = None
+        self.scheduler.unblock(self._is_writable)
+        self._write_ready()
+
+    def _write_ready(self) -> None:
         scheduler = self.scheduler
         now = _now()
-        scheduler.unblock(self._is_writable)
         while (entry := scheduler.pop(now, self._is_writable)) is not None:
             stream, frame = entry
             written = stream.write_frame(frame)
             scheduler.note_written(written, now, len(frame))
         self._update_writable()
-        if scheduler.has_bulk():
+        if scheduler.has_bulk() and self.timer is None:
             delay_s = BULK_INTERVAL_S
             if scheduler.ready:
                 # The link is busy; otherwise all peers must read first.
                 delay_s = max(MIN_PACING_INTERVAL_S, scheduler.delay_s(now))
             loop = asyncio.get_running_loop()
-            self.timer = loop.call_later(delay_s, self._flush)
+            self.timer = loop.call_later(delay_s, self._on_timer)
 
     def _is_writable(self, stream: BulkStream) -> bool:
         return stream.write_buffer_bytes() < self.scheduler.stream_buffer_bytes
