Discard answers on the link that nobody waits for any more

Cause: an answer that waited for a narrow link was sent even after its caller had left. Change: Cancel removes a queued answer unless a part of it has been written; the receiver would wait for the rest of a message that is cut off.

--- a/src/sesamepost/internal/forwarding/link_room.py
+++ b/src/sesamepost/internal/forwarding/link_room.py
@@ -1,14 +1,14 @@
 """Admits requests of other nodes whose answers pass the link of this VM in time."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Hashable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 
 from sesamepost.errors import ErrorKind, RouterError
 from sesamepost.internal.forwarding.messages import Forward
 from sesamepost.internal.wire.frames import SMALL_MESSAGE_BYTES
-from sesamepost.internal.wire.link import class_of_rank
+from sesamepost.internal.wire.link import BulkMessage, class_of_rank
 from sesamepost.internal.wire.link_sender import LinkSender
 
 # Weight of the newest answer in the mean size of its route.
@@ -20,6 +20,10 @@
 # Time from the link of this VM to the caller.
 PATH_TIME_S = 0.05
 MIN_WAIT_S = 0.05
+# From this number on, the handles of answers that have been written are dropped.
+MAX_WRITTEN_HANDLES = 64
+
+CallId = Hashable
 
 
 class LinkFullError(RouterError):
@@ -57,6 +61,8 @@
         self.link = link
         self.mean_bytes: dict[str, float] = {}
         self.under_way: Counter[UnderWay] = Counter()
+        self.queued: dict[CallId, BulkMessage] = {}
+        self.queued_limit = MAX_WRITTEN_HANDLES
         self.counters: Counter[str] = Counter()
 
     @contextmanager
@@ -84,6 +90,20 @@
         mean = self.mean_bytes.get(route, size)
         self.mean_bytes[route] = mean + SIZE_WEIGHT * (size - mean)
 
+    def note_queued(self, call: CallId, message: BulkMessage | None) -> None:
+        """Remember the answer of a call, if it waits for the link."""
+        if message is None:
+            return
+        self.queued[call] = message
+        if len(self.queued) >= self.queued_limit:
+            self.queued = {c: m for c, m in self.queued.items() if m.is_unwritten}
+            self.queued_limit = MAX_WRITTEN_HANDLES + 2 * len(self.queued)
+
+    def discard_answer(self, call: CallId) -> bool:
+        """Discard an answer that nobody waits for, unless a part of it is written."""
+        message = self.queued.pop(call, None)
+        return message is not None and self.link.scheduler.cancel(message)
+
     def expected_bytes(self, link_class: int | None = None) -> float:
         """Return the expected bytes of answers under way.
 
--- a/src/sesamepost/internal/forwarding/serving.py
+++ b/src/sesamepost/internal/forwarding/serving.py
@@ -77,6 +77,8 @@
         if task is not None:
             self.counters["cancelled"] += 1
             task.cancel()
+        elif self.link_room.discard_answer((stream, cancel.id)):
+            self.counters["answers_discarded"] += 1
 
     def _on_hint(self, stream: PeerStream, hint: LoadHint) -> None:
         self.loads.note_hint(stream.peer.vm, hint, boottime())
@@ -115,7 +117,8 @@
             self._send_hint(stream, isinstance(reply, Refusal))
             if isinstance(reply, Refusal) and reply.kind == ErrorKind.NOT_OWNER:
                 self._send_range(stream, request)
-            stream.send(reply, link_class=class_of_rank(request.rank))
+            message = stream.send(reply, link_class=class_of_rank(request.rank))
+            self.link_room.note_queued((stream, request.id), message)
         except StreamClosedError as error:
             log.info("answer_lost", request=request.request_id, reason=str(error))
 
--- a/src/sesamepost/internal/wire/link.py
+++ b/src/sesamepost/internal/wire/link.py
@@ -39,7 +39,7 @@
     return min(CONTROL_CLASS + 1 + max(0, rank), MAX_CLASS)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class BulkMessage:
     """A message in several frames; ``due`` orders the messages of one class."""
 
@@ -48,6 +48,12 @@
     due: float
     sequence: int
     frames: deque[bytes]
+    is_started: bool = False
+
+    @property
+    def is_unwritten(self) -> bool:
+        """Whether the message is queued and no part of it has been written."""
+        return bool(self.frames) and not self.is_started
 
     def __lt__(self, other: "BulkMessage") -> bool:
         return (self.link_class, self.due, self.sequence) < (
@@ -137,7 +143,7 @@
 
     def add(
         self, sender: Sender, link_class: int, frames: list[bytes], now: float
-    ) -> None:
+    ) -> BulkMessage:
         """Queue the frames of one message behind those of the same stream and class."""
         size = sum(map(len, frames))
         if not self.queues:
@@ -157,6 +163,27 @@
             self.blocked[sender].append(message)
         else:
             heapq.heappush(self.ready, message)
+        return message
+
+    def cancel(self, message: BulkMessage) -> bool:
+        """Discard a message; return False if a part of it has been written.
+
+        The receiver would wait for the rest of a message that was cut off.
+        """
+        if not message.is_unwritten:
+            return False
+        if message in self.ready:
+            self.ready.remove(message)
+            heapq.heapify(self.ready)
+        else:
+            waiting = self.blocked[message.sender]
+            waiting.remove(message)
+            if not waiting:
+                # Its next message would otherwise wait for a timer that nobody has set.
+                del self.blocked[message.sender]
+        self._remove(message, sum(map(len, message.frames)), is_last=True)
+        message.frames.clear()
+        return True
 
     def pop(
         self, now: float, is_writable: Callable[[Sender], bool]
@@ -186,9 +213,12 @@
 
     def drop(self, sender: Sender) -> None:
         """Discard what a closed stream still had to write."""
-        self.blocked.pop(sender, None)
         if self.queues.pop(sender, None) is None:
             return
+        for message in self._messages():
+            if message.sender is sender:
+                message.frames.clear()
+        self.blocked.pop(sender, None)
         self.ready = [m for m in self.ready if m.sender in self.queues]
         heapq.heapify(self.ready)
         self.queued_bytes.clear()
@@ -238,15 +268,20 @@
 
     def _pop_frame(self, message: BulkMessage) -> bytes:
         frame = message.frames.popleft()
-        queue = self.queues[message.sender]
-        queue.queued_bytes -= len(frame)
-        self.queued_bytes[message.link_class] -= len(frame)
+        message.is_started = True
         if not message.frames:
             heapq.heappop(self.ready)
+        self._remove(message, len(frame), is_last=not message.frames)
+        return frame
+
+    def _remove(self, message: BulkMessage, size: int, is_last: bool) -> None:
+        queue = self.queues[message.sender]
+        queue.queued_bytes -= size
+        self.queued_bytes[message.link_class] -= size
+        if is_last:
             queue.messages -= 1
             if not queue.messages:
                 del self.queues[message.sender]
-        return frame
 
     def _messages(self) -> list[BulkMessage]:
         waiting = [m for messages in self.blocked.values() for m in messages]
--- a/src/sesamepost/internal/wire/link_sender.py
+++ b/src/sesamepost/internal/wire/link_sender.py
@@ -4,7 +4,11 @@
 import math
 from typing import Protocol
 
-from sesamepost.internal.wire.link import CONTROL_CLASS, LinkScheduler
+from sesamepost.internal.wire.link import (
+    CONTROL_CLASS,
+    BulkMessage,
+    LinkScheduler,
+)
 
 BULK_INTERVAL_S = 0.002
 # The resolution of the timers.
@@ -53,14 +57,15 @@
 
     def add(
         self, stream: BulkStream, frames: list[bytes], link_class: int = CONTROL_CLASS
-    ) -> None:
+    ) -> BulkMessage:
         """Queue a large message of a stream."""
         scheduler = self.scheduler
-        scheduler.add(stream, link_class, frames, _now())
+        message = scheduler.add(stream, link_class, frames, _now())
         is_full = scheduler.queued_of(stream) > STREAM_HIGH_WATER_BYTES
         if is_full or scheduler.total_bytes > self.memory_bytes:
             stream.writable.clear()
             self.unwritable.add(stream)
+        return message
 
     def note_small(self, size: int) -> None:
         """Record bytes of a small message, which are written at once."""
--- a/src/sesamepost/internal/wire/stream.py
+++ b/src/sesamepost/internal/wire/stream.py
@@ -18,7 +18,7 @@
     encode_frames,
 )
 from sesamepost.internal.wire.handshake import HANDSHAKE_TIMEOUT_S, Handshake
-from sesamepost.internal.wire.link import CONTROL_CLASS
+from sesamepost.internal.wire.link import CONTROL_CLASS, BulkMessage
 from sesamepost.internal.wire.link_sender import LinkSender
 from sesamepost.internal.wire.messages import (
     COMPRESSED_VERSION,
@@ -155,36 +155,42 @@
         item: Any,
         expects_reply: bool = True,
         link_class: int = CONTROL_CLASS,
-    ) -> None:
+    ) -> BulkMessage | None:
         """Queue a message; all messages of a loop iteration are written together.
 
         The peer is not pinged if it stays silent after a message without a reply. Large
-        messages of all streams are written in the order of ``link_class``.
+        messages of all streams are written in the order of ``link_class``; a handle of
+        such a message is returned.
         """
         if self.closed_reason is not None:
             raise StreamClosedError(self.closed_reason)
         if expects_reply:
-            self.send_encoded(encode(item), link_class)
-        else:
-            self._queue(encode(item), link_class)
+            return self.send_encoded(encode(item), link_class)
+        return self._queue(encode(item), link_class)
 
-    def send_encoded(self, payload: bytes, link_class: int = CONTROL_CLASS) -> None:
+    def send_encoded(
+        self, payload: bytes, link_class: int = CONTROL_CLASS
+    ) -> BulkMessage | None:
         """Queue an encoded message."""
         if self.waiting_since is None:
             self.waiting_since = self.loop.time()
             self.on_waiting(self)
-        self._queue(payload, link_class)
+        return self._queue(payload, link_class)
 
-    def _queue(self, payload: bytes, link_class: int = CONTROL_CLASS) -> None:
+    def _queue(
+        self, payload: bytes, link_class: int = CONTROL_CLASS
+    ) -> BulkMessage | None:
         self.last_sequence += 1
         frames = encode_frames(payload, self.last_sequence, self.link.fragment_bytes)
+        message = None
         if len(frames) > 1:
-            self.link.add(self, frames, link_class)
+            message = self.link.add(self, frames, link_class)
         else:
             self.pending_frames.extend(frames)
         if not self.flush_scheduled:
             self.flush_scheduled = True
             self.loop.call_soon(self._flush)
+        return message
 
     def new_call(self, timeout_s: float = math.inf) -> tuple[int, asyncio.Future]:
         """Return a new call id and a future for its ``Answer`` or ``Refusal``.
--- a/tests/forwarding/test_link_room.py
+++ b/tests/forwarding/test_link_room.py
@@ -146,3 +146,17 @@
     for number in range(5000):
         waits.note(f"vm-{number}", "r", 1.0, 1.0)
     assert len(waits.full_until) <= 1000
+
+
+def test_answers_that_nobody_waits_for_leave_the_link():
+    room = new_room()
+    scheduler = room.link.scheduler
+    for call in range(1000):
+        message = scheduler.add("a", 1, [b"x" * 3000] * 2, 0.0)
+        room.note_queued(call, message)
+        if call < 990:
+            message.is_started = True
+    assert len(room.queued) <= 150
+    assert room.discard_answer(999)
+    assert not room.discard_answer(999)
+    assert not room.discard_answer(0)
--- a/tests/wire/test_link.py
+++ b/tests/wire/test_link.py
@@ -121,6 +121,26 @@
     assert scheduler.time_to_pass(0, 7, 100.0) == 0
 
 
+def test_a_cancelled_message_leaves_the_queue_unless_a_part_is_written():
+    # Guards against a link that is full of answers to callers who have left.
+    scheduler = LinkScheduler(NARROW_BYTES_PER_S)
+    first, second, third = (
+        scheduler.add(sender, 1, [b"x" * 3000] * 2, 0.0) for sender in ("a", "a", "b")
+    )
+    assert scheduler.pop(0.0, lambda sender: True)[0] == "a"
+    pop_all(scheduler, lambda sender: False)
+    assert not scheduler.cancel(first)
+    assert scheduler.cancel(second)
+    assert not scheduler.cancel(second)
+    assert scheduler.total_bytes == 9000
+    assert scheduler.cancel(third)
+    scheduler.add("b", 1, [b"next"], 0.0)
+    assert pop_all(scheduler) == [b"next"]
+    scheduler.drop("b")
+    scheduler.unblock(lambda sender: True)
+    assert len(pop_all(scheduler)) == 1
+
+
 def test_small_messages_leave_a_debt_that_bulk_data_waits_for():
     scheduler = scheduler_with(("a", 1, [b"a" * 3000]))
     scheduler.note_written(50_000, 0.0)
