Do not pace a link whose rate is not known

Cause: a rate of 0 or below in the settings ended the process at its start. Change: such a link counts as one that is not paced. Result: tests of the link and of requests between daemons pass.

--- a/src/sesamepost/internal/wire/link.py
+++ b/src/sesamepost/internal/wire/link.py
@@ -76,7 +76,8 @@
     """Orders bulk messages of all streams, and paces them if the link is narrow.
 
     Small messages are written at once and only recorded with ``note_written``. They may
-    leave a debt that bulk data waits for. All times are in seconds on one clock, and
+    leave a debt that bulk data waits for. A link whose rate is not known (infinite, or
+    not above 0) is not paced. All times are in seconds on one clock, and
     ``now`` is passed in.
 
     Example::
@@ -89,8 +90,9 @@
     """
 
     def __init__(self, bytes_per_s: float = math.inf) -> None:
-        if bytes_per_s <= 0:
-            raise ValueError(f"a link must carry more than {bytes_per_s} bytes/s")
+        if not bytes_per_s > 0:
+            # Settings without a usable rate must not keep a node from its work.
+            bytes_per_s = math.inf
         self.is_paced = STREAM_BUFFER_BYTES / bytes_per_s > NARROW_BUFFER_TIME_S
         self.bytes_per_s = math.inf
         self.burst_bytes = 0.0
