--- a/src/sesamepost/internal/forwarding/serving.py
+++ b/src/sesamepost/internal/forwarding/serving.py
@@ -10,11 +10,12 @@
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.forwarding.endpoint import LocalEndpoint
 from sesamepost.internal.forwarding.forwarder import to_message
+from sesamepost.internal.forwarding.link_room import LinkFullError, LinkRoom
 from sesamepost.internal.forwarding.loads import LoadTracker
-from sesamepost.internal.forwarding.messages import Forward, LoadHint
+from sesamepost.internal.forwarding.messages import Forward, LinkFull, LoadHint
 from sesamepost.internal.ranges.messages import RangeUpdate
 from sesamepost.internal.wire.link import class_of_rank
-from sesamepost.internal.wire.messages import Cancel, Refusal
+from sesamepost.internal.wire.messages import Answer, Cancel, Refusal
 from sesamepost.internal.wire.pool import PeerPool
 from sesamepost.internal.wire.stream import PeerStream, StreamClosedError
 
@@ -41,6 +42,7 @@
         self.range_of: Callable[[str, int], RangeUpdate | None] = lambda service, key: (
             None
         )
+        self.link_room = LinkRoom(pool.link)
         self.hint_sent_at: dict[PeerStream, float] = {}
         self.counters: Counter[str] = Counter()
         pool.on(Forward, self._on_forward)
@@ -75,6 +77,8 @@
         if task is not None:
             self.counters["cancelled"] += 1
             task.cancel()
+        elif self.link_room.discard_answer((stream, cancel.id)):
+            self.counters["answers_discarded"] += 1
 
     def _on_hint(self, stream: PeerStream, hint: LoadHint) -> None:
         self.loads.note_hint(stream.peer.vm, hint, boottime())
@@ -91,9 +95,10 @@
 
     async def _run(self, stream: PeerStream, request: Forward) -> None:
         try:
-            answer = await self.local.run(request)
-            reply = to_message(request.id, answer)
+            reply = await self._run_if_link_has_room(request)
         except RouterError as error:
+            if isinstance(error, LinkFullError):
+                self._send_wait(stream, request.route, error.wait_s)
             reply = Refusal(request.id, error.kind, error.detail, 0)
             log.info(
                 "request_refused",
@@ -112,10 +117,23 @@
             self._send_hint(stream, isinstance(reply, Refusal))
             if isinstance(reply, Refusal) and reply.kind == ErrorKind.NOT_OWNER:
                 self._send_range(stream, request)
-            stream.send(reply, link_class=class_of_rank(request.rank))
+            message = stream.send(reply, link_class=class_of_rank(request.rank))
+            self.link_room.note_queued((stream, request.id), message)
         except StreamClosedError as error:
             log.info("answer_lost", request=request.request_id, reason=str(error))
 
+    async def _run_if_link_has_room(self, request: Forward) -> Answer:
+        time_s = self.local.gate.expected_time(request.route)
+        now = asyncio.get_running_loop().time()
+        with self.link_room.reserve(request, time_s, now) as admitted:
+            answer = await self.local.run(admitted)
+        self.link_room.note_answer(request.route, len(answer.body))
+        return to_message(request.id, answer)
+
+    def _send_wait(self, stream: PeerStream, route: str, wait_s: float) -> None:
+        if stream.is_open:
+            stream.send(LinkFull(route, int(wait_s * 1000)))
+
     def _send_range(self, stream: PeerStream, request: Forward) -> None:
         """Send the key's range before the refusal, so that the peer finds the owner.
 
--- a/src/sesamepost/internal/wire/link_sender.py
+++ b/src/sesamepost/internal/wire/link_sender.py
@@ -4,10 +4,15 @@
 import math
 from typing import Protocol
 
-from sesamepost.internal.wire.link import CONTROL_CLASS, LinkScheduler
+from sesamepost.internal.wire.link import (
+    CONTROL_CLASS,
+    BulkMessage,
+    LinkScheduler,
+)
 
 BULK_INTERVAL_S = 0.002
-MIN_PACING_INTERVAL_S = 0.0005
+# The resolution of the timers.
+MIN_PACING_INTERVAL_S = 0.001
 # Three messages of the largest size. Above this, a stream is not writable and callers
 # refuse or drop further messages instead of queueing them.
 STREAM_HIGH_WATER_BYTES = 27 << 20
@@ -52,46 +57,50 @@
 
     def add(
         self, stream: BulkStream, frames: list[bytes], link_class: int = CONTROL_CLASS
-    ) -> None:
+    ) -> BulkMessage:
         """Queue a large message of a stream."""
         scheduler = self.scheduler
-        scheduler.add(stream, link_class, frames, _now())
+        message = scheduler.add(stream, link_class, frames, _now())
         is_full = scheduler.queued_of(stream) > STREAM_HIGH_WATER_BYTES
         if is_full or scheduler.total_bytes > self.memory_bytes:
             stream.writable.clear()
             self.unwritable.add(stream)
+        return message
 
     def note_small(self, size: int) -> None:
         """Record bytes of a small message, which are written at once."""
         self.scheduler.note_written(size, _now())
 
     def flush(self) -> None:
-        """Write bulk data, unless it already waits for a time to be written."""
-        if self.timer is None and self.scheduler.has_bulk():
-            self._flush()
+        """Write new bulk data, unless the link is busy."""
+        if self.scheduler.ready and (self.timer is None or not self.is_paced):
+            self._write_ready()
 
     def drop(self, stream: BulkStream) -> None:
         """Forget a closed stream."""
         self.scheduler.drop(stream)
         self.unwritable.discard(stream)
 
-    def _flush(self) -> None:
+    def _on_timer(self) -> None:
         self.timer = None
+        self.scheduler.unblock(self._is_writable)
+        self._write_ready()
+
+    def _write_ready(self) -> None:
         scheduler = self.scheduler
         now = _now()
-        scheduler.unblock(self._is_writable)
         while (entry := scheduler.pop(now, self._is_writable)) is not None:
             stream, frame = entry
             written = stream.write_frame(frame)
             scheduler.note_written(written, now, len(frame))
         self._update_writable()
-        if scheduler.has_bulk():
+        if scheduler.has_bulk() and self.timer is None:
             delay_s = BULK_INTERVAL_S
             if scheduler.ready:
                 # The link is busy; otherwise all peers must read first.
                 delay_s = max(MIN_PACING_INTERVAL_S, scheduler.delay_s(now))
             loop = asyncio.get_running_loop()
-            self.timer = loop.call_later(delay_s, self._flush)
+            self.timer = loop.call_later(delay_s, self._on_timer)
 
     def _is_writable(self, stream: BulkStream) -> bool:
         return stream.write_buffer_bytes() < self.scheduler.stream_buffer_bytes
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -197,3 +197,17 @@
     request = call(True, key, regions=["r1", "nowhere"])
     assert await outcome(forwarder, request) is ErrorKind.NO_ENDPOINT
     assert request.deadline - boottime() > 1.8
+
+
+async def test_a_full_link_is_not_asked_again_and_tells_when_to_return():
+    # Guards against attempts at endpoints that have just said they have no room.
+    forwarder = ScriptedForwarder(False, [200])
+    forwarder.link_waits.note(VMS[0], "r", 1.5, boottime())
+    assert await outcome(forwarder, call(False)) == 200
+    assert [vm for vm, _ in forwarder.sent] == [VMS[1]]
+    forwarder.link_waits.note(VMS[1], "r", 0.9, boottime())
+    progress = Progress()
+    with pytest.raises(RouterError) as refusal:
+        await forwarder.run(call(False), progress)
+    assert refusal.value.kind is ErrorKind.OVERLOADED
+    assert 0.8 < progress.retry_after_s <= 0.9
--- a/tests/wire/test_link.py
+++ b/tests/wire/test_link.py
@@ -121,6 +121,26 @@
     assert scheduler.time_to_pass(0, 7, 100.0) == 0
 
 
+def test_a_cancelled_message_leaves_the_queue_unless_a_part_is_written():
+    # Guards against a link that is full of answers to callers who have left.
+    scheduler = LinkScheduler(NARROW_BYTES_PER_S)
+    first, second, third = (
+        scheduler.add(sender, 1, [b"x" * 3000] * 2, 0.0) for sender in ("a", "a", "b")
+    )
+    assert scheduler.pop(0.0, lambda sender: True)[0] == "a"
+    pop_all(scheduler, lambda sender: False)
+    assert not scheduler.cancel(first)
+    assert scheduler.cancel(second)
+    assert not scheduler.cancel(second)
+    assert scheduler.total_bytes == 9000
+    assert scheduler.cancel(third)
+    scheduler.add("b", 1, [b"next"], 0.0)
+    assert pop_all(scheduler) == [b"next"]
+    scheduler.drop("b")
+    scheduler.unblock(lambda sender: True)
+    assert len(pop_all(scheduler)) == 1
+
+
 def test_small_messages_leave_a_debt_that_bulk_data_waits_for():
     scheduler = scheduler_with(("a", 1, [b"a" * 3000]))
     scheduler.note_written(50_000, 0.0)
@@ -134,9 +154,10 @@
     assert scheduler.time_to_pass(92_000, 3, 0.0) == pytest.approx(1.2)
 
 
-@pytest.mark.parametrize("rate", [math.inf, 125e6])
-def test_wide_links_are_not_paced(rate):
-    # Guards against deployments on wide links that are served more slowly.
+@pytest.mark.parametrize("rate", [math.inf, 125e6, 0.0, -1.0, math.nan])
+def test_wide_and_unknown_links_are_not_paced(rate):
+    # Guards against deployments on wide links that are served more slowly, and against
+    # nodes that do not start because of an odd rate in their settings.
     scheduler = scheduler_with(("a", 1, [b"a" * 65536] * 100), rate=rate)
     assert all(scheduler.pop(0.0, lambda sender: True) for _ in range(100))
     assert scheduler.time_to_pass(1e9, 7, 0.0) == 0
