--- a/src/sesamepost/internal/coordination/feed.py
+++ b/src/sesamepost/internal/coordination/feed.py
@@ -13,6 +13,7 @@
 import structlog
 
 from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.eras import era_of
 from sesamepost.internal.coordination.mirror import WATCH_PACE, Mirror, WatchPace
 from sesamepost.internal.coordination.nodes import NodeEntry, NodeTable
 from sesamepost.internal.coordination.relay import (
@@ -116,9 +117,11 @@
         """Return the changes after a follower's revision and the age of the data.
 
         Wait briefly for the first change. Raise ``StoreRejectedError`` if the data is
-        older than ``MAX_AGE_S``.
+        older than ``MAX_AGE_S`` or of an earlier era than the follower's.
         """
         mirror = self.mirror
+        if era_of(mirror.revision) < era_of(revision):
+            raise StoreRejectedError("the reader has not listed the store in this era")
         if mirror.revision <= revision:
             await mirror.wait_for_change(min(wait_s, FOLLOW_WAIT_S))
         age_s = boottime() - mirror.confirmed_at
--- a/src/sesamepost/internal/coordination/messages.py
+++ b/src/sesamepost/internal/coordination/messages.py
@@ -12,17 +12,19 @@
     arguments: bytes
 
 
-@message(91)
+@message(109)
 class StoreReply:
     """The result of a ``StoreCall``.
 
     ``error`` is the name of a ``StoreError`` class, or empty if the call succeeded.
+    ``era`` is the newest era of the store that the sender knows, or -1.
     """
 
     id: int
     error: str
     detail: str
     result: bytes
+    era: int
 
 
 @message(92)
--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -1,6 +1,7 @@
 """An in-memory copy of the store's keys, kept up to date by a single watch."""
 
 import asyncio
+import random
 from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
@@ -11,6 +12,7 @@
 from reactivex.subject import Subject
 
 from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.eras import era_of, revision_in
 from sesamepost.internal.coordination.store import (
     Batch,
     CoordinationStore,
@@ -30,6 +32,8 @@
 # returns every change since the held revision, which may be too much for a narrow link;
 # a listing returns only the newest items.
 UNANSWERED_CALLS_BEFORE_LISTING = 2
+# All nodes list the store after a rise of its era, so each waits for up to this time.
+LISTING_SPREAD_S = 0.5
 # Exceeds the number of node entries in the largest fleet.
 MAX_DELETIONS = 4096
 # Of a call and the head of its response together.
@@ -122,6 +126,11 @@
         """Apply an item from another source than the watch, such as an own write."""
         self._apply(item, boottime())
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the store was listed in its present era."""
+        return era_of(self.revision) == self.store.eras.current
+
     async def wait_for_change(self, timeout_s: float) -> None:
         """Wait for the next change, for at most ``timeout_s`` seconds."""
         event = self.changed
@@ -161,6 +170,9 @@
         unanswered_calls = 0
         while True:
             try:
+                if listed and not self.is_current:
+                    listed = False
+                    await asyncio.sleep(random.uniform(0.0, LISTING_SPREAD_S))
                 if not listed:
                     await self._list()
                     listed = True
@@ -253,6 +265,7 @@
     def _replace(self, batch: Batch) -> None:
         """Apply a complete listing and remove the keys that it lacks."""
         now = boottime()
+        self._log_rise(batch)
         present = {event.key for event in batch.events}
         for key in self.missing:
             self.missing[key] = now
@@ -263,6 +276,23 @@
         self.complete_since = batch.revision
         self._apply_batch(batch)
 
+    def _log_rise(self, batch: Batch) -> None:
+        """Log what is read anew, and what is gone, since the era of the store rose."""
+        former, era = era_of(self.revision), era_of(batch.revision)
+        if not self.has_listed or era <= former:
+            return
+        self.counters["era_listings"] += 1
+        present = {event.key for event in batch.events}
+        log.warning(
+            "store_era_rose",
+            former=former,
+            era=era,
+            former_revision=revision_in(self.revision),
+            revision=revision_in(batch.revision),
+            unconfirmed=len(self.items),
+            gone=sum(key not in present for key in self.items),
+        )
+
     def _apply_batch(self, batch: Batch) -> None:
         now = boottime()
         for event in batch.events:
@@ -272,6 +302,8 @@
             self.note_change()
 
     def _apply(self, event: Item | Deletion, now: float) -> None:
+        if era_of(event.revision) < era_of(self.complete_since):
+            return
         held = self.items.get(event.key)
         if held is not None and event.revision <= held.revision:
             return
--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -11,6 +11,7 @@
 import structlog
 
 from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.eras import era_of
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.store import (
     ConditionFailedError,
@@ -236,6 +237,8 @@
         self.counters: Counter[str] = Counter()
         self.on_renewed: Callable[[], None] = lambda: None
         mirror.changes.subscribe(self._on_change)
+        # A lease of a former era has ended.
+        store.eras.listeners.append(self.wake.set)
 
     def update(self, **changes) -> None:
         """Change fields of the entry and schedule its write."""
@@ -377,6 +380,8 @@
             return []
         value = msgpack.packb(entry.endpoint.incarnation)
         item = self.mirror.get(self.left_key)
-        if item is not None and item.value == value:
+        # One of a former era may be gone.
+        is_known = item is not None and era_of(item.revision) == era_of(self.lease)
+        if is_known and item.value == value:
             return []
         return [Write(self.left_key, value)]
--- a/src/sesamepost/internal/coordination/relay.py
+++ b/src/sesamepost/internal/coordination/relay.py
@@ -18,6 +18,7 @@
     ConditionFailedError,
     CoordinationStore,
     Deletion,
+    EraChangedError,
     HistoryGoneError,
     Item,
     LeaseEndedError,
@@ -48,7 +49,12 @@
 PROBE_TIMEOUT_S = 0.4
 
 # The store was reached and answered with these, so no other peer is tried.
-CONCLUSIVE_ERRORS = (ConditionFailedError, HistoryGoneError, LeaseEndedError)
+CONCLUSIVE_ERRORS = (
+    ConditionFailedError,
+    EraChangedError,
+    HistoryGoneError,
+    LeaseEndedError,
+)
 
 log = structlog.get_logger()
 
@@ -84,6 +90,7 @@
         peers: Callable[[], list[NodeEntry]],
     ) -> None:
         self.direct = direct
+        self.eras = direct.eras
         self.pool = pool
         self.peers = peers
         self.direct_retry_at = 0.0
@@ -298,6 +305,7 @@
             raise StoreSilentError(f"{peer.vm} did not answer: {error!r}") from None
         finally:
             self.replies.pop(call_id, None)
+        self.eras.note(reply.era)
         if reply.error:
             raise _decode_error(reply)
         return msgpack.unpackb(reply.result, strict_map_key=False)
@@ -329,7 +337,8 @@
         except StoreError as failure:
             error, detail = type(failure).__name__, str(failure)
         with suppress(StreamClosedError):
-            stream.send(StoreReply(call.id, error, detail, result))
+            era = self.eras.newest
+            stream.send(StoreReply(call.id, error, detail, result, era))
 
     async def _perform(self, operation: str, arguments: list):
         """Perform an operation for a peer."""
--- a/src/sesamepost/internal/coordination/store.py
+++ b/src/sesamepost/internal/coordination/store.py
@@ -5,7 +5,10 @@
 """
 
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from sesamepost.internal.coordination.eras import StoreEras
 
 
 class StoreError(Exception):
@@ -24,6 +27,10 @@
     """
 
 
+class EraChangedError(StoreSilentError):
+    """The store came back from an older copy during the call, which may have acted."""
+
+
 class StoreRejectedError(StoreError):
     """The store rejected the call, which had no effect."""
 
@@ -50,7 +57,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Item:
-    """A key with its value, the revision of its last change and its lease (0: none)."""
+    """A key with its value, the revision of its last change and its lease (0: none).
+
+    Here and below, a revision is a version as in ``coordination/eras``.
+    """
 
     key: str
     value: bytes
@@ -104,6 +114,8 @@
 class CoordinationStore(Protocol):
     """The calls of the store. Each may raise ``StoreError``."""
 
+    eras: "StoreEras"
+
     async def get(self, key: str) -> tuple[Item | None, int]:
         """Return the item at ``key``, or None, and the revision of the store."""
 
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -342,6 +342,7 @@
             "mirror": self.ownership.mirror.counters,
             "registration": self.ownership.registration.counters,
             "relay": self.store.counters,
+            "store_eras": self.store.eras.counters,
             "feed": self.feed.counters,
             "gossip": self.gossip.counters,
             "event_loop": self.loop_lag.counters,
--- a/src/sesamepost/internal/forwarding/ownership.py
+++ b/src/sesamepost/internal/forwarding/ownership.py
@@ -10,6 +10,7 @@
 from functools import partial
 
 from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.era_record import EraRecorder
 from sesamepost.internal.coordination.messages import EndpointEnded
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import (
@@ -93,6 +94,8 @@
 
     async def __aenter__(self) -> "Ownership":
         await self.stack.enter_async_context(self.mirror)
+        recorder = EraRecorder(self.vm, self.nodes, self.mirror)
+        await self.stack.enter_async_context(recorder)
         await self.stack.enter_async_context(self.watch)
         return self
 
--- a/src/sesamepost/internal/ranges/absent_nodes.py
+++ b/src/sesamepost/internal/ranges/absent_nodes.py
@@ -13,6 +13,7 @@
 import structlog
 
 from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.era_record import era_conditions
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import (
     LAST_LEASE_PREFIX,
@@ -104,9 +105,9 @@
     async def _end_lease(self, vm: str) -> None:
         key, lease = LAST_LEASE_PREFIX + vm, self.lease_of(vm)
         revision = self.mirror.revision_of(key)
+        conditions = {key: revision, NODE_PREFIX + vm: 0, **era_conditions(self.mirror)}
         await self.store.end_lease(lease)
         value = encode_lease_record(lease, has_ended=True)
-        conditions = {key: revision, NODE_PREFIX + vm: 0}
         try:
             revision = await self.store.commit(
                 Transaction(conditions, (Write(key, value),))
--- a/src/sesamepost/internal/ranges/fence_writes.py
+++ b/src/sesamepost/internal/ranges/fence_writes.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from sesamepost.internal.ranges.era_guard import may_claim
 from sesamepost.internal.ranges.local_owner import LocalOwner
 from sesamepost.internal.ranges.table import KeyRange, RangeTable, reassign
 from sesamepost.internal.ranges.table_store import TableStore
@@ -67,6 +68,33 @@
 
         self._start("fence", "a higher fence is needed", transform)
 
+    @property
+    def is_claiming(self) -> bool:
+        """Whether ranges that the endpoint holds are being written again."""
+        return "claim" in self.writes
+
+    def claim(self, held: list[KeyRange], era: int) -> None:
+        """Write ranges again that the store has lost with its last era.
+
+        Those that were written in the present ``era`` belong to their new owners.
+        """
+        if not held or self.is_claiming:
+            return
+        owner = self.local.owner
+
+        def transform(table: RangeTable | None) -> RangeTable | None:
+            changed = None
+            for r in table.ranges if table else ():
+                if not may_claim(r, era):
+                    continue
+                for lost in held:
+                    first, last = max(r.first, lost.first), min(r.last, lost.last)
+                    if first <= last:
+                        changed = reassign(changed or table, first, last, owner)
+            return changed
+
+        self._start("claim", "held since before the store came back", transform)
+
     def _start(
         self,
         key: str,
--- a/src/sesamepost/internal/ranges/heartbeat_answers.py
+++ b/src/sesamepost/internal/ranges/heartbeat_answers.py
@@ -67,7 +67,7 @@
         table = tables.table
         if table is None or not local.is_confirmed or local.holds is not holds:
             return None
-        if local.is_end_reported:
+        if local.is_end_reported or self.writer.is_claiming:
             return None
         owned = table.owned_by(local.vm)
         if not self.right.covers_all(owned):
@@ -111,7 +111,7 @@
         if self.mover.moves or self.ordered_ranges is None:
             return False
         holds = self.local.holds.holds
-        wanted = {key for key, hold in holds.items() if not hold.is_refused}
+        wanted = {key for key, hold in holds.items() if hold.is_grantable}
         return wanted == set(self.ordered_ranges)
 
     def _note_order(self, order: HoldOrder | None) -> None:
--- a/src/sesamepost/internal/ranges/heartbeat_holds.py
+++ b/src/sesamepost/internal/ranges/heartbeat_holds.py
@@ -183,7 +183,7 @@
         self.left_out = []
         # The endpoint would release a held range that is left out, so these come first.
         for hold in sorted(holds.holds.values(), key=lambda h: h.certain_until <= now):
-            if hold.is_refused:
+            if not hold.is_grantable:
                 continue
             pieces = _pieces(hold, moving, now)
             if not pieces:
@@ -197,6 +197,8 @@
             key_range = hold.key_range
             ordered.add((key_range.first, key_range.last, key_range.fence))
             _note_ordered(hold, hold_s, now)
+            if not any(hold.overlaps(first, last) for first, last in moving):
+                hold.was_released = False
         self.missing = {
             key: self.missing.get(key, 0) for key in ordered if _is_whole(key, moving)
         }
--- a/src/sesamepost/internal/ranges/holds.py
+++ b/src/sesamepost/internal/ranges/holds.py
@@ -46,6 +46,12 @@
     # Whether the range needs a higher fence before its next grant.
     is_refused: bool = False
     is_releasing: bool = False
+    # Whether another endpoint may hold the range since the store came back older, and
+    # the last era of the store in which that was ruled out. See ``era_guard``.
+    is_unproved: bool = False
+    proved_era: int = -1
+    # Whether keys of the range were released for a move since it was last granted.
+    was_released: bool = False
     # The highest fence of a grant of this process that the endpoint has accepted for
     # these keys. It refuses grants with lower fences, such as late ones of the previous
     # process.
@@ -56,6 +62,16 @@
         """Whether the endpoint holds or held the range under its present fence."""
         return self.accepted_fence == self.key_range.fence
 
+    @property
+    def is_grantable(self) -> bool:
+        """Whether the range may be granted under its present fence."""
+        return not self.is_refused and not self.is_unproved
+
+    def is_certain(self, now: float) -> bool:
+        """Return whether the endpoint certainly holds the range and nobody else can."""
+        is_kept = not self.is_releasing and not self.was_released
+        return is_kept and not self.is_refused and now < self.certain_until
+
     def note_possible(self, until: float) -> None:
         """Record that the endpoint may hold the range until ``until``."""
         self.possible_until = max(self.possible_until, until)
@@ -133,7 +149,7 @@
             return []
         commands = []
         for hold in self.holds.values():
-            if hold.is_refused or hold.is_releasing or now < hold.retry_at:
+            if not hold.is_grantable or hold.is_releasing or now < hold.retry_at:
                 continue
             remaining_s = hold.certain_until - now
             is_long = remaining_s > self.max_hold_s * RENEWAL_SHARE
@@ -161,6 +177,7 @@
             return
         hold.certain_until = max(hold.certain_until, command.certain_end(sent_at))
         hold.retry_at = 0.0
+        hold.was_released = False
         hold.accepted_fence = hold.key_range.fence
 
     def note_unanswered(self, command: GrantCommand, end: float) -> None:
@@ -240,6 +257,11 @@
         for hold in self._overlapping(first, last):
             hold.is_releasing = True
 
+    def note_released(self, first: int, last: int) -> None:
+        """Record that the endpoint has released these keys, so others may get them."""
+        for hold in self._overlapping(first, last):
+            hold.was_released = True
+
     def stop_release(self, first: int, last: int) -> None:
         """Allow grants of the ranges again after a move has ended."""
         for hold in self._overlapping(first, last):
@@ -287,6 +309,7 @@
                 return replace(
                     hold, key_range=key_range, retry_at=0.0, is_refused=False
                 )
+            return Hold(key_range, proved_era=hold.proved_era)
         return Hold(key_range)
 
 
--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -11,6 +11,7 @@
 from sesamepost.internal.coordination.nodes import EndpointInfo, NodeTable, Registration
 from sesamepost.internal.ranges.balance import Move
 from sesamepost.internal.ranges.commands import EndpointCommands
+from sesamepost.internal.ranges.era_guard import EraGuard
 from sesamepost.internal.ranges.fence_writes import FenceWriter
 from sesamepost.internal.ranges.grant_right import GrantRight
 from sesamepost.internal.ranges.granting import GrantSender
@@ -25,7 +26,7 @@
 from sesamepost.internal.ranges.moving import RangeMover
 from sesamepost.internal.ranges.reclaiming import RangeReclaimer
 from sesamepost.internal.ranges.releasing import CommandReleaser, HeartbeatReleaser
-from sesamepost.internal.ranges.table import KeyRange, Owner
+from sesamepost.internal.ranges.table import KeyRange, Owner, RangeTable
 from sesamepost.internal.ranges.table_store import TableStore
 from sesamepost.internal.tasks import TaskOwner
 
@@ -68,6 +69,8 @@
         # Set and replaced after each step.
         self.stepped = asyncio.Event()
         self.local = LocalOwner(vm, max_hold_s)
+        self.guard = EraGuard(tables.mirror, self.counters)
+        self.local.review = self.guard.review
         self.right = GrantRight(tables, registration)
         self.grants = GrantSender(
             self.local,
@@ -242,12 +245,19 @@
                     await self.wake.wait()
 
     def step(self) -> None:
-        """Start what the table and the endpoint require now."""
+        """Start what the table and the endpoint require now.
+
+        Nothing is done while the table is unconfirmed since the store came back.
+        """
+        if not self.guard.is_open:
+            return
         table = self.tables.table
         if table is None:
             if self.tables.mirror.has_listed and not self.tables.exists:
                 self.grants.note_missing_table()
             return
+        if self._is_claiming(table):
+            return
         owned = table.owned_by(self.vm)
         self.grants.note_fences([r.fence for r in owned])
         self._set_ranges(owned)
@@ -262,6 +272,21 @@
         if self.answers is None:
             self.grants.send_due()
 
+    def _is_claiming(self, table: RangeTable) -> bool:
+        """Return whether ranges that the store has lost are being written again.
+
+        Their holds would be given up according to the older table.
+        """
+        if self.writer.is_claiming:
+            return True
+        lost = []
+        if self.local.is_serving and self.local.is_confirmed:
+            lost = self.guard.lost(self.holds, table, self.owner, boottime())
+        self.guard.note_claimed()
+        self.counters["era_ranges_claimed"] += len(lost)
+        self.writer.claim(lost, self.guard.eras.current)
+        return bool(lost)
+
     def _set_ranges(self, owned: list[KeyRange]) -> None:
         lost = self.local.set_ranges(owned)
         if self.answers is not None:
--- a/src/sesamepost/internal/ranges/local_owner.py
+++ b/src/sesamepost/internal/ranges/local_owner.py
@@ -1,5 +1,7 @@
 """The local endpoint as an owner of ranges, as far as its node knows."""
 
+from collections.abc import Callable
+
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import EndpointInfo
 from sesamepost.internal.ranges.hold_ends import HoldEnds
@@ -19,6 +21,8 @@
 
     def __init__(self, vm: str, max_hold_s: float) -> None:
         self.vm = vm
+        # Called after the ranges are set, before any of them is granted.
+        self.review: Callable[[HoldTracker, float], None] = lambda holds, now: None
         self.started_at = boottime()
         self.ends = HoldEnds()
         self.holds = HoldTracker.after_restart(max_hold_s, self.started_at)
@@ -74,7 +78,9 @@
     def set_ranges(self, owned: list[KeyRange]) -> list[KeyRange]:
         """Set the ranges of this VM in the table; return what the endpoint has lost."""
         current = [r for r in owned if r.owner == self.owner]
-        self.holds.set_ranges(current, boottime())
+        now = boottime()
+        self.holds.set_ranges(current, now)
+        self.review(self.holds, now)
         return self.holds.take_lost()
 
     @property
--- a/src/sesamepost/internal/ranges/moving.py
+++ b/src/sesamepost/internal/ranges/moving.py
@@ -134,6 +134,7 @@
             token = await self.local.ends.wait_until_free(
                 holds, first, last, end, started_at
             )
+            holds.note_released(first, last)
             is_moved = await self.tables.change(
                 reason, lambda table: table and transform(table, token)
             )
--- a/src/sesamepost/internal/ranges/table.py
+++ b/src/sesamepost/internal/ranges/table.py
@@ -163,20 +163,20 @@
     return RangeTable(ranges, max(section.fence for section in sections))
 
 
-def new_table(owners: list[Owner]) -> RangeTable:
-    """Return a table that distributes all keys evenly.
+def new_table(owners: list[Owner], fence: int = 0) -> RangeTable:
+    """Return a table that distributes all keys evenly, with fences above ``fence``.
 
     >>> len(new_table([Owner("a", "i", 1), Owner("b", "j", 1)]).ranges)
     2
     """
     if not owners:
-        return RangeTable((KeyRange(0, LAST_KEY, None, 0),), 0)
+        return RangeTable((KeyRange(0, LAST_KEY, None, fence),), fence)
     bounds = [i * KEYS // len(owners) for i in range(len(owners) + 1)]
     ranges = tuple(
-        KeyRange(bounds[i], bounds[i + 1] - 1, owner, i + 1)
+        KeyRange(bounds[i], bounds[i + 1] - 1, owner, fence + i + 1)
         for i, owner in enumerate(owners)
     )
-    return RangeTable(ranges, len(owners))
+    return RangeTable(ranges, fence + len(owners))
 
 
 def reassign(
--- a/src/sesamepost/internal/ranges/table_store.py
+++ b/src/sesamepost/internal/ranges/table_store.py
@@ -2,9 +2,12 @@
 
 import asyncio
 from collections.abc import Callable, Collection
+from dataclasses import replace
 
 import structlog
 
+from sesamepost.internal.coordination.era_record import era_conditions, open_revision
+from sesamepost.internal.coordination.eras import era_of
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.store import (
     ConditionFailedError,
@@ -16,6 +19,7 @@
     Transaction,
     Write,
 )
+from sesamepost.internal.ranges.era_guard import fence_floor
 from sesamepost.internal.ranges.table import (
     SECTIONS,
     TABLE_PREFIX,
@@ -78,6 +82,7 @@
     ) -> None:
         self.store = store
         self.mirror = mirror
+        self.eras = mirror.store.eras
         self.service = service
         self.lease_key = lease_key
         self.prefix = f"{TABLE_PREFIX}{service}/"
@@ -135,6 +140,11 @@
         ]
         return max([self.revisions[section_of(key)], *update_revisions])
 
+    @property
+    def fence_floor(self) -> int:
+        """The number that all fences of the store's present era exceed."""
+        return fence_floor(self.eras.current)
+
     def has_unanswered_write(self, first: int, last: int) -> bool:
         """Return whether the store may still carry out a write of these sections."""
         self._sync_from_mirror()
@@ -160,7 +170,12 @@
         return store_key.startswith(self.prefix)
 
     def offer_range(self, revision: int, key_range: KeyRange) -> None:
-        """Apply a range that is stored at ``revision``, as another node reports."""
+        """Apply a range that is stored at ``revision``, as another node reports.
+
+        A range of another era than the store's present one is ignored.
+        """
+        if not self.eras.is_current(revision):
+            return
         self._sync_from_mirror()
         if (
             self.stored_table is None
@@ -190,10 +205,27 @@
             item = self.mirror.get(key)
             if item is not None and item.revision != self.revisions[index]:
                 self._load_section(index, item)
+            elif item is None and self._is_from_former_era(index):
+                self._drop_section(index)
         is_complete = all(section is not None for section in self.sections)
         self.stored_table = join_sections(self.sections) if is_complete else None
         self._merge()
 
+    def _is_from_former_era(self, index: int) -> bool:
+        known = self.revisions[index]
+        return known >= 0 and era_of(known) < era_of(self.mirror.revision)
+
+    def _drop_section(self, index: int) -> None:
+        """Forget a section that the store has lost with its last era."""
+        self.revisions[index] = -1
+        self.sections[index] = None
+        self.unreadable.discard(index)
+        self.range_updates = [
+            update
+            for update in self.range_updates
+            if section_of(update[1].first) != index
+        ]
+
     def _load_section(self, index: int, item: Item) -> None:
         self.revisions[index] = item.revision
         try:
@@ -238,6 +270,10 @@
 
     async def _write(self, first: TableChange) -> None:
         """Write a change together with the pending ones that may share its write."""
+        if open_revision(self.mirror) is None:
+            # The table is not confirmed since the store came back.
+            first.is_done = False
+            return
         for tries in range(1, WRITE_TRIES + 1):
             self._sync_from_mirror()
             table, applied = self._apply_batch(first)
@@ -260,6 +296,8 @@
         if not first.conditions:
             batch = [c for c in self.pending if c.is_done is None and not c.conditions]
         table = self.stored_table
+        if table is not None:
+            table = replace(table, fence=max(table.fence, self.fence_floor))
         applied = []
         for change in batch:
             changed = change.transform(table)
@@ -277,7 +315,11 @@
         changes = self._changed_sections(table)
         based_on = {key: self.mirror.revision_of(key) for key in changes}
         writes = tuple(Write(key, value) for key, value in changes.items())
-        conditions = {**based_on, **applied[0].conditions}
+        conditions = {
+            **based_on,
+            **applied[0].conditions,
+            **era_conditions(self.mirror),
+        }
         if self.lease_key:
             conditions[self.lease_key] = self.mirror.revision_of(self.lease_key)
         reasons = sorted({change.reason for change in applied})
--- a/src/sesamepost/internal/ranges/takeover.py
+++ b/src/sesamepost/internal/ranges/takeover.py
@@ -11,6 +11,7 @@
 import structlog
 
 from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.era_record import open_revision
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import LAST_LEASE_PREFIX, NodeTable
 from sesamepost.internal.identity import ANY_INCARNATION
@@ -38,8 +39,9 @@
 # watch.
 LEASE_TURN_DELAY_S = 1.2
 # A transaction of the store has at most 32 entries. Each section of the table needs
-# two of them, and so does each lost VM; the writer's lease record needs one.
-MAX_LOST_VMS_PER_WRITE = (32 - 1) // 2 - SECTIONS
+# two of them, and so does each lost VM; the writer's lease record and the key of the
+# store's era need one each.
+MAX_LOST_VMS_PER_WRITE = (32 - 2) // 2 - SECTIONS
 
 log = structlog.get_logger()
 
@@ -142,6 +144,8 @@
         owners = [owner for owner in available if owner not in self.ended]
         if not self.mirror.in_contact or not owners:
             return
+        if open_revision(self.mirror) is None:
+            return
         self._end_leases()
         if not self._is_due(now):
             return
@@ -176,7 +180,7 @@
         """
         if table is not None or self.tables.exists:
             return None
-        return new_table(owners)
+        return new_table(owners, self.tables.fence_floor)
 
     def _conditions(self, lost: set[Owner]) -> dict[str, int]:
         """Return what must be unchanged in the store while the ranges are reassigned.
--- a/src/sesamepost/platform/names.py
+++ b/src/sesamepost/platform/names.py
@@ -14,6 +14,8 @@
     cold_ms="Cold-Milliseconds",
 )
 HANDOVER_HEADER = "Handover"
+# Rises when the store comes back from an older copy.
+ERA_HEADER = "Store-Era"
 
 SETTINGS_VARIABLE = "SESAMEPOST_BOOT"
 OPERATOR_KEY = "op/config"
--- a/src/sesamepost/platform/store.py
+++ b/src/sesamepost/platform/store.py
@@ -6,6 +6,7 @@
 from base64 import b64encode
 from collections import Counter
 from collections.abc import Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 
 import aiohttp
@@ -14,6 +15,7 @@
 from msgspec.json import Decoder
 
 from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.eras import StoreEras
 from sesamepost.internal.coordination.store import (
     Batch,
     ConditionFailedError,
@@ -26,6 +28,7 @@
     Transaction,
 )
 from sesamepost.platform.connector import BoundedConnector
+from sesamepost.platform.names import ERA_HEADER
 
 CALL_TIMEOUT_S = 0.8
 # A listing or a watch goes on after its timeout while parts of its response arrive,
@@ -80,6 +83,7 @@
     status: int
     content: bytes
     answered_at: float
+    era: int
 
 
 _ITEM_DECODER = Decoder(ItemFields)
@@ -91,6 +95,7 @@
 
     def __init__(self, url: str) -> None:
         self.url = url
+        self.eras = StoreEras()
         self.session: aiohttp.ClientSession | None = None
         self.bytes_in_flight = 0
         self.counters: Counter[str] = Counter()
@@ -114,10 +119,10 @@
     async def get(self, key: str) -> tuple[Item | None, int]:
         """Return the current item at ``key``, or None, and the store's revision."""
         reply = await self._call("GET", "/kv-key", {"key": key})
-        revision = _fields(reply).at_revision
+        revision = self.eras.version(reply.era, _fields(reply).at_revision)
         if reply.status == 404:
             return None, revision
-        items = _events([reply.content])
+        items = self._versioned(reply, [reply.content])
         if not items:
             raise StoreSilentError(f"the item {key} cannot be read")
         return items[0], revision
@@ -130,12 +135,14 @@
         while True:
             reply = await self._call("GET", "/kv-range", query, is_bulk=True)
             fields = _fields(reply)
-            page = _events(fields.items)
+            page = self._versioned(reply, fields.items)
             events += page
             if revision is None:
                 # The pages are not a snapshot. A watch from the revision of the first
                 # page misses no change.
-                revision = fields.at_revision
+                revision = self.eras.version(reply.era, fields.at_revision)
+                era = reply.era
+            self.eras.require_same(reply.era, era)
             if not fields.truncated:
                 return Batch(revision, tuple(events))
             if not page:
@@ -144,23 +151,29 @@
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Batch:
         """Return the changes after a revision, waiting up to ``wait_s`` for one."""
+        if not self.eras.is_current(after):
+            raise HistoryGoneError("the revision may have been given out again")
+        call_era = self.eras.current
         query = {
             "prefix": prefix,
-            "after": str(after),
+            "after": str(self.eras.number_in(after)),
             "waitMs": str(int(wait_s * 1000)),
         }
         timeout_s = wait_s + WATCH_GRACE_S
         reply = await self._call(
             "GET", "/kv-watch", query, timeout_s=timeout_s, is_bulk=True
         )
-        if reply.status == 410:
+        if reply.status == 410 or reply.era != call_era:
             raise HistoryGoneError(f"no history after revision {after}")
         fields = _fields(reply)
-        events = tuple(_events(fields.events))
-        return Batch(fields.at_revision, events, reply.answered_at)
+        events = self._versioned(reply, fields.events)
+        revision = self.eras.version(reply.era, fields.at_revision)
+        return Batch(revision, events, reply.answered_at)
 
     async def commit(self, transaction: Transaction) -> int:
         """Apply a transaction and return the revision of the change."""
+        call_era = self.eras.current
+        transaction = self.eras.to_send(transaction)
         body = {
             "expectedRevision": [
                 {"key": key, "revision": revision}
@@ -178,26 +191,30 @@
         }
         reply = await self._call("POST", "/kv-txn", body=body)
         if reply.status == 412:
-            items = tuple(_events(_fields(reply).items))
+            items = self._versioned(reply, _fields(reply).items)
             raise ConditionFailedError(", ".join(transaction.conditions), items)
         if reply.status == 404:
             raise LeaseEndedError("the lease bound to a written key has ended")
-        return _fields(reply).revision
+        self.eras.require_same(reply.era, call_era)
+        return self.eras.version(reply.era, _fields(reply).revision)
 
     async def open_lease(self, ttl_s: float) -> int:
         """Open a lease and return its id."""
         reply = await self._call("POST", "/kv-lease", body={"ttlS": ttl_s})
-        return _fields(reply).lease
+        return self.eras.version(reply.era, _fields(reply).lease)
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease; raise ``LeaseEndedError`` if it has ended."""
-        reply = await self._call("POST", f"/kv-keep/{lease}")
-        if reply.status == 404:
+        call_era = self.eras.current
+        number = self.eras.require_lease(lease)
+        reply = await self._call("POST", f"/kv-keep/{number}")
+        if reply.status == 404 or reply.era != call_era:
             raise LeaseEndedError(str(lease))
 
     async def end_lease(self, lease: int) -> None:
         """End a lease and remove the keys bound to it."""
-        await self._call("DELETE", f"/kv-lease-end/{lease}")
+        number = self.eras.number_in(lease)
+        await self._call("DELETE", f"/kv-lease-end/{number}")
 
     async def _call(
         self,
@@ -226,6 +243,7 @@
                     method, self.url + path, params=query, data=data, headers=headers
                 ) as response:
                     answered_at = boottime()
+                    stated_era = response.headers.get(ERA_HEADER)
                     content = await self._read(response, limit if is_bulk else None)
                     status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -234,10 +252,19 @@
                 self.session.connector.close_idle()
             raise StoreSilentError(f"{method} {path}: {error!r}") from None
         if status in REJECTED_STATUSES:
+            with suppress(StoreSilentError):
+                self.eras.admit(stated_era)
             raise StoreRejectedError(f"{method} {path}: status {status}")
+        era = self.eras.admit(stated_era)
         if status not in (200, 404, 410, 412):
             raise StoreSilentError(f"{method} {path}: status {status}: {content[:80]}")
-        return Reply(status, content, answered_at)
+        return Reply(status, content, answered_at, era)
+
+    def _versioned(
+        self, reply: Reply, entries: Iterable[bytes | Raw]
+    ) -> tuple[Item | Deletion, ...]:
+        """Return the readable entries of a response with their versions."""
+        return tuple(self.eras.event(reply.era, event) for event in _events(entries))
 
     async def _read(
         self, response: aiohttp.ClientResponse, limit: asyncio.Timeout | None
--- a/tests/checker/checker.py
+++ b/tests/checker/checker.py
@@ -12,6 +12,7 @@
 import time
 from dataclasses import dataclass, field
 
+from tests.checker.events import StoreRestored
 from tests.checker.fleet import vm_of
 from tests.checker.invariants import Breach
 from tests.checker.order import Order, Outcome, draw_order, run_order, shorten
@@ -86,6 +87,8 @@
     command = f"python -m tests.checker.checker --nodes {order.nodes}"
     if order.by_heartbeat:
         command += " --by-heartbeat"
+    if any(isinstance(event, StoreRestored) for event in order.events):
+        command += " --restores"
     return f"{command} --replay {order.seed}"
 
 
@@ -113,13 +116,19 @@
         signal.signal(signal.SIGINT, signal.default_int_handler)
 
 
-def check(seed: int, orders: int, nodes: int, by_heartbeat: bool) -> Tally:
+def check(
+    seed: int,
+    orders: int,
+    nodes: int,
+    by_heartbeat: bool,
+    with_restores: bool = False,
+) -> Tally:
     """Run orders, print the progress and each failure, and return what was seen."""
     tally = Tally()
     interruption = Interruption()
     began = printed = time.monotonic()
     for number in range(orders):
-        order = draw_order(order_seed(seed, number), nodes, by_heartbeat)
+        order = draw_order(order_seed(seed, number), nodes, by_heartbeat, with_restores)
         with no_logs():
             outcome = run_order(order)
         tally.add(order.seed, outcome)
@@ -150,9 +159,11 @@
     )
 
 
-def replay(seed: str, nodes: int, by_heartbeat: bool) -> bool:
+def replay(
+    seed: str, nodes: int, by_heartbeat: bool, with_restores: bool = False
+) -> bool:
     """Run the order of a seed and print it; return whether it failed."""
-    order = draw_order(seed, nodes, by_heartbeat)
+    order = draw_order(seed, nodes, by_heartbeat, with_restores)
     with no_logs():
         outcome = run_order(order)
         if outcome.has_failed:
@@ -197,6 +208,9 @@
         "--nodes", type=lambda t: number_between(t, MIN_NODES, MAX_NODES), default=2
     )
     parser.add_argument("--by-heartbeat", action="store_true")
+    parser.add_argument(
+        "--restores", action="store_true", help="the store comes back older, too"
+    )
     parser.add_argument("--replay", type=_replay_seed, metavar="SEED")
     return parser.parse_args(arguments)
 
@@ -204,9 +218,10 @@
 def main(arguments: list[str]) -> int:
     """Run the command and return its exit code."""
     options = parse_arguments(arguments)
+    fleet = (options.nodes, options.by_heartbeat, options.restores)
     if options.replay is not None:
-        return int(replay(options.replay, options.nodes, options.by_heartbeat))
-    tally = check(options.seed, options.orders, options.nodes, options.by_heartbeat)
+        return int(replay(options.replay, *fleet))
+    tally = check(options.seed, options.orders, *fleet)
     return int(bool(tally.failed))
 
 
--- a/tests/checker/disturbing.py
+++ b/tests/checker/disturbing.py
@@ -6,6 +6,7 @@
 from tests.checker import events, store_client
 from tests.checker.fleet import WORK_S, Fleet, Machine
 from tests.checker.node_process import SERVICE
+from tests.checker.store import StoreCopy
 from tests.checker.worker_server import (
     Ignored,
     LateAnswer,
@@ -14,6 +15,7 @@
     Prompt,
 )
 
+FIRST_ERA = 1
 # A killed process has made its last calls to the store within this time.
 LAST_CALLS_S = 0.3
 # A call to a slow store is answered within the time-out of its client.
@@ -40,6 +42,8 @@
             return at + duration_s + late_s
         case events.WatchesLate(at, _, duration_s, late_s):
             return at + duration_s + late_s
+        case events.StoreRestored(at, _, down_s):
+            return at + down_s
         case events.NodeStopsAtRead(at, _, _, duration_s):
             return at + 1.0 + duration_s
     return event.at + getattr(event, "duration_s", 0.0)
@@ -52,11 +56,18 @@
         self.fleet = fleet
         # The number of the last fault of each kind, so that only the last one ends it.
         self.last_faults: dict[tuple, int] = {}
+        self.copies: dict[events.StoreRestored, StoreCopy] = {}
 
     def schedule(self, event: events.Event) -> None:
         """Carry out an event at its time."""
         early_s = LAST_CALLS_S if isinstance(event, events.NodeKilled) else 0.0
         self.fleet.at(event.at - early_s, self._begin, event)
+        if isinstance(event, events.StoreRestored):
+            self.fleet.store.era = FIRST_ERA
+            self.fleet.at(event.at - event.age_s, self._take_copy, event)
+
+    def _take_copy(self, event: events.StoreRestored) -> None:
+        self.copies[event] = self.fleet.store.take_copy()
 
     def _begin(self, event: events.Event) -> None:
         match event:
@@ -64,6 +75,7 @@
                 events.StoreFault()
                 | events.WatchesLate()
                 | events.StoreDown()
+                | events.StoreRestored()
                 | events.EntryRemoved()
                 | events.HistoryForgotten()
                 | events.KeysMoved()
@@ -206,6 +218,11 @@
                     store.leases_pause = leases_pause
                     store.go_down()
                     fleet.at(now + duration_s, store.come_back)
+            case events.StoreRestored(_, _, down_s):
+                if not store.is_down:
+                    store.leases_pause = True
+                    store.go_down()
+                fleet.at(now + down_s, store.restore, self.copies[event])
             case events.EntryRemoved(_, node):
                 store.revoke(f"sesamepost/nodes/{fleet.machines[node].vm}")
             case events.HistoryForgotten(_, cuts_watches):
--- a/tests/checker/drawing.py
+++ b/tests/checker/drawing.py
@@ -27,6 +27,7 @@
     ReleasesLate,
     StoreDown,
     StoreFault,
+    StoreRestored,
     WatchesLate,
     WorkerFrozen,
     WorkerKilled,
@@ -66,6 +67,34 @@
             drawn.append(self._move(self._time(), random.randrange(self.nodes)))
         return tuple(sorted(drawn, key=lambda event: event.at))
 
+    def restores(self) -> tuple[Event, ...]:
+        """Return one or two returns of the store from older copies, by time.
+
+        Keys change hands in the seconds that are lost, and around them.
+        """
+        random = self.random
+        at, age_s = random.uniform(5.0, 9.0), random.choice((0.5, 3.0, 6.0))
+        age_s = min(age_s * random.random(), at - 1.0)
+        drawn: list[Event] = [StoreRestored(at, age_s, self._outage_s())]
+        if random.random() < 0.3:
+            again_at = (
+                at + drawn[0].down_s + random.choice((0.3, 3.0)) * random.random()
+            )
+            drawn.append(StoreRestored(again_at, age_s * random.random(), 0.05))
+        for _ in range(random.randint(0, 3)):
+            moved_at = at - age_s * random.random()
+            drawn.append(self._move(moved_at, random.randrange(self.nodes)))
+        for _ in range(random.choice((0, 0, 1, 2))):
+            lost_at = at - age_s * random.random() + random.choice((0.0, 0.0, 1.0))
+            drawn.append(self._event(lost_at, random.randrange(self.nodes)))
+        if random.random() < 0.3:
+            # A takeover, or a new owner, that only the lost seconds know.
+            drawn += self._long_cut(random.randrange(self.nodes))
+        return tuple(sorted(drawn, key=lambda event: event.at))
+
+    def _outage_s(self) -> float:
+        return self.random.choice((0.05, 0.5, 3.0)) * self.random.random()
+
     def _time(self) -> float:
         return self.random.uniform(FIRST_EVENT_S, LAST_EVENT_S)
 
--- a/tests/checker/events.py
+++ b/tests/checker/events.py
@@ -246,6 +246,18 @@
     leases_pause: bool
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRestored:
+    """The store is down and comes back from a copy taken ``age_s`` before that.
+
+    Its answers state eras from the beginning of the order, if it has such an event.
+    """
+
+    at: float
+    age_s: float
+    down_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class EntryRemoved:
     """The store removes the entry of a node, whose lease goes on."""
@@ -317,6 +329,7 @@
     | StoreFault
     | WatchesLate
     | StoreDown
+    | StoreRestored
     | EntryRemoved
     | HistoryForgotten
     | KeysMoved
--- a/tests/checker/node_process.py
+++ b/tests/checker/node_process.py
@@ -28,6 +28,7 @@
 from sesamepost.platform.names import HEADERS, OPERATOR_KEY
 from tests.checker.loop import Process, VirtualLoop
 from tests.checker.store_client import StoreClient
+from tests.checker.versioned_calls import Answer, VersionedCalls
 
 if TYPE_CHECKING:
     from tests.checker.fleet import Machine
@@ -42,51 +43,31 @@
 UNREADY_DELAY_S = 2.3
 
 
-class ProcessStore:
+class ProcessStore(VersionedCalls):
     """The store as one process calls it.
 
     A call goes on, and may be carried out, if the process is stopped or killed.
     """
 
     def __init__(self, loop: VirtualLoop, client: StoreClient) -> None:
+        super().__init__()
         self.loop = loop
         self.client = client
 
-    async def get(self, key: str):
-        return await self._call(self.client.get, key)
-
-    async def list(self, prefix: str):
-        return await self._call(self.client.list, prefix)
-
-    async def watch(self, prefix: str, after: int, wait_s: float):
-        return await self._call(self.client.watch, prefix, after, wait_s)
-
-    async def commit(self, transaction):
-        return await self._call(self.client.commit, transaction)
-
-    async def open_lease(self, ttl_s: float):
-        return await self._call(self.client.open_lease, ttl_s)
-
-    async def renew_lease(self, lease: int):
-        return await self._call(self.client.renew_lease, lease)
-
-    async def end_lease(self, lease: int):
-        return await self._call(self.client.end_lease, lease)
-
-    async def _call(self, function: Callable, *arguments):
+    async def ask(self, kind: str, *arguments) -> Answer:
+        """Return the answer to a call."""
         outcome = self.loop.create_future()
         self.loop.call_at(
             self.loop.time(),
             self._start,
-            function,
-            arguments,
+            (kind, *arguments),
             outcome,
             context=Context(),
         )
         return await outcome
 
-    def _start(self, function: Callable, arguments: tuple, outcome) -> None:
-        work = _resolve(function, arguments, outcome)
+    def _start(self, arguments: tuple, outcome) -> None:
+        work = _resolve(self.client.ask, arguments, outcome)
         self.loop.spawn_outside(work)
 
 
--- a/tests/checker/order.py
+++ b/tests/checker/order.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import itertools
 from dataclasses import dataclass
 from random import Random
 
@@ -50,12 +51,23 @@
         return bool(self.breaches)
 
 
-def draw_order(seed: str, nodes: int, by_heartbeat: bool) -> Order:
-    """Return the order of a seed."""
+def draw_order(
+    seed: str, nodes: int, by_heartbeat: bool, with_restores: bool = False
+) -> Order:
+    """Return the order of a seed; ``with_restores``, the store comes back older."""
     events = EventDraw(Random(f"{seed} events"), nodes).events()
+    if with_restores:
+        restores = EventDraw(Random(f"{seed} restores"), nodes).restores()
+        # Half of the orders have no other faults.
+        is_alone = Random(f"{seed} alone").random() < 0.5
+        events = restores if is_alone else _merged(events, restores)
     return Order(seed, nodes, by_heartbeat, events)
 
 
+def _merged(*parts: tuple[Event, ...]) -> tuple[Event, ...]:
+    return tuple(sorted(itertools.chain(*parts), key=lambda event: event.at))
+
+
 def run_order(order: Order) -> Outcome:
     """Run an order until it has failed, or until its end."""
     # A collection may end coroutines at any time, and takes a fifth of the time.
--- a/tests/checker/store.py
+++ b/tests/checker/store.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import itertools
 from collections import Counter
 from dataclasses import dataclass
 
@@ -23,6 +22,19 @@
 
 MAX_ENTRIES = 32
 MAX_EVENTS = 500
+OPERATOR_PREFIX = "op/"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What the store kept at a moment; ``leases`` are the times of each lease."""
+
+    items: dict[str, Item]
+    events: list[Item | Deletion]
+    revision: int
+    oldest_revision: int
+    leases: dict[int, float]
+    next_lease: int
 
 
 @dataclass(slots=True)
@@ -50,7 +62,9 @@
         self.revision = 1
         self.oldest_revision = 0
         self.leases: dict[int, Lease] = {}
-        self.lease_ids = itertools.count(1000)
+        self.next_lease = 1000
+        # What all answers state, unless it is None.
+        self.era: int | None = None
         self.leases_pause = True
         self.is_down = False
         self.clients: dict[str, StoreClient] = {}
@@ -87,6 +101,41 @@
             if lease.timer is None:
                 self._start_timer(number, lease, lease.ends_at)
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of all that the store keeps."""
+        return StoreCopy(
+            dict(self.items),
+            list(self.events),
+            self.revision,
+            self.oldest_revision,
+            {number: lease.ttl_s for number, lease in self.leases.items()},
+            self.next_lease,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy in the next era; its leases begin anew.
+
+        What the operator has written is written again.
+        """
+        operators = [
+            item for key, item in self.items.items() if key.startswith(OPERATOR_PREFIX)
+        ]
+        for lease in self.leases.values():
+            if lease.timer is not None:
+                lease.timer.cancel()
+        self.items, self.events = dict(copy.items), list(copy.events)
+        self.revision, self.next_lease = copy.revision, copy.next_lease
+        self.oldest_revision = copy.oldest_revision
+        self.leases = {n: Lease(ttl_s, 0.0) for n, ttl_s in copy.leases.items()}
+        for number, lease in self.leases.items():
+            self._start_timer(number, lease, lease.ttl_s)
+        self.era = (self.era or 0) + 1
+        self.is_down = False
+        self.cut_watches()
+        for item in operators:
+            if item.key not in self.items or self.items[item.key].value != item.value:
+                self.put(item.key, item.value)
+
     def cut_watches(self) -> None:
         """Break the connections of all watches that wait."""
         for waiting in list(self.watching):
@@ -153,7 +202,8 @@
 
     def open_lease(self, ttl_s: float) -> int:
         """Open a lease and return its id."""
-        number = next(self.lease_ids)
+        number = self.next_lease
+        self.next_lease += 1
         lease = Lease(ttl_s, 0.0)
         self.leases[number] = lease
         self._start_timer(number, lease, ttl_s)
--- a/tests/checker/store_client.py
+++ b/tests/checker/store_client.py
@@ -10,19 +10,20 @@
 from sesamepost.internal.coordination.store import (
     Batch,
     HistoryGoneError,
-    Item,
     StoreError,
     StoreRejectedError,
     StoreSilentError,
-    Transaction,
 )
 from sesamepost.platform.store import CALL_TIMEOUT_S, WATCH_GRACE_S
+from tests.checker.versioned_calls import Answer, VersionedCalls
 
 if TYPE_CHECKING:
     from tests.checker.store import Store
 
 # The time of a call, and of its answer, on the way without a fault.
 LATENCY_S = 0.002
+# The calls that may take effect late.
+CHANGES = frozenset({"commit", "open_lease", "renew_lease", "end_lease"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +67,7 @@
 Fault = Reachable | Refused | Rejecting | Silent | AnswersLost | LateExecution
 
 
-class StoreClient:
+class StoreClient(VersionedCalls):
     """Implements ``CoordinationStore`` for one caller.
 
     ``fault`` and ``watch_lag_s``, the time by which the answers of watches lag, may be
@@ -76,6 +77,7 @@
     """
 
     def __init__(self, store: "Store", name: str) -> None:
+        super().__init__()
         self.store = store
         self.loop = store.loop
         self.name = name
@@ -85,43 +87,34 @@
         self.unanswered: Counter[str] = Counter()
         self.rejected: Counter[str] = Counter()
 
-    async def get(self, key: str) -> tuple[Item | None, int]:
-        """Return the item at ``key``, or None, and the revision of the store."""
-        return await self._call("get", partial(self.store.get, key))
-
-    async def list(self, prefix: str) -> Batch:
-        """Return all items whose key begins with ``prefix``."""
-        return await self._call("list", partial(self.store.list, prefix))
-
-    async def commit(self, transaction: Transaction) -> int:
-        """Apply a transaction and return the revision of the change."""
-        return await self._change("commit", partial(self.store.commit, transaction))
-
-    async def open_lease(self, ttl_s: float) -> int:
-        """Open a lease and return its id."""
-        return await self._change("open_lease", partial(self.store.open_lease, ttl_s))
-
-    async def renew_lease(self, lease: int) -> None:
-        """Renew a lease; raise ``LeaseEndedError`` if it has ended."""
-        await self._change("renew_lease", partial(self.store.renew_lease, lease))
-
-    async def end_lease(self, lease: int) -> None:
-        """End a lease and remove the keys bound to it."""
-        await self._change("end_lease", partial(self.store.end_lease, lease))
-
-    async def watch(self, prefix: str, after: int, wait_s: float) -> Batch:
-        """Return the changes after a revision, waiting up to ``wait_s`` for one."""
-        kind = "watch"
+    async def ask(self, kind: str, *arguments) -> Answer:
+        """Return the answer to a call, or raise ``StoreError`` as the fault says."""
+        if kind == "watch":
+            return await self._watch(*arguments)
+        execute = partial(getattr(self.store, kind), *arguments)
+        if kind in CHANGES:
+            match self._present_fault():
+                case LateExecution(delay_s):
+                    self.loop.call_later(
+                        delay_s, self._execute, kind, execute, None, 0.0
+                    )
+        return await self._ask(kind, execute)
+
+    async def _watch(self, prefix: str, after: int, wait_s: float) -> Answer:
+        kind, store = "watch", self.store
         self.calls[kind] += 1
         try:
             async with asyncio.timeout(wait_s + WATCH_GRACE_S):
                 await self._pass_fault()
-                if after < self.store.oldest_revision:
-                    raise HistoryGoneError(f"no history after revision {after}")
-                batch = await self._wait_for_changes(prefix, after, wait_s)
+                if not store.oldest_revision <= after <= store.revision:
+                    gone = HistoryGoneError(f"no history after revision {after}")
+                    return self._answer(gone)
+                answer = self._answer(
+                    await self._wait_for_changes(prefix, after, wait_s)
+                )
                 await asyncio.sleep(self.watch_lag_s)
                 await self._pass_fault()
-                return batch
+                return answer
         except TimeoutError:
             self.unanswered[kind] += 1
             raise StoreSilentError(f"{kind}: no answer") from None
@@ -157,14 +150,7 @@
     def _present_fault(self) -> Fault:
         return Refused() if self.store.is_down else self.fault
 
-    async def _change(self, kind: str, execute: Callable[[], Any]) -> Any:
-        match self._present_fault():
-            case LateExecution(delay_s):
-                self.loop.call_later(delay_s, self._execute, kind, execute, None, 0.0)
-        return await self._call(kind, execute)
-
-    async def _call(self, kind: str, execute: Callable[[], Any]) -> Any:
-        """Return the result of a call, or raise ``StoreError`` as the fault says."""
+    async def _ask(self, kind: str, execute: Callable[[], Any]) -> Answer:
         self.calls[kind] += 1
         answered = self.loop.create_future()
         match self._present_fault():
@@ -206,7 +192,13 @@
         except StoreError as error:
             outcome = error
         if answered is not None:
-            self.loop.call_later(answer_s, _resolve, answered, outcome)
+            answer = self._answer(outcome)
+            self.loop.call_later(answer_s, _resolve, answered, answer)
+
+    def _answer(self, outcome: Any) -> Answer:
+        """Return the answer that the store gives now."""
+        era = self.store.era
+        return Answer(outcome, None if era is None else str(era))
 
 
 def _resolve(answered: asyncio.Future, outcome: Any) -> None:
--- a/tests/checker/test_store.py
+++ b/tests/checker/test_store.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import itertools
 import time
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -265,7 +264,7 @@
 def _reset(standin: StoreStandin, loop: ManualLoop) -> None:
     """Empty the stand-in, which is started once."""
     standin.items, standin.leases, standin.events = {}, {}, []
-    standin.lease_ids = itertools.count(1000)
+    standin.next_lease = 1000
     standin.revision, standin.oldest_revision = 1, 0
     standin.checked_leases_at = loop.time()
 
--- a/tests/coordination/memory_store.py
+++ b/tests/coordination/memory_store.py
@@ -4,6 +4,7 @@
 from contextlib import suppress
 
 from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.eras import StoreEras
 from sesamepost.internal.coordination.store import (
     Batch,
     ConditionFailedError,
@@ -28,6 +29,7 @@
     """
 
     def __init__(self) -> None:
+        self.eras = StoreEras()
         self.items: dict[str, Item] = {}
         self.events: list[Item | Deletion] = []
         self.revision = 0
--- a/tests/coordination/narrow_links.py
+++ b/tests/coordination/narrow_links.py
@@ -25,6 +25,7 @@
 
     def __init__(self, store: MemoryStore, bytes_per_s: float, rtt_s: float) -> None:
         self.store = store
+        self.eras = store.eras
         self.bytes_per_s = bytes_per_s
         self.rtt_s = rtt_s
         self.link = asyncio.Lock()
--- a/tests/coordination/switched_store.py
+++ b/tests/coordination/switched_store.py
@@ -17,6 +17,7 @@
 
     def __init__(self, store: MemoryStore) -> None:
         self.store = store
+        self.eras = store.eras
         self.is_silent = False
         self.fell_silent = asyncio.Event()
         self.calls: list[str] = []
--- a/tests/coordination/test_feed.py
+++ b/tests/coordination/test_feed.py
@@ -32,6 +32,7 @@
 
     def __init__(self, store: CountingStore) -> None:
         self.store = store
+        self.eras = store.eras
         self.is_cut = asyncio.Event()
 
     async def list(self, prefix):
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -1,13 +1,14 @@
 """An HTTP stand-in for the platform's metadata store."""
 
 import asyncio
-import itertools
+import copy
 import json
 import random
 from base64 import b64encode
 
 from aiohttp import web
 
+ERA_HEADER = "Store-Era"
 MAX_EVENTS = 500
 MAX_ENTRIES = 32
 LEASE_CHECK_INTERVAL_S = 0.05
@@ -20,7 +21,7 @@
     ``is_down`` makes every call fail, ``rejected`` holds the addresses whose calls
     fail, ``is_silent`` leaves calls unanswered, and ``lost_share`` is the share of
     calls that take effect without an answer. Leases do not expire while the store is
-    down.
+    down. All answers state ``era`` unless it is None; ``restore`` raises it.
     """
 
     def __init__(self) -> None:
@@ -29,7 +30,8 @@
         # The counter starts above 0, which stands for a key that does not exist.
         self.revision = 1
         self.leases: dict[int, list[float]] = {}
-        self.lease_ids = itertools.count(1000)
+        self.next_lease = 1000
+        self.era: int | None = None
         self.changed = asyncio.Condition()
         self.is_down = False
         self.is_silent = False
@@ -76,14 +78,36 @@
         self.events.clear()
         self.oldest_revision = self.revision
 
+    def take_copy(self) -> dict:
+        """Return a copy of all that the store keeps."""
+        kept = ("items", "events", "revision", "oldest_revision", "leases")
+        state = {name: getattr(self, name) for name in (*kept, "next_lease")}
+        return copy.deepcopy(state)
+
+    async def restore(self, state: dict) -> None:
+        """Come back from a copy of ``take_copy``, in the next era.
+
+        The leases of the copy begin anew.
+        """
+        for name, value in copy.deepcopy(state).items():
+            setattr(self, name, value)
+        now = asyncio.get_running_loop().time()
+        for lease in self.leases.values():
+            lease[1] = now + lease[0]
+        self.era = (self.era or 0) + 1
+        await self._notify()
+
     @web.middleware
     async def _inject_faults(self, request: web.Request, handler):
         self.calls += 1
         if self.is_silent:
             await asyncio.sleep(SILENCE_S)
         if self.is_down or request.remote in self.rejected:
-            return web.json_response({"error": "busy"}, status=503)
-        response = await handler(request)
+            response = web.json_response({"error": "busy"}, status=503)
+        else:
+            response = await handler(request)
+        if self.era is not None:
+            response.headers[ERA_HEADER] = str(self.era)
         is_lost = self.lost_share and random.random() < self.lost_share
         if is_lost and request.transport is not None:
             request.transport.abort()
@@ -111,7 +135,7 @@
         prefix = request.query["prefix"]
         after = int(request.query["after"])
         wait_s = int(request.query["waitMs"]) / 1000
-        if after < self.oldest_revision:
+        if not self.oldest_revision <= after <= self.revision:
             return web.json_response({}, status=410)
 
         def matching_events() -> list[dict]:
@@ -155,7 +179,8 @@
 
     async def _lease(self, request: web.Request) -> web.Response:
         ttl_s = (await request.json())["ttlS"]
-        lease = next(self.lease_ids)
+        lease = self.next_lease
+        self.next_lease += 1
         self.leases[lease] = [ttl_s, asyncio.get_running_loop().time() + ttl_s]
         return web.json_response({"lease": lease, "ttlS": ttl_s})
 
