Test eras of the store alone, with real processes and by faults put back

Real processes keep one holder for each key when the store comes back twice and a process is killed. MemoryStore now carries out removals, which it had ignored.

--- a/tests/checker/faults_put_back.py
+++ b/tests/checker/faults_put_back.py
@@ -13,12 +13,15 @@
 
 from sesamepost.errors import RouterError
 from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.era_record import open_revision
+from sesamepost.internal.coordination.eras import StoreEras
 from sesamepost.internal.coordination.nodes import NODE_PREFIX, Registration
 from sesamepost.internal.forwarding.connection_groups import ConnectionGroups
 from sesamepost.internal.forwarding.endpoint_pool import Listening
 from sesamepost.internal.forwarding.endpoint_watch import EndpointWatch
-from sesamepost.internal.ranges import holds, takeover
+from sesamepost.internal.ranges import era_guard, holds, table_store, takeover
 from sesamepost.internal.ranges.absent_nodes import AbsentNodes
+from sesamepost.internal.ranges.era_guard import EraGuard
 from sesamepost.internal.ranges.fence_groups import FenceGroups
 from sesamepost.internal.ranges.grant_right import GrantRight
 from sesamepost.internal.ranges.granting import GrantSender
@@ -31,6 +34,7 @@
 from sesamepost.platform import endpoint_commands
 from sesamepost.platform.endpoint_commands import WorkerCommands
 from tests.checker.events import Event, KeysMoved, NodeStopsAtRead, ReleasesLate
+from tests.checker.versioned_calls import VersionedCalls
 
 PLANNED_AT: ContextVar[float] = ContextVar("planned_at")
 
@@ -48,6 +52,7 @@
     order: int | None = None
     nodes: int = 2
     by_heartbeat: bool = False
+    with_restores: bool = False
     events: tuple[Event, ...] = ()
 
 
@@ -251,6 +256,54 @@
     return patch.object(HeartbeatHolds, "order", order)
 
 
+def old_revision_believed() -> AbstractContextManager:
+    """Compare revisions without their eras, and send those of a former era."""
+    return patch.object(StoreEras, "admit", lambda self, stated: 0)
+
+
+def fence_given_twice() -> AbstractContextManager:
+    """Give fences by the table alone, which may lack the last ones."""
+
+    def review(self, hold, settled: bool, now: float) -> None:
+        hold.is_unproved = not settled and not hold.is_certain(now)
+
+    return patched(
+        patch.object(table_store, "fence_floor", lambda era: 0),
+        patch.object(EraGuard, "_review", review),
+    )
+
+
+def former_lease_is_valid() -> AbstractContextManager:
+    """Renew a lease of a former era, and grant by it."""
+
+    def valid_since(self) -> int | None:
+        return open_revision(self.tables.mirror)
+
+    async def renew_lease(self, lease: int) -> None:
+        await self._call("renew_lease", self.eras.number_in(lease))
+
+    return patched(
+        patch.object(GrantRight, "_valid_since", valid_since),
+        patch.object(StoreEras, "require_lease", StoreEras.number_in),
+        patch.object(VersionedCalls, "renew_lease", renew_lease),
+    )
+
+
+def former_rights_ignored() -> AbstractContextManager:
+    """Grant by the older table and its leases at once, though others may hold keys."""
+    return patch.object(era_guard, "is_settled", lambda mirror: True)
+
+
+def move_is_no_doubt() -> AbstractContextManager:
+    """Take a hold for proved though its keys were released for a move."""
+    return patch.object(HoldTracker, "note_released", lambda self, first, last: None)
+
+
+def late_write_of_former_era() -> AbstractContextManager:
+    """Write ranges without a condition on the key of the era."""
+    return patch.object(table_store, "era_conditions", lambda mirror: {})
+
+
 FAULTS = (
     Fault("review-outdated-table", outdated_table, 54),
     Fault("review-late-write", late_write, 79, by_heartbeat=True),
@@ -300,4 +353,31 @@
         by_heartbeat=True,
     ),
     Fault("own: order without the right", order_without_right, 47, by_heartbeat=True),
+    Fault(
+        "era: an old revision is believed",
+        old_revision_believed,
+        51,
+        with_restores=True,
+    ),
+    Fault("era: a fence is given twice", fence_given_twice, 10, with_restores=True),
+    Fault(
+        "era: a lease of the older copy is valid",
+        former_rights_ignored,
+        4,
+        with_restores=True,
+    ),
+    Fault(
+        "era: a lease of a former era is renewed",
+        former_lease_is_valid,
+        with_restores=True,
+    ),
+    Fault(
+        "era: a released range counts as held",
+        move_is_no_doubt,
+        by_heartbeat=True,
+        with_restores=True,
+    ),
+    Fault(
+        "era: late write of a former era", late_write_of_former_era, with_restores=True
+    ),
 )
--- a/tests/checker/finding.py
+++ b/tests/checker/finding.py
@@ -67,7 +67,9 @@
 
 
 def _drawn(fault: Fault, number: int) -> Order:
-    return draw_order(f"{SEED}-{number}", fault.nodes, fault.by_heartbeat)
+    return draw_order(
+        f"{SEED}-{number}", fault.nodes, fault.by_heartbeat, fault.with_restores
+    )
 
 
 def _first_owner_breach(order: Order) -> Breach | None:
--- a/tests/coordination/memory_store.py
+++ b/tests/coordination/memory_store.py
@@ -87,6 +87,9 @@
             item = Item(write.key, write.value, self.revision, write.lease)
             self.items[write.key] = item
             self.events.append(item)
+        for key in transaction.deletes:
+            if self.items.pop(key, None) is not None:
+                self.events.append(Deletion(key, self.revision))
         await self._notify()
         if self.loses_next_answer:
             self.loses_next_answer = False
--- /dev/null
+++ b/tests/platform/test_store_era.py
@@ -0,0 +1,99 @@
+"""Tests of a platform's store that comes back from an older copy."""
+
+import asyncio
+import json
+
+import pytest
+
+from sesamepost.internal.coordination.eras import era_of, versioned
+from sesamepost.internal.coordination.store import (
+    ConditionFailedError,
+    HistoryGoneError,
+    LeaseEndedError,
+    Transaction,
+    Write,
+)
+from sesamepost.internal.ranges.era_guard import fence_era
+from sesamepost.internal.ranges.holds import HOLD_S
+from sesamepost.platform.names import ERA_HEADER
+from sesamepost.platform.store import PlatformStore
+from tests.platform import store_standin
+from tests.platform.fleet import Fleet
+from tests.platform.store_standin import StoreStandin
+
+# Until the era is settled, with a listing and the writes of entries and ranges.
+RECOVERY_TARGET_S = HOLD_S + 4.0
+
+
+def writing(key: str, revision: int = 0, lease: int = 0) -> Transaction:
+    return Transaction({key: revision}, (Write(key, b"x", lease),))
+
+
+async def test_numbers_of_a_former_era_are_neither_sent_nor_believed():
+    # Guards against a lease or a revision that is given out again to another node.
+    assert store_standin.ERA_HEADER == ERA_HEADER
+    async with StoreStandin() as standin:
+        standin.era = 1
+        async with PlatformStore(f"http://{standin.address}") as store:
+            await store.get("a")
+            state = standin.take_copy()
+            lease = await store.open_lease(5.0)
+            written = await store.commit(writing("a", lease=lease))
+            assert era_of(lease) == era_of(written) == 1
+            await standin.restore(state)
+            assert (await store.get("a"))[0] is None
+            calls = standin.calls
+            with pytest.raises(ConditionFailedError):
+                await store.commit(writing("a", written))
+            with pytest.raises(LeaseEndedError):
+                await store.renew_lease(lease)
+            with pytest.raises(HistoryGoneError):
+                await store.watch("", written, 0.1)
+            assert standin.calls == calls
+            assert await store.open_lease(5.0) == versioned(2, 1000)
+            batch = await store.list("")
+            assert batch.revision == versioned(2, standin.revision)
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    async with Fleet(tmp_path) as fleet:
+        yield fleet
+        assert fleet.record.problems == []
+
+
+async def restore(fleet: Fleet, state: dict, away_s: float = 0.3) -> None:
+    """Let the store be away and come back; the operator writes its key again."""
+    routing = fleet.store.items["op/config"]["value"]
+    fleet.store.is_down = True
+    await asyncio.sleep(away_s)
+    await fleet.store.restore(state)
+    fleet.store.is_down = False
+    if fleet.store.items["op/config"]["value"] != routing:
+        await fleet.store.put("op/config", json.loads(routing))
+
+
+async def test_keys_have_one_holder_after_the_store_came_back_older(fleet):
+    # Guards against two holders and fences given twice: the lost seconds know the end
+    # of an endpoint and the new owners of its keys.
+    state = fleet.store.take_copy()
+    await fleet.stop_worker(0)
+    assert await fleet.wait_until_served() < RECOVERY_TARGET_S
+    await restore(fleet, state)
+    assert await fleet.wait_until_served() < RECOVERY_TARGET_S
+    await restore(fleet, state)
+    await fleet.kill(2)
+    await fleet.start(2)
+    assert await fleet.wait_until_served() < RECOVERY_TARGET_S
+
+
+async def test_a_move_is_fenced_in_the_new_era(fleet):
+    # Guards against fences that go back with the store.
+    state = fleet.store.take_copy()
+    await restore(fleet, state)
+    assert await fleet.wait_until_served() < RECOVERY_TARGET_S
+    await fleet.stop_worker(0)
+    assert await fleet.wait_until_served() < RECOVERY_TARGET_S
+    fences = fleet.record.fences[0].values()
+    assert fence_era(min(fences)) == 0
+    assert fence_era(max(fences)) == 1
