Spread the listings after a rise, and let the soak restore the store

Followers that heard of a rise from their reader listed after 0.1 s together; they now wait up to 0.5 s of chance as the others do. Nodes of a new fleet open an era one after the other. A version of a later era that a peer hands to this node is a rise that it had not heard of, not an outdated one.

--- a/src/sesamepost/internal/coordination/era_record.py
+++ b/src/sesamepost/internal/coordination/era_record.py
@@ -6,6 +6,8 @@
 that all rights to grant from former eras have ended.
 """
 
+import random
+
 import structlog
 
 from sesamepost.internal.clock import boottime
@@ -27,6 +29,8 @@
 CHECK_INTERVAL_S = 0.5
 # Nodes write one after the other, so that usually only the first one does.
 TURN_DELAY_S = 0.3
+# Of nodes that are not in the store yet, so that not all of a new fleet write at once.
+MAX_FIRST_DELAY_S = 1.0
 # Keys of former eras that one transaction removes; each era has two.
 MAX_REMOVED_KEYS = 24
 # A right to grant lasts this long after a renewal, with the slack of a takeover. The
@@ -96,7 +100,7 @@
         self.vm = vm
         self.nodes = nodes
         self.mirror = mirror
-        self.due_since: float | None = None
+        self.due_at: float | None = None
 
     @property
     def interval_s(self) -> float:
@@ -109,23 +113,22 @@
         """Write what is due if it is this node's turn."""
         transaction = self._due_write()
         if transaction is None:
-            self.due_since = None
+            self.due_at = None
             return
         now = boottime()
-        if self.due_since is None:
-            self.due_since = now
-        if now < self.due_since + self._rank() * TURN_DELAY_S:
+        if self.due_at is None:
+            self.due_at = now + self._turn_delay_s()
+        if now < self.due_at:
             return
+        self.due_at = None
         try:
             revision = await self.mirror.store.commit(transaction)
         except ConditionFailedError as error:
             for item in error.items:
                 self.mirror.offer(item)
-            self.due_since = now
             return
         except StoreError as error:
             log.info("era_not_recorded", error=str(error))
-            self.due_since = now
             return
         for write in transaction.writes:
             self.mirror.offer(Item(write.key, write.value, revision))
@@ -153,7 +156,9 @@
             tuple(former[:MAX_REMOVED_KEYS]),
         )
 
-    def _rank(self) -> int:
-        """Return how many nodes have a turn before this one."""
+    def _turn_delay_s(self) -> float:
+        """Return how long this node leaves the write to others."""
         names = sorted(self.nodes.nodes)
-        return names.index(self.vm) if self.vm in names else len(names)
+        if self.vm in names:
+            return names.index(self.vm) * TURN_DELAY_S
+        return random.uniform(0.0, MAX_FIRST_DELAY_S)
--- a/src/sesamepost/internal/coordination/eras.py
+++ b/src/sesamepost/internal/coordination/eras.py
@@ -120,6 +120,15 @@
         """Return whether a version or a lease belongs to the present era."""
         return not self.is_known or era_of(version) == self.newest
 
+    def _is_sendable(self, version: int) -> bool:
+        """Return whether a version or a lease may be sent to the store.
+
+        One of a later era comes from a peer that has heard of a rise already.
+        """
+        if self.is_known:
+            self.note(era_of(version))
+        return self.is_current(version)
+
     def require_same(self, era: int, call_era: int) -> None:
         """Raise ``EraChangedError`` if the era rose during a call.
 
@@ -152,7 +161,7 @@
 
         Raise ``LeaseEndedError`` for another one: its number may be given out again.
         """
-        if not self.is_current(lease):
+        if not self._is_sendable(lease):
             raise LeaseEndedError(f"a lease of era {era_of(lease)}")
         return self.number_in(lease)
 
@@ -165,7 +174,7 @@
             return transaction
         conditions = {}
         for key, version in transaction.conditions.items():
-            if version and not self.is_current(version):
+            if version and not self._is_sendable(version):
                 raise ConditionFailedError(f"{key} is known from a former era")
             conditions[key] = revision_in(version)
         writes = tuple(
--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -79,9 +79,10 @@
     """Holds the newest known item of every key under a prefix.
 
     ``changes`` is an observable of ``Item`` and ``Deletion``. An item older than the
-    one held is ignored. ``missing_since`` returns the time since which a key is known
-    to have been absent without interruption. A listing, such as the one after lost
-    history, resets that time, because the key may have existed unobserved before it.
+    one held, or of an earlier era than the last listing, is ignored. ``missing_since``
+    returns the time since which a key is known to have been absent without
+    interruption. A listing, such as the one after lost history, resets that time,
+    because the key may have existed unobserved before it.
     """
 
     def __init__(self, store: CoordinationStore, prefix: str = "") -> None:
@@ -172,7 +173,7 @@
             try:
                 if listed and not self.is_current:
                     listed = False
-                    await asyncio.sleep(random.uniform(0.0, LISTING_SPREAD_S))
+                    await self._pause_before_listing()
                 if not listed:
                     await self._list()
                     listed = True
@@ -184,7 +185,7 @@
             except HistoryGoneError:
                 log.info("store_history_gone", revision=self.revision)
                 listed = False
-                await asyncio.sleep(RETRY_MIN_S)
+                await self._pause_before_listing()
             except StoreError as error:
                 self.counters["failures"] += 1
                 self._set_contact(False, str(error))
@@ -200,6 +201,11 @@
                 listed = False
                 await asyncio.sleep(RETRY_MAX_S)
 
+    async def _pause_before_listing(self) -> None:
+        is_rise = not self.is_current
+        pause_s = random.uniform(0.0, LISTING_SPREAD_S) if is_rise else RETRY_MIN_S
+        await asyncio.sleep(pause_s)
+
     async def _list(self) -> None:
         sent_at = boottime()
         batch = await self.store.list(self.prefix)
--- a/src/sesamepost/platform/store.py
+++ b/src/sesamepost/platform/store.py
@@ -172,8 +172,8 @@
 
     async def commit(self, transaction: Transaction) -> int:
         """Apply a transaction and return the revision of the change."""
-        call_era = self.eras.current
         transaction = self.eras.to_send(transaction)
+        call_era = self.eras.current
         body = {
             "expectedRevision": [
                 {"key": key, "revision": revision}
@@ -205,8 +205,8 @@
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease; raise ``LeaseEndedError`` if it has ended."""
-        call_era = self.eras.current
         number = self.eras.require_lease(lease)
+        call_era = self.eras.current
         reply = await self._call("POST", f"/kv-keep/{number}")
         if reply.status == 404 or reply.era != call_era:
             raise LeaseEndedError(str(lease))
--- a/tests/checker/versioned_calls.py
+++ b/tests/checker/versioned_calls.py
@@ -60,8 +60,9 @@
 
     async def commit(self, transaction: Transaction) -> int:
         """Apply a transaction and return the revision of the change."""
+        sent = self.eras.to_send(transaction)
         call_era = self.eras.current
-        era, revision = await self._call("commit", self.eras.to_send(transaction))
+        era, revision = await self._call("commit", sent)
         self.eras.require_same(era, call_era)
         return self.eras.version(era, revision)
 
@@ -72,8 +73,9 @@
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease; raise ``LeaseEndedError`` if it has ended."""
+        number = self.eras.require_lease(lease)
         call_era = self.eras.current
-        era, _ = await self._call("renew_lease", self.eras.require_lease(lease))
+        era, _ = await self._call("renew_lease", number)
         if era != call_era:
             raise LeaseEndedError(str(lease))
 
--- a/tests/coordination/test_eras.py
+++ b/tests/coordination/test_eras.py
@@ -69,6 +69,12 @@
     await store.commit(Transaction({}, (Write(key, value),)))
 
 
+async def step_now(recorder: EraRecorder) -> None:
+    """Let it be the turn of a recorder."""
+    recorder.due_at = 0.0
+    await recorder.step()
+
+
 def known_eras(era: int) -> StoreEras:
     eras = StoreEras()
     eras.admit(str(era))
@@ -161,19 +167,19 @@
                 era_conditions(mirror)
         recorders = [EraRecorder("a", NodeTable(m), m) for m in (first, second)]
         for recorder in recorders:
-            await recorder.step()
+            await step_now(recorder)
         await until(lambda: open_revision(first) and open_revision(second))
         assert list(memory.items) == [era_key(1)]
         late = era_conditions(first)
         assert not is_settled(first)
         first.store.eras.learned_at -= SETTLE_S
-        await recorders[0].step()
+        await step_now(recorders[0])
         await until(lambda: is_settled(second))
         for store in stores:
             store.era = 2
         await until(lambda: era_of(first.revision) == era_of(second.revision) == 2)
         assert open_revision(first) is None
-        await recorders[0].step()
+        await step_now(recorders[0])
         assert not is_settled(first)
         assert sorted(memory.items) == [era_key(2)]
         with pytest.raises(ConditionFailedError):
@@ -207,3 +213,5 @@
     eras.note(2)
     assert heard.is_set()
     assert not eras.is_current(versioned(1, 5))
+    assert eras.require_lease(versioned(3, 9)) == 9
+    assert eras.newest == 3
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import itertools
+import json
 import os
 import random
 import signal
 import socket
 import sys
+from base64 import b64decode
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack, suppress
 from pathlib import Path
@@ -171,6 +173,19 @@
         """Write a version of the routing settings, as the operator does."""
         await self.store.put("op/config", routing_with(version, self.routing))
 
+    async def restore_store(self, state: dict, away_s: float) -> None:
+        """Let the store be away and come back from a copy of ``take_copy``.
+
+        What the operator has written is written again.
+        """
+        routing = self.store.items["op/config"]["value"]
+        self.store.is_down = True
+        await asyncio.sleep(away_s)
+        await self.store.restore(state)
+        self.store.is_down = False
+        if self.store.items["op/config"]["value"] != routing:
+            await self.store.put("op/config", json.loads(b64decode(routing)))
+
     def store_address(self, index: int) -> str:
         """Return the address at which a node reaches the store."""
         return self.store.address
--- a/tests/platform/test_store_era.py
+++ b/tests/platform/test_store_era.py
@@ -1,8 +1,5 @@
 """Tests of a platform's store that comes back from an older copy."""
 
-import asyncio
-import json
-
 import pytest
 
 from sesamepost.internal.coordination.eras import era_of, versioned
@@ -23,6 +20,7 @@
 
 # Until the era is settled, with a listing and the writes of entries and ranges.
 RECOVERY_TARGET_S = HOLD_S + 4.0
+AWAY_S = 0.3
 
 
 def writing(key: str, revision: int = 0, lease: int = 0) -> Transaction:
@@ -62,26 +60,15 @@
         assert fleet.record.problems == []
 
 
-async def restore(fleet: Fleet, state: dict, away_s: float = 0.3) -> None:
-    """Let the store be away and come back; the operator writes its key again."""
-    routing = fleet.store.items["op/config"]["value"]
-    fleet.store.is_down = True
-    await asyncio.sleep(away_s)
-    await fleet.store.restore(state)
-    fleet.store.is_down = False
-    if fleet.store.items["op/config"]["value"] != routing:
-        await fleet.store.put("op/config", json.loads(routing))
-
-
 async def test_keys_have_one_holder_after_the_store_came_back_older(fleet):
     # Guards against two holders and fences given twice: the lost seconds know the end
     # of an endpoint and the new owners of its keys.
     state = fleet.store.take_copy()
     await fleet.stop_worker(0)
     assert await fleet.wait_until_served() < RECOVERY_TARGET_S
-    await restore(fleet, state)
+    await fleet.restore_store(state, AWAY_S)
     assert await fleet.wait_until_served() < RECOVERY_TARGET_S
-    await restore(fleet, state)
+    await fleet.restore_store(state, AWAY_S)
     await fleet.kill(2)
     await fleet.start(2)
     assert await fleet.wait_until_served() < RECOVERY_TARGET_S
@@ -90,7 +77,7 @@
 async def test_a_move_is_fenced_in_the_new_era(fleet):
     # Guards against fences that go back with the store.
     state = fleet.store.take_copy()
-    await restore(fleet, state)
+    await fleet.restore_store(state, AWAY_S)
     assert await fleet.wait_until_served() < RECOVERY_TARGET_S
     await fleet.stop_worker(0)
     assert await fleet.wait_until_served() < RECOVERY_TARGET_S
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -138,6 +138,14 @@
         store.lost_share = 0.0
 
 
+async def restore_store(target: Target, duration_s: float) -> None:
+    """Let the store come back from a copy as old as the fault lasts."""
+    state = target.fleet.store.take_copy()
+    away_s = target.random.uniform(0.1, 0.8)
+    await asyncio.sleep(duration_s)
+    await target.fleet.restore_store(state, away_s)
+
+
 async def fail_links(target: Target, duration_s: float) -> None:
     """Inject faults into connections to the store or to workers."""
     proxies_by_node = target.random.choice(
@@ -207,3 +215,5 @@
     drain_worker,
     change_settings,
 )
+
+RESTORE_FAULTS: tuple[Fault, ...] = (*FAULTS, *3 * (restore_store,))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,9 +3,10 @@
 ``python -m tests.soak.soak --seeds 50`` runs the seeds 1 to 50. ``--first`` selects
 another first seed, ``--nodes`` the size of the fleet and ``--seconds`` the duration of
 the faults. With ``--by-heartbeat``, workers take keys by heartbeats. With ``--lives``,
-the faults are those of ``lives.py``, most of which replace a worker. A seed determines
-the faults with their times and targets; the scheduling of the processes still differs
-from run to run.
+the faults are those of ``lives.py``, most of which replace a worker. With
+``--restores``, the store also comes back from older copies. A seed determines the
+faults with their times and targets; the scheduling of the processes still differs from
+run to run.
 """
 
 import asyncio
@@ -22,7 +23,7 @@
 
 from tests.platform.fleet import Fleet, HeartbeatFleet
 from tests.platform.worker_standin import WorkerStandin
-from tests.soak.faults import FAULTS, Fault, Target
+from tests.soak.faults import FAULTS, RESTORE_FAULTS, Fault, Target
 from tests.soak.lives import HEARTBEAT_INTERVALS_S, LIFE_FAULTS
 from tests.soak.proxy import FaultProxy
 from tests.soak.traffic import Outcome, Traffic, find_violations
@@ -65,6 +66,7 @@
     seconds: float = 12.0,
     by_heartbeat: bool = False,
     lives: bool = False,
+    restores: bool = False,
 ):
     """Run one seed and return the violations and the outcomes of all requests."""
     async with AsyncExitStack() as stack:
@@ -73,6 +75,9 @@
         target = Target(fleet, random.Random(seed))
         fleet.target, fleet.proxy_stack = target, stack
         planned = schedule(seed, seconds)
+        if restores:
+            planned = schedule(seed, seconds, RESTORE_FAULTS)
+            fleet.store.era = 1
         if lives:
             planned = schedule(seed, seconds, LIFE_FAULTS)
             fleet.heartbeat_interval_s = target.random.choice(HEARTBEAT_INTERVALS_S)
@@ -212,6 +217,7 @@
     seconds: float = 12,
     by_heartbeat: bool = False,
     lives: bool = False,
+    restores: bool = False,
 ):
     """Run seeds one after the other.
 
@@ -221,13 +227,14 @@
     :param seconds: duration of fault injection
     :param by_heartbeat: whether workers take their keys by heartbeats
     :param lives: whether the faults are those that replace workers
+    :param restores: whether the store also comes back from older copies
     """
     failed = 0
     for seed in range(first, first + seeds):
         path = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         try:
             problems, outcomes = asyncio.run(
-                run_seed(seed, path, nodes, seconds, by_heartbeat, lives)
+                run_seed(seed, path, nodes, seconds, by_heartbeat, lives, restores)
             )
         except Exception:
             problems, outcomes = [traceback.format_exc()], []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 from tests.soak.soak import run_seed, schedule
 
 SHORT_S = 5.0
+RESTORE_SEED = 4
 # Seed and duration in seconds of each run, with the cause of its past failure.
 REGRESSION_SEEDS = [
     pytest.param(1, SHORT_S, id="short"),
@@ -54,6 +55,18 @@
     assert any(outcome.status == 200 for outcome in outcomes)
 
 
+@pytest.mark.parametrize("by_heartbeat", [False, True])
+async def test_no_promise_is_broken_when_the_store_comes_back_older(
+    by_heartbeat, tmp_path
+):
+    # Guards against two holders and old fences, with all parts of real processes.
+    problems, outcomes = await run_seed(
+        RESTORE_SEED, tmp_path, 4, 8.0, by_heartbeat, restores=True
+    )
+    assert problems == []
+    assert any(outcome.status == 200 for outcome in outcomes)
+
+
 def test_a_seed_determines_the_faults():
     # Guards against regression seeds that no longer reproduce their faults.
     assert schedule(7, 12.0) == schedule(7, 12.0)
