--- a/src/sesamepost/internal/coordination/relay.py
+++ b/src/sesamepost/internal/coordination/relay.py
@@ -19,6 +19,7 @@
     ConditionFailedError,
     CoordinationStore,
     Deletion,
+    EraChangedError,
     HistoryGoneError,
     Item,
     LeaseEndedError,
@@ -49,7 +50,12 @@
 PROBE_TIMEOUT_S = 0.4
 
 # The store was reached and answered with these, so no other peer is tried.
-CONCLUSIVE_ERRORS = (ConditionFailedError, HistoryGoneError, LeaseEndedError)
+CONCLUSIVE_ERRORS = (
+    ConditionFailedError,
+    EraChangedError,
+    HistoryGoneError,
+    LeaseEndedError,
+)
 
 _Result = TypeVar("_Result")
 
@@ -87,6 +93,7 @@
         peers: Callable[[], list[NodeEntry]],
     ) -> None:
         self.direct = direct
+        self.eras = direct.eras
         self.pool = pool
         self.peers = peers
         self.direct_retry_at = 0.0
@@ -314,6 +321,7 @@
             raise StoreSilentError(f"{peer.vm} did not answer: {error!r}") from None
         finally:
             self.replies.pop(call_id, None)
+        self.eras.note(reply.era)
         if reply.error:
             raise _decode_error(reply)
         return msgpack.unpackb(reply.result, strict_map_key=False)
@@ -345,7 +353,8 @@
         except StoreError as failure:
             error, detail = type(failure).__name__, str(failure)
         with suppress(StreamClosedError):
-            stream.send(StoreReply(call.id, error, detail, result))
+            era = self.eras.newest
+            stream.send(StoreReply(call.id, error, detail, result, era))
 
     async def _perform(self, operation: str, arguments: list):
         """Perform an operation for a peer."""
--- a/tests/coordination/memory_store.py
+++ b/tests/coordination/memory_store.py
@@ -4,6 +4,7 @@
 from contextlib import suppress
 
 from sesamepost.internal.clock import boottime
+from sesamepost.internal.coordination.eras import StoreEras
 from sesamepost.internal.coordination.store import (
     Batch,
     ConditionFailedError,
@@ -28,6 +29,7 @@
     """
 
     def __init__(self) -> None:
+        self.eras = StoreEras()
         self.items: dict[str, Item] = {}
         self.events: list[Item | Deletion] = []
         self.revision = 0
@@ -85,6 +87,9 @@
             item = Item(write.key, write.value, self.revision, write.lease)
             self.items[write.key] = item
             self.events.append(item)
+        for key in transaction.deletes:
+            if self.items.pop(key, None) is not None:
+                self.events.append(Deletion(key, self.revision))
         await self._notify()
         if self.loses_next_answer:
             self.loses_next_answer = False
