Give up after three endpoints whose links are full

Change: the third refusal for a full link ends the call; Retry-After is the shortest wait of the three.

--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -36,6 +36,9 @@
 # it may have restarted by then.
 STOPPING_NODE_BACKOFF_S = 2.0
 MIN_RETRY_TIME_S = 0.02
+# Links of one service are full at the same time; each further attempt costs the caller
+# up to a round trip between regions.
+MAX_FULL_LINKS = 3
 
 log = structlog.get_logger()
 
@@ -75,6 +78,7 @@
     steps: list[str] = field(default_factory=list)
     basis: str = ""
     retries: int = 0
+    full_links: int = 0
     waited_s: float = 0.0
     may_have_run: bool = False
     is_in_flight: bool = False
@@ -236,6 +240,20 @@
         )
         progress.retry_after_s = max(progress.retry_after_s, wait_s)
 
+    def _count_full_link(
+        self, node: NodeEntry, call: Call, progress: Progress, error: RouterError
+    ) -> None:
+        """Raise if several endpoints have refused the call because of their links."""
+        route, now = call.route.name, boottime()
+        if not self.link_waits.wait_s(node.vm, route, now):
+            return
+        progress.full_links += 1
+        if progress.full_links < MAX_FULL_LINKS:
+            return
+        wait_s = self.link_waits.shortest_s(progress.tried, route, now)
+        progress.retry_after_s = max(progress.retry_after_s, wait_s)
+        raise progress.error(error.kind, error.detail)
+
     def note_link_full(self, stream: PeerStream, message: LinkFull) -> None:
         """Send no more requests on a route to a VM until its link has room."""
         self.counters["link_full"] += 1
@@ -290,6 +308,7 @@
                 await self._wait_for_node(call, progress, error.kind)
             case _ if self.tables(call.service) is None:
                 progress.tried.add(node.vm)
+                self._count_full_link(node, call, progress, error)
             case ErrorKind.OVERLOADED | ErrorKind.DEADLINE_NOT_RUN:
                 self._note_link_wait([node], call, progress)
                 load = self.loads.load_of(node.vm)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -14,6 +14,7 @@
     NodeTable,
 )
 from sesamepost.internal.coordination.store import Item
+from sesamepost.internal.forwarding import forwarder as forwarder_module
 from sesamepost.internal.forwarding.forwarder import Call, Forwarder, Progress
 from sesamepost.internal.forwarding.loads import LoadTracker
 from sesamepost.internal.forwarding.messages import NO_KEY, Forward
@@ -160,3 +161,22 @@
         await forwarder.run(call(False), progress)
     assert refusal.value.kind is ErrorKind.OVERLOADED
     assert 0.8 < progress.retry_after_s <= 0.9
+
+
+async def test_a_call_ends_after_refusals_of_several_full_links(monkeypatch):
+    # Guards against downloads that are offered to every endpoint while all are full.
+    monkeypatch.setattr(forwarder_module, "MAX_FULL_LINKS", 1)
+    forwarder = ScriptedForwarder(False, [ErrorKind.OVERLOADED, 200])
+    run_on_peer = forwarder._run_on_peer
+
+    async def refuse(node, request):
+        forwarder.link_waits.note(node.vm, "r", 0.7, boottime())
+        return await run_on_peer(node, request)
+
+    forwarder._run_on_peer = refuse
+    progress = Progress()
+    with pytest.raises(RouterError) as refusal:
+        await forwarder.run(call(False), progress)
+    assert refusal.value.kind is ErrorKind.OVERLOADED
+    assert len(forwarder.sent) == 1
+    assert 0.6 < progress.retry_after_s <= 0.7
