Show by a directed order that released keys are in doubt after a rise

The order drops the answer to a move whose write the store then loses. Without the mark of released keys, the former owner goes on with a fence below that of the new owner.

--- a/tests/checker/faults_put_back.py
+++ b/tests/checker/faults_put_back.py
@@ -33,7 +33,14 @@
 from sesamepost.internal.ranges.takeover import Takeover
 from sesamepost.platform import endpoint_commands
 from sesamepost.platform.endpoint_commands import WorkerCommands
-from tests.checker.events import Event, KeysMoved, NodeStopsAtRead, ReleasesLate
+from tests.checker.events import (
+    Event,
+    KeysMoved,
+    NodeStopsAtRead,
+    ReleasesLate,
+    StoreFault,
+    StoreRestored,
+)
 from tests.checker.versioned_calls import VersionedCalls
 
 PLANNED_AT: ContextVar[float] = ContextVar("planned_at")
@@ -377,6 +384,12 @@
         move_is_no_doubt,
         by_heartbeat=True,
         with_restores=True,
+        # The new owner's write is carried out, and lost before its answer is missed.
+        events=(
+            KeysMoved(at=5.0, node=1, target=0, begin=0.3, part=0.6),
+            StoreFault(at=5.0, node=1, duration_s=1.5, how="late", late_s=0.3),
+            StoreRestored(at=6.5, age_s=1.6, down_s=0.6),
+        ),
     ),
     Fault(
         "era: late write of a former era", late_write_of_former_era, with_restores=True
