--- a/src/sesamepost/internal/ranges/balancing.py
+++ b/src/sesamepost/internal/ranges/balancing.py
@@ -98,6 +98,9 @@
         ranges = [r for r in table.owned_by(keeper.vm) if r.owner == local_owner]
         if not ranges or not keeper.tables.mirror.in_contact:
             return
+        if not keeper.guard.is_settled:
+            # A new owner would wait until the era of the store is settled.
+            return
         moves = self._choose(table, local_owner, ranges, now)
         if not moves:
             return
--- a/src/sesamepost/internal/ranges/era_guard.py
+++ b/src/sesamepost/internal/ranges/era_guard.py
@@ -59,6 +59,11 @@
         """Whether no write of a former era can change the known table any more."""
         return open_revision(self.mirror) is not None
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether a new owner of a range may be granted it at once."""
+        return self.is_open and is_settled(self.mirror)
+
     def review(self, holds: HoldTracker, now: float) -> None:
         """Mark the holds that may not be granted, or only with a higher fence."""
         if not self.eras.is_known or not self.is_open:
--- a/tests/ranges/test_era_guard.py
+++ b/tests/ranges/test_era_guard.py
@@ -83,7 +83,9 @@
     guard = EraGuard(mirror, Counter())
     guard.review(holds, 100.0)
     assert granted(holds, 100.0) == []
+    assert not guard.is_settled
     settle(mirror)
+    assert guard.is_settled
     guard.review(holds, 100.0)
     assert granted(holds, 100.0) == [new.fence]
 
