Balance keys by slow means, and compare limits over more windows

Change: the loads of keys and the mean that balance compares change slowly again; expected times for admission and senders stay fast. A trial has three windows.

--- a/src/sesamepost/internal/forwarding/capacity.py
+++ b/src/sesamepost/internal/forwarding/capacity.py
@@ -19,6 +19,8 @@
 # Weight of the newest request in the usual time of its kind. A change of speed must not
 # become usual before it is noticed.
 USUAL_WEIGHT = 0.02
+# Weight of the newest request in means that move keys.
+MEAN_WEIGHT = 0.08
 # The speed is the median over this time. A noisy neighbor of 0.4 s fills less than half
 # of it, and a lasting change is the median after about half of it.
 SPEED_WINDOW_S = 1.6
@@ -37,7 +39,7 @@
 TRIAL_WINDOW_REQUESTS = 3.0
 # A comparison has this many windows with the number that is tried, and twice as many
 # with the limit.
-TRIAL_WINDOWS = 2
+TRIAL_WINDOWS = 3
 # A smaller number is tried in steps of this share.
 TRIAL_SHARE = 0.6
 # What a smaller and a larger number must gain. Times vary, so less says nothing.
@@ -74,6 +76,8 @@
     def __init__(self) -> None:
         self.usual_s: dict[str, float] = {}
         self.slowness = 1.0
+        # A slow mean, for decisions that cost more than a changed choice.
+        self.mean_slowness = 1.0
         # The part of the slowness that the VM's stated pace explains.
         self.pace = 1.0
         self.samples: deque[Sample] = deque(maxlen=MAX_SAMPLES)
@@ -83,6 +87,11 @@
         usual_s = self.usual_s.get(kind)
         return None if usual_s is None else usual_s * self.slowness
 
+    def mean_time(self, kind: str) -> float | None:
+        """Return the mean time over some seconds, or None for an unknown kind."""
+        usual_s = self.usual_s.get(kind)
+        return None if usual_s is None else usual_s * self.mean_slowness
+
     def recent_kinds(self) -> Counter[str]:
         """Return how many of the recent requests were of each kind."""
         return Counter(sample.kind for sample in self.samples)
@@ -104,6 +113,7 @@
         """
         slowness = self.slowness_of(kind, time_s)
         pace = min(max(1.0, stated_pace), max(1.0, slowness / self.slowness))
+        self.mean_slowness += MEAN_WEIGHT * (slowness - self.mean_slowness)
         adjusted_s = max(MIN_TIME_S, time_s / self.slowness)
         if kind not in self.usual_s and len(self.usual_s) >= MAX_KINDS:
             self.usual_s.clear()
--- a/src/sesamepost/internal/forwarding/endpoint.py
+++ b/src/sesamepost/internal/forwarding/endpoint.py
@@ -248,16 +248,17 @@
         time_s = self.gate.expected_time(request.route)
         if received + time_s > self.latest_deadline:
             raise RouterError(ErrorKind.SHUTTING_DOWN)
+        mean_s = self.gate.mean_time(request.route)
         for window_s in BUSY_WINDOWS_S:
             self.arrivals[window_s].add(received)
-            self.demand_s[window_s].add(received, time_s)
+            self.demand_s[window_s].add(received, mean_s)
         if request.retries:
             if not self.retry_budget.take(received):
                 raise RouterError(ErrorKind.OVERLOADED, "no retry budget is left")
         else:
             self.retry_budget.note_request(received)
         if request.key != NO_KEY:
-            self.key_counts.add(request.key, received, time_s)
+            self.key_counts.add(request.key, received, mean_s)
             await self._wait_for_hold(request.key, deadline)
         ticket = await self._admit(request, deadline)
         record_time = False
--- a/src/sesamepost/internal/forwarding/gate.py
+++ b/src/sesamepost/internal/forwarding/gate.py
@@ -6,6 +6,7 @@
 from sesamepost.errors import ErrorKind
 from sesamepost.internal.forwarding.capacity import (
     INITIAL_TIME_S,
+    MEAN_WEIGHT,
     MIN_TIME_S,
     CapacityEstimate,
     SpeedEstimate,
@@ -14,8 +15,6 @@
 
 Ticket = Hashable
 
-# Weight of the newest request in the mean over all kinds.
-MEAN_WEIGHT = 0.08
 BUSY_WINDOWS_S = (1.0, 3.0)
 # A request that will be late is queued for at most this share of its remaining time.
 LATE_WAIT_SHARE = 0.5
@@ -84,7 +83,6 @@
         self.cold = cold or ColdLimit(float("-inf"))
         self.running: dict[Ticket, RunningRequest] = {}
         self.queued: dict[Ticket, QueuedRequest] = {}
-        self.mean_usual_s = INITIAL_TIME_S
         self.recent_mean_s = INITIAL_TIME_S
         # The sum of the usual times of all finished requests.
         self.work_s = 0.0
@@ -96,6 +94,11 @@
         time_s = self.speed.expected_time(kind)
         return self.recent_mean_s if time_s is None else time_s
 
+    def mean_time(self, kind: str) -> float:
+        """Return the mean time of a request of ``kind``, which changes slowly."""
+        time_s = self.speed.mean_time(kind)
+        return self.recent_mean_s if time_s is None else time_s
+
     def expected_times(self, count: int) -> list[tuple[str, float]]:
         """Return the expected times of the kinds with most recent requests."""
         kinds = self.speed.recent_kinds().most_common(count)
@@ -165,7 +168,6 @@
         """Follow the speed of the endpoint and the number that it takes well."""
         running = self.running.values()
         self.speed.update([(r.kind, now - r.started_at) for r in running], now)
-        self.recent_mean_s = self.mean_usual_s * self.speed.slowness
         is_full = bool(self.queued) and not self.cold.is_cold(now)
         self.capacity.update(is_full, self.work_s, self.recent_mean_s, now)
         self.slots = self.capacity.limit
@@ -211,11 +213,10 @@
     ) -> None:
         time_s = max(MIN_TIME_S, now - done.started_at)
         self.speed.note_time(done.kind, time_s, stated_pace, now)
-        usual_s = self.speed.usual_s[done.kind]
-        self.work_s += usual_s
+        self.work_s += self.speed.usual_s[done.kind]
         # Very short requests say nothing about the duration of the others.
-        weight = MEAN_WEIGHT * min(1.0, usual_s / max(self.mean_usual_s, MIN_TIME_S))
-        self.mean_usual_s += weight * (usual_s - self.mean_usual_s)
+        weight = MEAN_WEIGHT * min(1.0, time_s / max(self.recent_mean_s, MIN_TIME_S))
+        self.recent_mean_s += weight * (time_s - self.recent_mean_s)
 
     def _may_start(self, now: float) -> bool:
         return len(self.running) < self.slots and self.cold.may_start(now)
