--- a/src/sesamepost/internal/forwarding/capacity.py
+++ b/src/sesamepost/internal/forwarding/capacity.py
@@ -19,6 +19,8 @@
 # Weight of the newest request in the usual time of its kind. A change of speed must not
 # become usual before it is noticed.
 USUAL_WEIGHT = 0.02
+# Weight of the newest request in means that move keys.
+MEAN_WEIGHT = 0.08
 # The speed is the median over this time. A noisy neighbor of 0.4 s fills less than half
 # of it, and a lasting change is the median after about half of it.
 SPEED_WINDOW_S = 1.6
@@ -28,6 +30,8 @@
 MAX_SAMPLE_AGE_S = 6.0
 # A request in flight is late from this multiple of its expected time on.
 LATE_FACTOR = 2.0
+# Bounds the processor time of a busy node.
+UPDATE_INTERVAL_S = 0.025
 # Bounds of the ratio between the present and the usual time of a request.
 MIN_SLOWNESS = 0.05
 MAX_SLOWNESS = 50.0
@@ -37,7 +41,7 @@
 TRIAL_WINDOW_REQUESTS = 3.0
 # A comparison has this many windows with the number that is tried, and twice as many
 # with the limit.
-TRIAL_WINDOWS = 2
+TRIAL_WINDOWS = 3
 # A smaller number is tried in steps of this share.
 TRIAL_SHARE = 0.6
 # What a smaller and a larger number must gain. Times vary, so less says nothing.
@@ -74,15 +78,23 @@
     def __init__(self) -> None:
         self.usual_s: dict[str, float] = {}
         self.slowness = 1.0
+        # A slow mean, for decisions that cost more than a changed choice.
+        self.mean_slowness = 1.0
         # The part of the slowness that the VM's stated pace explains.
         self.pace = 1.0
         self.samples: deque[Sample] = deque(maxlen=MAX_SAMPLES)
+        self.updated_at = float("-inf")
 
     def expected_time(self, kind: str) -> float | None:
         """Return the expected time of a request, or None for an unknown kind."""
         usual_s = self.usual_s.get(kind)
         return None if usual_s is None else usual_s * self.slowness
 
+    def mean_time(self, kind: str) -> float | None:
+        """Return the mean time over some seconds, or None for an unknown kind."""
+        usual_s = self.usual_s.get(kind)
+        return None if usual_s is None else usual_s * self.mean_slowness
+
     def recent_kinds(self) -> Counter[str]:
         """Return how many of the recent requests were of each kind."""
         return Counter(sample.kind for sample in self.samples)
@@ -104,6 +116,7 @@
         """
         slowness = self.slowness_of(kind, time_s)
         pace = min(max(1.0, stated_pace), max(1.0, slowness / self.slowness))
+        self.mean_slowness += MEAN_WEIGHT * (slowness - self.mean_slowness)
         adjusted_s = max(MIN_TIME_S, time_s / self.slowness)
         if kind not in self.usual_s and len(self.usual_s) >= MAX_KINDS:
             self.usual_s.clear()
@@ -126,6 +139,9 @@
         A late request in flight counts as well, so that a sudden change shows before
         slow requests have finished.
         """
+        if now - self.updated_at < UPDATE_INTERVAL_S:
+            return
+        self.updated_at = now
         while self.samples and now - self.samples[0].at > MAX_SAMPLE_AGE_S:
             self.samples.popleft()
         recent = [s for s in self.samples if now - s.at <= SPEED_WINDOW_S]
@@ -139,7 +155,6 @@
                 late.append(slowness)
         if len(values) + len(late) < MIN_SAMPLES // 2:
             return
-        # The pace that the VM states is left out unless it lasts.
         if late or not recent:
             self.slowness = median(values + late)
             return
