Keep the queue of a link below 0.6 of the target latency

Change: a request is refused if its answer passes the link later than 0.6 of the target, 0.3 of the remaining time or twice its time alone; before, the whole target and half of the remaining time.

--- a/src/sesamepost/internal/forwarding/link_room.py
+++ b/src/sesamepost/internal/forwarding/link_room.py
@@ -15,8 +15,13 @@
 SIZE_WEIGHT = 0.1
 # Bounds the memory; operators may define hundreds of routes.
 MAX_ROUTES = 1000
-# A request that will be late waits for at most this share of its remaining time.
-LATE_SHARE = 0.5
+# A longer queue carries no more bytes, it only makes all answers later. Senders choose
+# an endpoint in another region if those nearby take most of the target latency.
+TARGET_SHARE = 0.6
+# Share of its remaining time that a request with little or no time to its target waits.
+LATE_SHARE = 0.3
+# An answer may wait for another one of its size, even if both take long.
+SIZE_FACTOR = 2.0
 # Time from the link of this VM to the caller.
 PATH_TIME_S = 0.05
 MIN_WAIT_S = 0.05
@@ -137,7 +142,14 @@
         alone_s = time_s + scheduler.time_alone(size)
         remaining_s = request.timeout_ms / 1000 - PATH_TIME_S
         target_s = request.target_latency_ms / 1000 - PATH_TIME_S
-        due_s = min(remaining_s, max(target_s, remaining_s * LATE_SHARE))
+        due_s = min(
+            remaining_s,
+            max(
+                target_s * TARGET_SHARE,
+                remaining_s * LATE_SHARE,
+                scheduler.time_alone(size) * SIZE_FACTOR,
+            ),
+        )
         if queue_s <= due_s and alone_s <= remaining_s:
             return
         self.counters["refused_for_time"] += 1
