Do not count a full link as a failure of the endpoint

Cause: each refusal for a full link raised the failure share of the endpoint at the sender, which adds up to 2 s to its expected time, so lookups went to endpoints further away as well. Change: refusals for a full link do not count as failures. Result: tests of the forwarder pass.

--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -357,7 +357,10 @@
             self.loads.note_time(node.vm, call.route.name, ended - now, ended)
             return answer
         except RouterError as error:
-            failed = error.kind is not ErrorKind.NOT_OWNER
+            # A full link says nothing about requests on other routes.
+            failed = error.kind is not ErrorKind.NOT_OWNER and not (
+                self.link_waits.wait_s(node.vm, call.route.name, boottime())
+            )
             if ANSWERS[error.kind].outcome is not Outcome.NOT_RUN:
                 progress.reached.add(node.vm)
             raise
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -180,3 +180,4 @@
     assert refusal.value.kind is ErrorKind.OVERLOADED
     assert len(forwarder.sent) == 1
     assert 0.6 < progress.retry_after_s <= 0.7
+    assert forwarder.loads.load_of(VMS[0]).failure_share(boottime()) == 0
