Count only refusals as those of a full link

Cause: a lost stream to an endpoint whose link was full did not count as a failure. Change: the refusal must be overloaded as well.

--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -244,16 +244,19 @@
         self, node: NodeEntry, call: Call, progress: Progress, error: RouterError
     ) -> None:
         """Raise if several endpoints have refused the call because of their links."""
-        route, now = call.route.name, boottime()
-        if not self.link_waits.wait_s(node.vm, route, now):
+        if not self._is_link_refusal(node, call, error):
             return
         progress.full_links += 1
         if progress.full_links < MAX_FULL_LINKS:
             return
-        wait_s = self.link_waits.shortest_s(progress.tried, route, now)
+        wait_s = self.link_waits.shortest_s(progress.tried, call.route.name, boottime())
         progress.retry_after_s = max(progress.retry_after_s, wait_s)
         raise progress.error(error.kind, error.detail)
 
+    def _is_link_refusal(self, node: NodeEntry, call: Call, error: RouterError) -> bool:
+        wait_s = self.link_waits.wait_s(node.vm, call.route.name, boottime())
+        return error.kind is ErrorKind.OVERLOADED and wait_s > 0
+
     def note_link_full(self, stream: PeerStream, message: LinkFull) -> None:
         """Send no more requests on a route to a VM until its link has room."""
         self.counters["link_full"] += 1
@@ -359,7 +362,7 @@
         except RouterError as error:
             # A full link says nothing about requests on other routes.
             failed = error.kind is not ErrorKind.NOT_OWNER and not (
-                self.link_waits.wait_s(node.vm, call.route.name, boottime())
+                self._is_link_refusal(node, call, error)
             )
             if ANSWERS[error.kind].outcome is not Outcome.NOT_RUN:
                 progress.reached.add(node.vm)
