--- a/src/sesamepost/internal/coordination/eras.py
+++ b/src/sesamepost/internal/coordination/eras.py
@@ -84,6 +84,11 @@
         """The newest era, or 0 if none is known."""
         return max(self.newest, 0)
 
+    @property
+    def has_risen(self) -> bool:
+        """Whether the era rose since this process first knew one."""
+        return self.counters["rises"] > 0
+
     def admit(self, stated: str | None) -> int:
         """Return the era of an answer of the store that states ``stated``.
 
--- a/src/sesamepost/internal/coordination/mirror.py
+++ b/src/sesamepost/internal/coordination/mirror.py
@@ -285,7 +285,8 @@
     def _log_rise(self, batch: Batch) -> None:
         """Log what is read anew, and what is gone, since the era of the store rose."""
         former, era = era_of(self.revision), era_of(batch.revision)
-        if not self.has_listed or era <= former:
+        if era <= former or not self.store.eras.has_risen:
+            # The first listing, or the second one since the first era became known.
             return
         self.counters["era_listings"] += 1
         present = {event.key for event in batch.events}
--- a/tests/coordination/test_eras.py
+++ b/tests/coordination/test_eras.py
@@ -19,6 +19,7 @@
     era_of,
     versioned,
 )
+from sesamepost.internal.coordination.feed import MIN_GROUP_NODES
 from sesamepost.internal.coordination.mirror import Mirror
 from sesamepost.internal.coordination.nodes import NodeTable
 from sesamepost.internal.coordination.store import (
@@ -33,7 +34,9 @@
 )
 from sesamepost.internal.ranges.holds import HOLD_S, TAKEOVER_SLACK_S
 from tests.checker.versioned_calls import Answer, VersionedCalls
+from tests.coordination.failure_domain import failure_domain
 from tests.coordination.memory_store import MemoryStore
+from tests.coordination.test_relay import RejectingStore, two_nodes
 from tests.waiting import until
 
 ODD_ERAS = ["", "-1", "1.0", "x", "9" * 400, str(MAX_ERA + 1), "\u0663", "+3"]
@@ -150,7 +153,7 @@
     await put(memory, "gone", b"2")
     store = RestoredStore(memory)
     async with Mirror(store) as mirror:
-        await until(lambda: mirror.get("gone") is not None)
+        await until(lambda: era_of(mirror.revision) == 1 and mirror.get("gone"))
         written_late = mirror.get("gone")
         restore(memory, copy, 1)
         store.era = 2
@@ -224,3 +227,60 @@
     assert not eras.is_current(versioned(1, 5))
     assert eras.require_lease(versioned(3, 9)) == 9
     assert eras.newest == 3
+
+
+async def test_followers_and_gossip_take_the_older_copy_and_what_is_new_in_it():
+    # Guards against readers and gossip that go on with items of the lost seconds.
+    memory = MemoryStore()
+    await put(memory, "settings", b"1")
+    views: list[RestoredStore] = []
+
+    def view() -> RestoredStore:
+        views.append(RestoredStore(memory))
+        return views[-1]
+
+    async with failure_domain(memory, MIN_GROUP_NODES, view) as nodes:
+        copy, revision = dict(memory.items), memory.revision
+        for value in (b"2", b"3", b"4"):
+            await put(memory, "settings", value)
+        await put(memory, "gone", b"1")
+        await until(lambda: all(node.mirror.get("gone") for node in nodes))
+        restore(memory, copy, revision)
+        for store in views:
+            store.era = 2
+        await put(memory, "new", b"5")
+        for key, value in (("new", b"5"), ("settings", b"1"), ("gone", None)):
+            await until(lambda key=key, value=value: all_have(nodes, key, value))
+        await put(memory, "settings", b"6")
+        await until(lambda: all_have(nodes, "settings", b"6"))
+        assert {node.mirror.counters["era_listings"] for node in nodes} == {1}
+
+
+def all_have(nodes, key: str, value: bytes | None) -> bool:
+    held = [node.mirror.get(key) for node in nodes]
+    return all(value == (item and item.value) for item in held)
+
+
+async def test_a_reader_of_a_former_era_rejects_its_follower():
+    # Guards against data that counts as confirmed though its reader missed a rise.
+    memory = MemoryStore()
+    async with failure_domain(memory, 1, lambda: RestoredStore(memory)) as [node]:
+        await until(lambda: node.mirror.has_listed)
+        with pytest.raises(StoreRejectedError):
+            await node.feed.serve(versioned(2, 0), 0.1)
+
+
+async def test_a_relayed_answer_states_the_era_that_the_peer_has_seen():
+    # Guards against a node whose calls the store rejects and that hears of no rise.
+    memory = MemoryStore()
+    peers_store = RestoredStore(memory)
+    async with two_nodes(RejectingStore(), peers_store) as (relayed, _, _):
+        for _ in range(2):
+            await relayed.get("a")
+        lease = await relayed.open_lease(3.0)
+        assert era_of(lease) == relayed.eras.newest == 1
+        peers_store.era = 2
+        with pytest.raises(LeaseEndedError):
+            await relayed.renew_lease(lease)
+        assert relayed.eras.newest == 2
+        assert era_of(await relayed.open_lease(3.0)) == 2
--- a/tests/platform/test_store_era.py
+++ b/tests/platform/test_store_era.py
@@ -1,5 +1,7 @@
 """Tests of a platform's store that comes back from an older copy."""
 
+import asyncio
+
 import pytest
 
 from sesamepost.internal.coordination.eras import era_of, versioned
@@ -21,6 +23,7 @@
 # Until the era is settled, with a listing and the writes of entries and ranges.
 RECOVERY_TARGET_S = HOLD_S + 4.0
 AWAY_S = 0.3
+SETTINGS_TARGET_S = 2.5
 
 
 def writing(key: str, revision: int = 0, lease: int = 0) -> Transaction:
@@ -85,3 +88,25 @@
     fences = fleet.record.fences[0].values()
     assert fence_era(min(fences)) == 0
     assert fence_era(max(fences)) == 1
+
+
+async def test_settings_stay_in_force_while_the_store_has_older_ones(fleet):
+    # Guards against a node that goes back to an older version of the settings.
+    state = fleet.store.take_copy()
+    await fleet.put_routing(9)
+
+    async def is_in_force(version: int = 9) -> bool:
+        path = f"/v{version}/"
+        sent = [fleet.send_request(via, path, body="b") for via in range(fleet.count)]
+        return all(answer[0] == 200 for answer in await asyncio.gather(*sent))
+
+    await fleet.wait_until(is_in_force, SETTINGS_TARGET_S)
+    fleet.store.is_down = True
+    await asyncio.sleep(AWAY_S)
+    await fleet.store.restore(state)
+    fleet.store.is_down = False
+    for _ in range(8):
+        assert await is_in_force()
+        await asyncio.sleep(0.25)
+    await fleet.put_routing(11)
+    await fleet.wait_until(lambda: is_in_force(11), SETTINGS_TARGET_S)
