--- a/src/sesamepost/internal/coordination/messages.py
+++ b/src/sesamepost/internal/coordination/messages.py
@@ -44,7 +44,7 @@
 class RevisionQuery:
     """Asks a peer for the revision of the key that is spread by gossip.
 
-    ``revision`` is the one that the sender has. ``sent_at`` is the time of the sender's
+    ``revision`` is the one that the sender has, with its era as in ``eras``. ``sent_at`` is the time of the sender's
     clock, which the reply returns.
     """
 
--- a/src/sesamepost/internal/ranges/messages.py
+++ b/src/sesamepost/internal/ranges/messages.py
@@ -8,7 +8,7 @@
 class RangeUpdate:
     """Announces a changed range before the recipient reads it from the store.
 
-    ``revision`` is the store revision of the table section with the range. ``owner``
+    ``revision`` is the version of the table section with the range. ``owner``
     is empty, or holds the VM, the id and the start time of the endpoint.
     """
 
