--- a/src/sesamepost/internal/coordination/messages.py
+++ b/src/sesamepost/internal/coordination/messages.py
@@ -44,8 +44,8 @@
 class RevisionQuery:
     """Asks a peer for the revision of the key that is spread by gossip.
 
-    ``revision`` is the one that the sender has, with its era as in ``eras``. ``sent_at`` is the time of the sender's
-    clock, which the reply returns.
+    ``revision`` is the one that the sender has, with its era as in ``eras``.
+    ``sent_at`` is the time of the sender's clock, which the reply returns.
     """
 
     revision: int
