Let endpoints with heartbeats go on after a lost move is written again

A range with a new fence starts without the state of its former hold there, so it waited for the end of the era's first 5.4 s: 4.3 s without a holder after a lost move, 4.4 s after a lost takeover.

--- a/src/sesamepost/internal/ranges/keeper.py
+++ b/src/sesamepost/internal/ranges/keeper.py
@@ -281,7 +281,11 @@
             return True
         lost = []
         if self.local.is_serving and self.local.is_confirmed:
-            lost = self.guard.lost(self.holds, table, self.owner, boottime())
+            now = boottime()
+            lost = self.guard.lost(self.holds, table, self.owner, now)
+            if lost:
+                # The holds under the next fences are proved by the present ones.
+                self.guard.review(self.holds, now)
         self.guard.note_claimed()
         self.counters["era_ranges_claimed"] += len(lost)
         self.writer.claim(lost, self.guard.eras.current)
