--- a/tests/checker/walk_world.py
+++ b/tests/checker/walk_world.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 
+from sesamepost.internal.coordination.eras import StoreEras
 from sesamepost.internal.coordination.nodes import (
     encode_lease_record,
 )
@@ -29,6 +30,8 @@
 )
 from tests.checker.worker_state import HeldKeys
 
+# The walk has no store that comes back older.
+NO_ERAS = StoreEras()
 NODES = (0, 1)
 VMS = ("10.0.0.1", "10.0.0.2")
 RANGES = ((0, KEYS // 2 - 1), (KEYS // 2, LAST_KEY))
@@ -104,7 +107,11 @@
     def right(self) -> GrantRight:
         """Return the right of the node to grant ranges."""
         return GrantRight(
-            SimpleNamespace(known_at=lambda key: self.known_at),
+            SimpleNamespace(
+                known_at=lambda key: self.known_at,
+                eras=NO_ERAS,
+                mirror=SimpleNamespace(store=SimpleNamespace(eras=NO_ERAS)),
+            ),
             SimpleNamespace(
                 renewed_at=self.renewed_at, lease_revision=self.lease_revision
             ),
