Take the first era after answers without one for a rise

It had to be stated twice, as at the start of a process, and one answer in between counted as one without eras: a renewal could have met a lease that was given out again.

--- a/src/sesamepost/internal/coordination/eras.py
+++ b/src/sesamepost/internal/coordination/eras.py
@@ -69,6 +69,8 @@
     def __init__(self) -> None:
         self.newest = UNKNOWN_ERA
         self.first_stated = UNKNOWN_ERA
+        # Whether answers stated no era, which is that of a store that never came back.
+        self.has_plain_answers = False
         # When this process first heard of the newest era.
         self.learned_at = float("-inf")
         self.listeners: list[Callable[[], None]] = []
@@ -94,15 +96,18 @@
 
         Raise ``StoreSilentError`` if the answer cannot be used: it states no era though
         others did, an older one, since it was under way during the rise, or an odd one.
-        The first era has to be stated twice, since nothing tells whether it is odd.
+        The first era has to be stated twice, since nothing tells whether it is odd. It
+        is a rise, and counts at once, after answers that stated none.
         """
         if stated is None and not self.is_known:
+            self.has_plain_answers = True
             return 0
         era = _parse(stated)
         if not self._is_plausible(era):
             self._note_odd(stated, era)
             return 0
-        if not self.is_known and era != self.first_stated:
+        is_first = not self.is_known and not self.has_plain_answers
+        if is_first and era != self.first_stated:
             self.first_stated = era
             return 0
         self.note(era)
@@ -124,7 +129,7 @@
             return
         former, self.newest = self.newest, era
         self.learned_at = boottime()
-        if former == UNKNOWN_ERA:
+        if former == UNKNOWN_ERA and not self.has_plain_answers:
             log.info("store_era", era=era)
         else:
             self.counters["rises"] += 1
@@ -134,7 +139,8 @@
     def _is_plausible(self, era: int) -> bool:
         if not 0 <= era <= MAX_ERA:
             return False
-        return not self.is_known or self.newest <= era <= self.newest + MAX_RISE
+        is_first = not self.is_known and not self.has_plain_answers
+        return is_first or self.newest <= era <= self.current + MAX_RISE
 
     def is_current(self, version: int) -> bool:
         """Return whether a version or a lease belongs to the present era."""
--- a/tests/coordination/test_eras.py
+++ b/tests/coordination/test_eras.py
@@ -102,6 +102,16 @@
     assert [eras.admit(stated) for stated in ("2000", "3", "3")] == [0, 0, 3]
 
 
+def test_the_first_era_after_answers_without_one_is_a_rise():
+    # Guards against one renewal of a lease that was given out again.
+    eras = StoreEras()
+    eras.admit(None)
+    assert eras.admit(str(MAX_RISE + 1)) == 0
+    assert eras.admit("1") == 1
+    assert eras.has_risen
+    assert not eras.is_current(7)
+
+
 @pytest.mark.parametrize("stated", [None, "2", str(3 + MAX_RISE + 1)])
 def test_an_answer_without_the_present_era_is_not_used(stated):
     # Guards against answers from before the rise that are read after it.
