--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -114,6 +114,8 @@
     worker_type: type[WorkerStandin] = WorkerStandin
     routing = ROUTING
     heartbeat_interval_s = HEARTBEAT_S
+    # Appended to the settings file of each node.
+    settings_end = ""
 
     def __init__(self, path: Path, nodes: int = 4) -> None:
         self.path = path
@@ -220,6 +222,7 @@
                 store=self.store_address(index),
                 **self.ports,
             )
+            + self.settings_end
         )
         log = (self.path / f"node-{index}.log").open("ab")
         environment = {**os.environ, "SESAMEPOST_BOOT": str(settings)}
