Bound what a node holds for its callers

The limits of the operator were checked once a request was whole, neither of the two times was used, and connections were not counted. An unfinished body of 8 MiB stayed in memory as long as its connection.

One budget now counts the unfinished heads, the requests without an answer and the unread answers of all connections. Above a fifth of the memory, connections that hold more than 64 KiB are not read from; without progress for a second they are answered 408 or closed. Connections are bounded by the descriptors and by the memory. Bodies are refused once they are announced or have arrived above the limit, heads by their bytes and their time, idle connections by the operator's time. A message that cannot be parsed is answered once and shortly: the parser reported an error with a copy of the data for each block. Answers are written in parts, since the transport kept a copy. The ports for the platform and the worker accept 24 connections each.

Measured: the tests of the ingress, pipelining, the budget, heartbeats, telemetry, error reference and planned stops pass.

--- a/src/sesamepost/errors.py
+++ b/src/sesamepost/errors.py
@@ -32,6 +32,7 @@
     UNKNOWN_CLASS = "unknown_class"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
     NOT_OWNER = "not_owner"
     NO_OWNER = "no_owner"
     OWNER_UNREACHABLE = "owner_unreachable"
@@ -91,6 +92,9 @@
     ErrorKind.HEADERS_TOO_LARGE: Answer(
         431, Outcome.NOT_RUN, "the request headers are larger than 32 KiB"
     ),
+    ErrorKind.REQUEST_TIMEOUT: Answer(
+        408, Outcome.NOT_RUN, "the rest of the request body did not arrive in time"
+    ),
     ErrorKind.NOT_OWNER: Answer(
         503, Outcome.NOT_RUN, "the daemon does not own the key at this moment"
     ),
--- a/src/sesamepost/internal/forwarding/ingress.py
+++ b/src/sesamepost/internal/forwarding/ingress.py
@@ -20,6 +20,10 @@
     Outcome,
     RouterError,
 )
+from sesamepost.internal.clients.connection import RequestStalledError
+from sesamepost.internal.clients.limits import DEFAULT_CLIENT_LIMITS, ClientLimits
+from sesamepost.internal.clients.refusals import Refusals
+from sesamepost.internal.clients.responses import PartwiseResponse
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.dispatch.headers import forwarded_headers
 from sesamepost.internal.forwarding.forwarder import Call, Forwarder, Progress
@@ -35,7 +39,11 @@
 MAX_BODY_BYTES = 8 << 20
 MAX_HEADER_FIELD_BYTES = 64 << 10
 DEFAULT_TIMEOUT_S = 10.0
-KEEP_ALIVE_S = 75.0
+# The server closes idle connections by the operator's limit, always before this.
+KEEP_ALIVE_S = 86_400.0
+# How long the rest of a refused body is read, so that the client can read the answer.
+LINGERING_S = 1.0
+DEFAULT_LIMITS = Limits()
 # Time for the last answers to be written once all requests have ended.
 SHUTDOWN_TIMEOUT_S = 0.2
 # Spreads the retries of clients that were refused at the same time.
@@ -58,12 +66,15 @@
         index: Callable[[], RouteIndex | None],
         service: Callable[[], str],
         observe: Callable[[str, str, str, float], None],
+        client_limits: ClientLimits = DEFAULT_CLIENT_LIMITS,
     ) -> None:
         self.forwarder = forwarder
         self.names = names
         self.index = index
         self.service = service
         self.observe = observe
+        self.client_limits = client_limits
+        self.refusals = Refusals()
         self.split_selector = SplitSelector()
         self.counters: Counter[str] = Counter()
         self.router_headers = {
@@ -94,11 +105,15 @@
         server = PipelinedServer(
             self.handle,
             self._start_pipelined,
+            client_limits=self.client_limits,
+            limits=self._limits,
+            refusals=self.refusals,
             request_factory=bounded_request_factory(MAX_BODY_BYTES),
             access_log=None,
             auto_decompress=False,
             handler_cancellation=True,
             keepalive_timeout=KEEP_ALIVE_S,
+            lingering_time=LINGERING_S,
             max_line_size=MAX_HEADER_FIELD_BYTES,
             max_field_size=MAX_HEADER_FIELD_BYTES,
         )
@@ -109,6 +124,14 @@
         self.site = web.TCPSite(self.runner, *address, backlog=512)
         await self.site.start()
 
+    def used_bytes(self) -> int:
+        """Return what is held for all callers together."""
+        return self.runner.server.budget.used_bytes
+
+    def connection_count(self) -> int:
+        """Return the number of connections of callers."""
+        return len(self.runner.server.connections)
+
     async def stop_accepting(self) -> None:
         """Accept no new connections, and close each open one once it is idle.
 
@@ -136,20 +159,41 @@
         if task is not None:
             response = await task
         else:
-            body = await self._read_body(request)
+            try:
+                body = await self._read_body(request)
+            except RequestStalledError:
+                return self._stalled_response()
             response = await self._process(message, body)
         if self.is_stopping and not request.protocol.has_waiting:
             response.force_close()
         return response
 
+    def _stalled_response(self) -> web.Response:
+        error = RouterError(ErrorKind.REQUEST_TIMEOUT)
+        response = self._error(error, Progress())
+        response.force_close()
+        return response
+
     async def _read_body(self, request: BaseRequest) -> bytes | None:
-        """Return the body, or None if it exceeds ``MAX_BODY_BYTES``."""
+        """Return the body, or None once it is announced or arrives above the limit."""
         if not request.body_exists:
             return b""
-        try:
-            return await request.read()
-        except web.HTTPRequestEntityTooLarge:
+        limit_bytes = min(MAX_BODY_BYTES, self._limits().body_bytes)
+        if (request.content_length or 0) > limit_bytes:
             return None
+        payload = request.content
+        if payload.is_eof() and payload.total_bytes <= limit_bytes:
+            return payload.read_nowait()
+        body = bytearray()
+        while data := await payload.readany():
+            body += data
+            if len(body) > limit_bytes:
+                return None
+        return bytes(body)
+
+    def _limits(self) -> Limits:
+        index = self.index()
+        return index.settings.limits if index else DEFAULT_LIMITS
 
     def _start_pipelined(
         self, message: RawRequestMessage, payload: StreamReader
@@ -298,7 +342,7 @@
 
 def _response(answer: Answer) -> web.Response:
     headers = CIMultiDict(answer.headers)
-    return web.Response(status=answer.status, body=answer.body, headers=headers)
+    return PartwiseResponse(status=answer.status, body=answer.body, headers=headers)
 
 
 def _key(text: str) -> int:
--- a/src/sesamepost/internal/forwarding/node.py
+++ b/src/sesamepost/internal/forwarding/node.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from sesamepost.internal.clients.limits import client_limits
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.feed import ReaderFeed
 from sesamepost.internal.coordination.gossip import KeyGossip
@@ -169,6 +170,7 @@
                 lambda: self.index,
                 self._own_service,
                 self.metrics.observe_request,
+                client_limits(settings.memory_bytes, settings.file_descriptors),
             )
         )
         self._export_counters()
@@ -177,6 +179,8 @@
         await enter(self.gossip)
         self.stack.callback(asyncio.create_task(self._join_fleet()).cancel)
         await self.ingress.listen(settings.callers_address)
+        self.metrics.add_gauge("client_bytes", self.ingress.used_bytes)
+        self.metrics.add_gauge("client_connections", self.ingress.connection_count)
         log.info("started", node=str(self.id), name=settings.name)
         return self
 
@@ -336,6 +340,7 @@
         parts = {
             "peers": self.pool.counters,
             "callers": self.ingress.counters,
+            "client_refusals": self.ingress.refusals.counters,
             "forwarding": self.forwarder.counters,
             "endpoint": self.local.counters,
             "endpoint_connections": self.endpoint_pool.counters,
--- a/src/sesamepost/internal/forwarding/pipelining.py
+++ b/src/sesamepost/internal/forwarding/pipelining.py
@@ -7,16 +7,18 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
-from aiohttp import web
 from aiohttp.http_parser import RawRequestMessage
-from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.streams import StreamReader
+
+from sesamepost.internal.clients.connection import BoundedConnection, body_size
+from sesamepost.internal.clients.server import BoundedServer
 
 StartPipelined = Callable[[RawRequestMessage, StreamReader], asyncio.Task | None]
 
 
-class PipelinedHandler(RequestHandler):
+class PipelinedHandler(BoundedConnection):
     """One connection; ``start_pipelined`` is called with each request that waits.
 
     Its payload is complete by then. ``start_pipelined`` reads it only if it starts a
@@ -25,8 +27,8 @@
 
     __slots__ = (
         "answered",
+        "held_answers",
         "is_closing",
-        "last_payload",
         "pipelined",
         "start_pipelined",
     )
@@ -36,14 +38,15 @@
         self.start_pipelined = start_pipelined
         self.is_closing = False
         self.answered = 0
-        self.last_payload = EMPTY_PAYLOAD
+        # What the answers to requests that were started early use until their turn.
+        self.held_answers: dict[int, int] = {}
         # Keyed by ``id(message)``; the stored message keeps the id from being reused.
         self.pipelined: dict[int, tuple[RawRequestMessage, asyncio.Task | None]] = {}
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Close a connection that was accepted just before the server closed."""
         super().connection_made(transport)
-        if self._manager.is_closing:
+        if self.transport is not None and self._manager.is_closing:
             self.close_when_answered()
 
     def data_received(self, data: bytes) -> None:
@@ -53,8 +56,9 @@
             self._close_if_idle()
             return
         super().data_received(data)
-        if self._messages:
-            self.last_payload = self._messages[-1][1]
+        if self._manager is None or self._manager.budget.is_exceeded:
+            # Answers to requests that are started early wait in memory.
+            return
         is_idle = self._waiter is not None
         waiting = list(self._messages)[1 if is_idle else 0 :]
         for message, payload in waiting:
@@ -67,6 +71,15 @@
             self.pipelined[id(message)] = message, None
             task = self.start_pipelined(message, payload)
             self.pipelined[id(message)] = message, task
+            if task is not None:
+                task.add_done_callback(partial(self._hold_answer, id(message)))
+
+    def _hold_answer(self, key: int, task: asyncio.Task) -> None:
+        """Count the answer to a request that was started early until its turn."""
+        if key in self.pipelined:
+            self.held_answers[key] = _answer_bytes(task)
+            self.answer_bytes += self.held_answers[key]
+            self.charge()
 
     def connection_lost(self, error: BaseException | None) -> None:
         """Cancel the pipelined requests of a caller that has disconnected."""
@@ -117,10 +130,17 @@
     def take_pipelined(self, message: RawRequestMessage) -> asyncio.Task | None:
         """Return the task of a pipelined request, or None if it was not started."""
         _, task = self.pipelined.pop(id(message), (message, None))
+        self.answer_bytes -= self.held_answers.pop(id(message), 0)
         return task
 
 
-class PipelinedServer(web.Server):
+def _answer_bytes(task: asyncio.Task) -> int:
+    if task.cancelled() or task.exception() is not None:
+        return 0
+    return body_size(task.result())
+
+
+class PipelinedServer(BoundedServer):
     """A low-level server whose connections are ``PipelinedHandler``."""
 
     def __init__(self, handler, start_pipelined: StartPipelined, **options) -> None:
@@ -147,7 +167,7 @@
         for connection in self.connections:
             connection.close_when_answered()
 
-    def __call__(self) -> RequestHandler:
+    def __call__(self) -> PipelinedHandler:
         """Return the protocol of a new connection."""
         return PipelinedHandler(
             self, self.start_pipelined, loop=self._loop, **self._kwargs
--- a/src/sesamepost/internal/telemetry/exporter.py
+++ b/src/sesamepost/internal/telemetry/exporter.py
@@ -1,7 +1,7 @@
 """Exports counters and durations in the Prometheus text format."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
@@ -56,6 +56,13 @@
             f"sesamepost.{part}.events", callbacks=[read]
         )
 
+    def add_gauge(self, name: str, value: Callable[[], float]) -> None:
+        """Export a value that rises and falls, such as a used amount."""
+        self.meter.create_observable_gauge(
+            f"sesamepost.{name}",
+            callbacks=[lambda options: [Observation(value())]],
+        )
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/src/sesamepost/internal/telemetry/metrics.py
+++ b/src/sesamepost/internal/telemetry/metrics.py
@@ -25,6 +25,7 @@
         self.durations = RequestDurations(team_of)
         self.observe_request = self.durations.observe
         self.counters: dict[str, Counter[str]] = {}
+        self.gauges: dict[str, Callable[[], float]] = {}
         self.exporter: Exporter | None = None
 
     def add_counters(self, part: str, counters: Counter[str]) -> None:
@@ -33,6 +34,12 @@
         if self.exporter is not None:
             self.exporter.add_counters(part, counters)
 
+    def add_gauge(self, name: str, value: Callable[[], float]) -> None:
+        """Export a value that is read at each scrape."""
+        self.gauges[name] = value
+        if self.exporter is not None:
+            self.exporter.add_gauge(name, value)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         if self.exporter is None:
@@ -50,4 +57,6 @@
         exporter = Exporter(self.durations)
         for part, counters in self.counters.items():
             exporter.add_counters(part, counters)
+        for name, value in self.gauges.items():
+            exporter.add_gauge(name, value)
         return exporter
--- a/src/sesamepost/platform/control_plane.py
+++ b/src/sesamepost/platform/control_plane.py
@@ -12,6 +12,9 @@
 from msgspec import Meta, Struct
 from msgspec.json import Decoder
 
+from sesamepost.internal.clients.limits import ClientLimits
+from sesamepost.internal.clients.refusals import Refusals
+from sesamepost.internal.clients.runner import BoundedAppRunner
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import EndpointInfo
 from sesamepost.internal.forwarding.node import Node
@@ -39,6 +42,10 @@
 
 Key = Annotated[int, Meta(ge=0, le=LAST_KEY)]
 
+# The platform and the worker need one connection to each port at a time. Connections
+# that are waiting to be answered may overlap with new ones.
+CLIENT_LIMITS = ClientLimits(connections=24, request_bytes=4 << 20)
+
 # The confirmation of a leave waits this long until the store knows of it, so that it
 # binds the next process of the node as well.
 LEAVE_WRITE_TIMEOUT_S = 0.5
@@ -187,6 +194,7 @@
         self.own_address = f"{endpoint.host}:{endpoint.port}"
         self.stack = AsyncExitStack()
         self.unreadable_heartbeats = 0
+        self.refusals = Refusals()
         # The connection and the time of the last answer to a heartbeat.
         self.answered_on: asyncio.Transport | None = None
         self.answered_at = float("-inf")
@@ -213,8 +221,10 @@
     async def _listen(self, address: Address, routes: list) -> None:
         app = web.Application(client_max_size=MAX_MESSAGE_BYTES)
         app.add_routes(routes)
-        runner = web.AppRunner(
+        runner = BoundedAppRunner(
             app,
+            CLIENT_LIMITS,
+            self.refusals,
             handle_signals=False,
             access_log=None,
             shutdown_timeout=0.2,
--- a/tests/forwarding/test_ingress.py
+++ b/tests/forwarding/test_ingress.py
@@ -200,3 +200,74 @@
             await ingress.wait_until_idle()
         assert forwarder.calls == []
         writer.close()
+
+
+async def test_a_body_above_the_limit_is_refused_before_it_arrives():
+    # Guards against a limit that binds only once the body is whole.
+    async with served() as (send, forwarder):
+        host, port = send.ingress.runner.addresses[0][:2]
+        for head in (b"Content-Length: 101\r\n\r\n", CHUNKED + b"65\r\n" + b"b" * 101):
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(b"POST /p/x HTTP/1.1\r\nHost: h\r\n" + head)
+            async with asyncio.timeout(5):
+                answer = await reader.readuntil(b"\r\n\r\n")
+            assert answer.startswith(b"HTTP/1.1 413")
+            writer.close()
+        assert forwarder.calls == []
+
+
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+SHORT_TIMES = Limits(1000, 100, header_timeout_s=0.2, idle_timeout_s=0.2)
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"GET /p/x HTTP/1.1\r\nHost:", b"HTTP/1.1 408"),
+        (HEAD + b"bo", b"HTTP/1.1 408"),
+        (b"\r\n" * 10_000, b"HTTP/1.1 431"),
+        (b"GET /" + b"x" * 20_000, b"HTTP/1.1 431"),
+        (b"", b""),
+    ],
+    ids=["head", "body", "empty lines", "first line", "nothing"],
+)
+async def test_a_request_that_does_not_end_is_refused(sent, status):
+    # Guards against connections that stay open as long as their clients like. The
+    # first answers promise that the request has not run.
+    settings = RoutingSettings(7, ROUTES, SERVICES, SHORT_TIMES)
+    async with served(settings) as (send, forwarder):
+        host, port = send.ingress.runner.addresses[0][:2]
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(sent)
+        async with asyncio.timeout(10):
+            answer = await reader.read()
+        assert answer.startswith(status)
+        assert bool(answer) == bool(status)
+        assert forwarder.calls == []
+        assert sum(send.ingress.refusals.counters.values()) == 1
+        writer.close()
+
+
+async def test_an_idle_connection_is_kept_for_the_time_of_the_operator():
+    # Guards against a fixed time below the one in which callers reuse connections.
+    limits = Limits(1000, 100, idle_timeout_s=1.0)
+    settings = RoutingSettings(7, ROUTES, SERVICES, limits)
+    async with served(settings) as (send, forwarder):
+        host, port = send.ingress.runner.addresses[0][:2]
+        reader, writer = await asyncio.open_connection(host, port)
+        for _ in range(2):
+            writer.write(HEAD + b"body")
+            async with asyncio.timeout(5):
+                await reader.readuntil(b"\r\n\r\nbody")
+            await asyncio.sleep(0.8)
+        assert len(forwarder.calls) == 2
+        async with asyncio.timeout(10):
+            assert await reader.read() == b""
+        writer.close()
+
+
+async def test_what_is_held_for_callers_returns_to_zero():
+    async with served() as (send, _):
+        for _ in range(3):
+            await send("/p/x", "POST", b"b" * 100)
+        await until(lambda: send.ingress.used_bytes() == 0)
