Take an answer with an invalid status for no answer

A worker in trouble sent an answer whose status was 000. On the way of the platform, h11 rejected that already, but statuses from 600 to 999 were passed on. aiohttp, which reads the answers of sesamepostd's endpoints, passed on 000 to 099, 101 and 600 to 999 as answers, and answered a status that is no number of three digits with 504.

Only statuses from 200 to 599 are final now. Others fail with answer_cut_off (502, outcome unknown), as other invalid answers do, so the request is sent again only if its route allows retries. A grant that is answered below 200 does not count as accepted.

--- a/src/sesamepost/internal/dispatch/endpoint_client.py
+++ b/src/sesamepost/internal/dispatch/endpoint_client.py
@@ -9,6 +9,7 @@
 
 from sesamepost.errors import OUTCOME_HEADER, ErrorKind, Outcome, RouterError
 from sesamepost.internal.dispatch.headers import forwarded_headers
+from sesamepost.internal.dispatch.statuses import is_final_status
 from sesamepost.internal.wire.messages import Answer, Request
 
 MAX_ANSWER_BYTES = 8 << 20
@@ -19,6 +20,8 @@
 READ_CHUNK_BYTES = 256 << 10
 NANOSECONDS_PER_SECOND = 1_000_000_000
 GRANT_TIMEOUT_S = 1.0
+# Characters of the parser's message, which may repeat the response.
+MAX_DETAIL = 100
 MAX_CACHED_URLS = 256
 # About a century: means "no expiry" and fits into a signed 64-bit nanosecond count.
 NO_EXPIRY_S = 3.15e9
@@ -86,7 +89,7 @@
         url = self.base_url.origin() / "sesamepost" / "grant"
         try:
             async with self.session.post(url, json=content, timeout=timeout) as answer:
-                return answer.status < 300
+                return is_final_status(answer.status) and answer.status < 300
         except (aiohttp.ClientError, TimeoutError):
             return False
 
@@ -108,6 +111,9 @@
             raise RouterError(ErrorKind.ENDPOINT_UNREACHABLE, str(error)) from None
         except aiohttp.ClientPayloadError as error:
             raise RouterError(ErrorKind.ANSWER_CUT_OFF, str(error)) from None
+        except aiohttp.ClientResponseError as error:
+            detail = f"invalid HTTP response: {error.message[:MAX_DETAIL]!r}"
+            raise RouterError(ErrorKind.ANSWER_CUT_OFF, detail) from None
         except aiohttp.ClientError as error:
             raise RouterError(ErrorKind.OUTCOME_UNKNOWN, repr(error)) from None
 
@@ -133,6 +139,12 @@
             data=request.body or None,
             allow_redirects=False,
         ) as response:
+            if not is_final_status(response.status):
+                # What follows on this connection may not be an answer either.
+                response.close()
+                raise RouterError(
+                    ErrorKind.ANSWER_CUT_OFF, f"invalid status {response.status}"
+                )
             is_head = request.method == "HEAD"
             body = b"" if is_head else await _read_body(response)
             if response.status == 503 and (
--- a/src/sesamepost/internal/forwarding/endpoint_connection.py
+++ b/src/sesamepost/internal/forwarding/endpoint_connection.py
@@ -14,6 +14,7 @@
 from sesamepost.errors import ErrorKind, RouterError
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.dispatch.headers import forwarded_headers
+from sesamepost.internal.dispatch.statuses import is_final_status
 from sesamepost.internal.forwarding.answer_budget import AnswerBudget
 from sesamepost.internal.forwarding.parse_queue import MAX_PART_S, ParseQueue
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
@@ -275,8 +276,11 @@
             match event:
                 case h11.InformationalResponse():
                     self._count_interim_response()
-                case h11.Response():
+                case h11.Response() if is_final_status(event.status_code):
                     self.head = event
+                case h11.Response():
+                    detail = f"invalid status {event.status_code}"
+                    self._fail(ErrorKind.ANSWER_CUT_OFF, detail)
                 case h11.Data():
                     self._append_body(event.data)
                     if event.chunk_end:
--- a/tests/dispatch/test_endpoint_client.py
+++ b/tests/dispatch/test_endpoint_client.py
@@ -6,9 +6,10 @@
 
 import pytest
 
-from sesamepost.errors import ErrorKind, RouterError
+from sesamepost.errors import ANSWERS, ErrorKind, Outcome, RouterError
 from sesamepost.internal.dispatch.endpoint_client import DispatchContext, EndpointClient
 from sesamepost.internal.wire.messages import Request
+from tests.forwarding.test_invalid_statuses import INVALID_STATUSES, UNKNOWN_STATUSES
 
 WHOLE_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 CLOSE = b"close"
@@ -138,3 +139,47 @@
         with pytest.raises(RouterError) as caught:
             await client.send(request("GET"), CONTEXT)
     assert caught.value.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
+def answer_with(status: str) -> bytes:
+    return f"HTTP/1.1 {status} X\r\nContent-Length: 4\r\n\r\nbody".encode()
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("status", ["101", *INVALID_STATUSES, *UNKNOWN_STATUSES])
+async def test_an_answer_with_an_invalid_status_is_not_passed_on(status, method):
+    # Guards against a caller that takes the status of a broken endpoint for an answer,
+    # and against a second run of its request.
+    async with connected_client([answer_with(status), WHOLE_ANSWER]) as (
+        client,
+        received,
+    ):
+        with pytest.raises(RouterError) as caught:
+            await client.send(request(method), CONTEXT)
+        answer = ANSWERS[caught.value.kind]
+        assert (answer.status, answer.outcome) == (502, Outcome.UNKNOWN)
+        assert len(received) == 1
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [answer_with("102"), answer_with("199"), b"HTTP/1.1 100 X\r\n\r\n" * 1000],
+    ids=["102", "199", "without end"],
+)
+async def test_an_informational_answer_is_not_the_final_one(answer):
+    context = CONTEXT._replace(timeout_s=0.5)
+    async with connected_client([answer + CLOSE]) as (client, received):
+        with pytest.raises(RouterError) as caught:
+            await client.send(request("POST"), context)
+        assert ANSWERS[caught.value.kind].outcome is Outcome.UNKNOWN
+        assert len(received) == 1
+
+
+async def test_informational_answers_without_end_are_given_up():
+    # Guards against a caller that waits for its deadline while they are read.
+    endless = b"HTTP/1.1 100 Continue\r\n\r\n" * 100_000
+    async with connected_client([endless]) as (client, received):
+        with pytest.raises(RouterError) as caught:
+            await client.send(request("POST"), CONTEXT)
+        assert ANSWERS[caught.value.kind].outcome is Outcome.UNKNOWN
+        assert len(received) == 1
