--- a/tests/forwarding/test_evacuated_endpoint.py
+++ b/tests/forwarding/test_evacuated_endpoint.py
@@ -9,6 +9,7 @@
 from sesamepost.internal.forwarding.endpoint import LocalEndpoint
 from sesamepost.internal.forwarding.endpoint_pool import EndpointPool
 from sesamepost.internal.forwarding.messages import NO_KEY, Forward
+from sesamepost.internal.forwarding.routes import Service
 from sesamepost.platform.names import HEADERS
 from tests.waiting import until
 
@@ -23,8 +24,9 @@
 
 
 async def test_requests_that_wait_are_refused_and_those_that_run_go_on():
-    # Guards against EVAC: a request that waits for a slot is sent seconds later.
+    # Guards against a waiting request that is sent seconds after the evacuation.
     async with LocalEndpoint(HangingPool(("", 0), HEADERS), HEADERS) as local:
+        local.set_services({"s": Service("s", False, 10, "/health")})
         local.set_info(EndpointInfo("s", "i", 1, 1, "v", True))
         running, waiting = (asyncio.ensure_future(local.run(REQUEST)) for _ in range(2))
         await until(lambda: local.gate.queued)
