--- a/src/sesamepost/internal/clients/connection.py
+++ b/src/sesamepost/internal/clients/connection.py
@@ -260,12 +260,18 @@
     def waiting_s(self, now: float) -> float:
         """Return for how long the client has made no progress; 0 if it need not."""
         phase = self.phase
-        if phase is Phase.AT_WORK or (self.is_held_back and phase is not Phase.ANSWER):
+        if phase is Phase.AT_WORK or (phase is Phase.BODY and self._is_unread):
             return 0.0
         if phase is Phase.ANSWER:
             self._note_written()
         return now - self.waiting_since
 
+    @property
+    def _is_unread(self) -> bool:
+        """Whether the server itself does not read what the client sends."""
+        is_paused = self._reading_paused or self._buffer_paused
+        return is_paused or self.is_held_back or self.is_input_refused
+
     def _note_written(self) -> None:
         """Count as progress what the client has read since the last check."""
         if self.transport is None:
--- a/src/sesamepost/internal/clients/server.py
+++ b/src/sesamepost/internal/clients/server.py
@@ -184,7 +184,7 @@
             connection.is_expired = False
         elif not connection.is_expired:
             connection.is_expired = True
-        elif not connection.is_input_refused:
+        else:
             self.refuse(connection, TIMEOUTS[connection.phase])
 
     def _timeout_s(self, connection: BoundedConnection) -> float:
--- a/src/sesamepost/platform/main.py
+++ b/src/sesamepost/platform/main.py
@@ -65,7 +65,8 @@
         )
         await stack.enter_async_context(node)
         loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
-        await stack.enter_async_context(ControlPlane(node))
+        control_plane = await stack.enter_async_context(ControlPlane(node))
+        node.metrics.add_counters("platform_refusals", control_plane.refusals.counters)
         await stop.wait()
         await node.stop()
 
