Bound what sesamepostd holds for its callers

Its port read bodies and heads of any number of connections, as the node on the platform did. A body that stalls is answered 408. A caller that leaves while its body is read is counted as gone; it was logged as a failed request with a traceback.

The budget has a floor of 32 MiB, so that one body of the largest size with its copies fits on any machine.

Its new test cannot run on the code before, which has no budget. The end-to-end tests have not been run on this commit.

--- a/src/sesamepost/internal/clients/limits.py
+++ b/src/sesamepost/internal/clients/limits.py
@@ -14,6 +14,8 @@
 # requests and answers on them.
 CONNECTIONS_MEMORY_DIVISOR = 10
 REQUESTS_MEMORY_DIVISOR = 5
+# The largest body, of 8 MiB, with its copies.
+MIN_REQUEST_BYTES = 32 << 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +42,7 @@
     by_memory = memory_bytes // CONNECTIONS_MEMORY_DIVISOR // CONNECTION_BYTES
     return ClientLimits(
         max(MIN_CONNECTIONS, min(by_descriptors, by_memory)),
-        memory_bytes // REQUESTS_MEMORY_DIVISOR,
+        max(MIN_REQUEST_BYTES, memory_bytes // REQUESTS_MEMORY_DIVISOR),
     )
 
 
--- a/src/sesamepost/internal/daemon/daemon.py
+++ b/src/sesamepost/internal/daemon/daemon.py
@@ -228,6 +228,7 @@
         )
         self.callers_address = await self.callers.listen(settings.callers)
         self.metrics.add_counters("callers", self.callers.counters)
+        self.metrics.add_counters("client_refusals", self.callers.refusals.counters)
         self.metrics.add_counters("endpoint_server", self.endpoint_server.counters)
 
     def _start_tasks(self) -> None:
--- a/src/sesamepost/internal/routing/server.py
+++ b/src/sesamepost/internal/routing/server.py
@@ -18,6 +18,15 @@
     Outcome,
     RouterError,
 )
+from sesamepost.internal.clients.connection import RequestStalledError
+from sesamepost.internal.clients.limits import (
+    DEFAULT_CLIENT_LIMITS,
+    ClientLimits,
+    RequestLimits,
+)
+from sesamepost.internal.clients.refusals import Refusals
+from sesamepost.internal.clients.responses import PartwiseResponse
+from sesamepost.internal.clients.server import BoundedServer
 from sesamepost.internal.http_requests import bounded_request_factory
 from sesamepost.internal.routing.call import BORN_HEADER, Call, parse_call
 from sesamepost.internal.routing.router import Router
@@ -25,6 +34,8 @@
 from sesamepost.internal.wire.pool import Address
 
 MAX_BODY_BYTES = 8 << 20
+# Callers may keep connections open and idle for this long.
+REQUEST_LIMITS = RequestLimits(idle_timeout_s=3600.0)
 REPLAYED_HEADER = "Sesamepost-Replayed"
 RETRY_AFTER_S = "1"
 BORN_PATH = "/sesamepost/born"
@@ -42,10 +53,15 @@
     """
 
     def __init__(
-        self, router: Router, observe: Callable[[str, str, str, float], None]
+        self,
+        router: Router,
+        observe: Callable[[str, str, str, float], None],
+        client_limits: ClientLimits = DEFAULT_CLIENT_LIMITS,
     ) -> None:
         self.router = router
         self.observe = observe
+        self.client_limits = client_limits
+        self.refusals = Refusals()
         self.counters: Counter[str] = Counter()
         self.in_flight = 0
         self.idle = asyncio.Event()
@@ -56,8 +72,11 @@
 
     async def listen(self, address: Address) -> Address:
         """Listen for callers on ``address`` and return the bound address."""
-        server = web.Server(
+        server = BoundedServer(
             self.handle,
+            client_limits=self.client_limits,
+            limits=lambda: REQUEST_LIMITS,
+            refusals=self.refusals,
             request_factory=bounded_request_factory(MAX_BODY_BYTES),
             access_log=None,
             # Bodies are forwarded unchanged, together with their Content-Encoding.
@@ -103,10 +122,17 @@
             response = self._error_response(error)
         except web.HTTPRequestEntityTooLarge:
             response = self._error_response(RouterError(ErrorKind.BODY_TOO_LARGE))
+        except RequestStalledError:
+            response = self._error_response(RouterError(ErrorKind.REQUEST_TIMEOUT))
+            response.force_close()
         except asyncio.CancelledError:
             self.counters["callers_gone"] += 1
             raise
         except Exception:
+            if request.transport is None:
+                # The connection was lost while the body was read.
+                self.counters["callers_gone"] += 1
+                raise
             log.exception("request_failed", service=service)
             response = self._error_response(RouterError(ErrorKind.INTERNAL))
         finally:
@@ -140,7 +166,7 @@
         token = self.router.dispatcher.born_token(call.service)
         if token:
             headers[BORN_HEADER] = token
-        return web.Response(status=answer.status, body=answer.body, headers=headers)
+        return PartwiseResponse(status=answer.status, body=answer.body, headers=headers)
 
     def _error_response(self, error: RouterError) -> web.Response:
         self.counters[error.kind] += 1
--- a/tests/routing/test_server.py
+++ b/tests/routing/test_server.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from sesamepost.internal.clients.limits import DEFAULT_CLIENT_LIMITS, ClientLimits
 from sesamepost.internal.routing.server import CallerServer
 from sesamepost.internal.settings.model import ClassSettings, ServiceSettings
 from sesamepost.internal.wire.messages import Answer
@@ -18,7 +19,7 @@
 
 
 @asynccontextmanager
-async def caller_server(answer=None, route=None):
+async def caller_server(answer=None, route=None, limits=DEFAULT_CLIENT_LIMITS):
     """Run a server for callers; yield address, calls, observations and server."""
     calls, observed = [], []
 
@@ -31,7 +32,7 @@
         views=SimpleNamespace(services={"s": SERVICE}),
         dispatcher=SimpleNamespace(born_token=lambda service: ""),
     )
-    server = CallerServer(router, lambda *values: observed.append(values))
+    server = CallerServer(router, lambda *values: observed.append(values), limits)
     async with server:
         address = await server.listen(Address("127.0.0.1", 0))
         yield address, calls, observed, server
@@ -187,3 +188,32 @@
         assert server.counters["callers_gone"] == 1
         proceed.set()
         assert await asyncio.wait_for(ended.get(), WAIT_S) == expected
+
+
+async def test_bodies_that_stop_short_of_their_end_use_bounded_memory():
+    # Guards against bodies that are kept until their clients disconnect. The answers
+    # promise that the requests have not run.
+    size = 1 << 20
+    head = f"POST / HTTP/1.1\r\nContent-Length: {size}"
+    async with caller_server(limits=ClientLimits(50, 4 * size)) as (
+        address,
+        calls,
+        _,
+        server,
+    ):
+        unfinished = [
+            asyncio.create_task(exchange(address, head, b"b" * (size - 1)))
+            for _ in range(5)
+        ]
+        budget = server.runner.server.budget
+        while not any(task.done() for task in unfinished):
+            assert not budget.is_critical
+            await asyncio.sleep(0.01)
+        answer = await exchange(address, head, b"b" * size)
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert len(calls) == 1
+        for task in unfinished:
+            task.cancel()
+        answers = await asyncio.gather(*unfinished, return_exceptions=True)
+        refused = [a for a in answers if isinstance(a, bytes)]
+        assert all(a.startswith(b"HTTP/1.1 408") for a in refused)
