Give up queued requests as soon as they cannot start in time

Change: the queue is checked at each change; what cannot start even if nothing else arrives is refused. Result: a test of the load fails on the code before (the request expires at its latest start).

--- a/src/sesamepost/internal/forwarding/gate.py
+++ b/src/sesamepost/internal/forwarding/gate.py
@@ -183,9 +183,11 @@
         return self.poll(now)
 
     def poll(self, now: float) -> Dequeued:
-        """Expire requests past their latest start, and start others in free slots.
+        """Start requests in free slots; expire those that cannot start in time.
 
-        If the endpoint is cold, those that would wait too long expire as well.
+        A request is given up as soon as those before it leave it no time, so that its
+        caller can return while there is time. If the endpoint is cold, requests that
+        would wait too long expire as well.
         """
         dequeued = Dequeued()
         for ticket, waiting in list(self.queued.items()):
@@ -197,6 +199,7 @@
             del self.queued[waiting.ticket]
             self._start(waiting, now)
             dequeued.started.append(waiting.ticket)
+        dequeued.expired += self._drop_hopeless(now)
         dequeued.expired += self._drop_excess(now)
         return dequeued
 
@@ -221,6 +224,21 @@
     def _may_start(self, now: float) -> bool:
         return len(self.running) < self.slots and self.cold.may_start(now)
 
+    def _drop_hopeless(self, now: float) -> list[Ticket]:
+        """Remove what cannot start in time behind the others; return the tickets.
+
+        The rest of the running requests is left out, so only certain cases are removed.
+        """
+        dropped = []
+        ahead_s = 0.0
+        for waiting in sorted(self.queued.values(), key=lambda w: w.sort_key(now)):
+            if now + ahead_s / max(1, self.slots) > waiting.latest_start:
+                del self.queued[waiting.ticket]
+                dropped.append(waiting.ticket)
+                continue
+            ahead_s += self.expected_time(waiting.kind)
+        return dropped
+
     def _drop_excess(self, now: float) -> list[Ticket]:
         """Remove what a cold endpoint cannot start soon; return the tickets."""
         limit = self.cold.max_queued(now)
--- a/tests/forwarding/test_gate.py
+++ b/tests/forwarding/test_gate.py
@@ -90,6 +90,16 @@
     assert gate.finish("running-0", 0.4).started == ["long"]
 
 
+def test_a_request_that_others_have_overtaken_is_given_up_before_its_deadline():
+    # The load: urgent requests arrive for half a second behind a less urgent one.
+    # Guards against callers that are told only at their deadline that it has not run.
+    gate = full_gate(mean_s=0.1)
+    gate.submit(request("overtaken", rank=2, target=0.5, latest=0.5), 0.0)
+    for i in range(6):
+        assert gate.submit(request(i, rank=0), 0.1) is None
+    assert gate.poll(0.1).expired == ["overtaken"]
+
+
 def test_a_cancelled_request_is_not_started():
     gate = full_gate()
     gate.submit(request("gone"), 0.0)
