Count requests of ordinary size with less work

Reading a body resumed the connection although it had not been paused, which parsed nothing once more; this is left out. Heads of up to 4 KiB are counted with a constant, small answers are not charged while they are written, and the budget returns early while no connection is large.

--- a/src/sesamepost/internal/clients/budget.py
+++ b/src/sesamepost/internal/clients/budget.py
@@ -77,6 +77,9 @@
         before = self.sizes.get(connection, 0)
         self.used_bytes += size - before
         self.sizes[connection] = size
+        if size <= FREE_BYTES and not self.large:
+            # Nobody can wait, as is usual.
+            return
         if size > FREE_BYTES:
             self.large.setdefault(connection)
         else:
--- a/src/sesamepost/internal/clients/connection.py
+++ b/src/sesamepost/internal/clients/connection.py
@@ -11,11 +11,13 @@
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
 
+from sesamepost.internal.clients.budget import FREE_BYTES
 from sesamepost.internal.clients.refusals import RefusalCause
 
 # A request is copied on its way to an endpoint or to another node.
 REQUEST_COPIES = 3
-# The objects of a request, beside the bytes of its fields and its body.
+# The objects of a request with a head of up to this size; the fields of a larger one
+# are counted.
 REQUEST_BYTES = 4 << 10
 # aiohttp buffers up to twice this much of a body that is not read yet, in at most one
 # chunk for each 16 bytes of it.
@@ -52,7 +54,9 @@
 
     __slots__ = ("first_body_bytes", "head_bytes", "is_chunked", "payload", "received")
 
-    def __init__(self, message: RawRequestMessage, payload: StreamReader) -> None:
+    def __init__(
+        self, message: RawRequestMessage, payload: StreamReader, max_head_bytes: int
+    ) -> None:
         self.payload = payload
         # Bytes that were received since the head, without those that came with it.
         self.received = 0
@@ -61,8 +65,9 @@
         self.is_chunked = False
         # A message that could not be parsed is of another type and has no fields.
         if isinstance(message, RawRequestMessage):
-            fields = sum(len(name) + len(value) for name, value in message.raw_headers)
-            self.head_bytes += REQUEST_COPIES * (fields + len(message.path))
+            if max_head_bytes > REQUEST_BYTES:
+                fields = sum(len(n) + len(v) for n, v in message.raw_headers)
+                self.head_bytes += REQUEST_COPIES * (fields + len(message.path))
             self.is_chunked = message.chunked
 
     @property
@@ -151,21 +156,22 @@
         if self._manager is None or self._force_close:
             return
         size = len(data)
+        parsed_bytes = self.head_bytes + self.unparsed_bytes + size
         is_paused = self._buffer_paused or self._reading_paused
         self.unparsed_bytes = self.unparsed_bytes + size if is_paused else 0
         if self._request_count > self.noted_requests:
-            self._note_requests()
+            self._note_requests(parsed_bytes)
         elif was_reading_body or not self.last_payload.is_eof():
             self._note_body(size)
         elif size and not is_paused:
             self._note_head(size)
         self.charge()
 
-    def _note_requests(self) -> None:
+    def _note_requests(self, max_head_bytes: int) -> None:
         count = self._request_count - self.noted_requests
         self.noted_requests = self._request_count
         for message, payload in list(self._messages)[-count:]:
-            self.pending.append(PendingRequest(message, payload))
+            self.pending.append(PendingRequest(message, payload, max_head_bytes))
             self.last_payload = payload
             if not isinstance(message, RawRequestMessage):
                 # The parser would find another error in each further block.
@@ -219,7 +225,8 @@
         self.is_writing = True
         self.writer = request.writer
         self._note_progress(0)
-        self.charge()
+        if size > FREE_BYTES:
+            self.charge()
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
@@ -293,6 +300,11 @@
         if not (self._reading_paused or self._buffer_paused):
             self._resume_transport_reading()
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Read on after a pause; each read of a body calls this, paused or not."""
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
     def _resume_transport_reading(self) -> None:
         if not self.is_held_back:
             super()._resume_transport_reading()
