Mend what the review of hard load found: states that never recover

Cause (found by a reviewer who had not written the parts, shown with the code): starts at a warm endpoint used up the rate of its cold time, so it got nothing while cold; a route was refused for ever on an idle link after one large answer or a slow moment, since only requests that run correct the estimate; refusals and lost answers that have nothing to do with the number in flight pinned an endpoint at one slot; a cancellation overtook a request that waited for a narrow link; a full link of the caller's own node counted as a failure of endpoints; return times of callers without enough time were all the same, and reached beyond what callers wait; a first answer of a millisecond made other routes look slow; numbers that were only tried looked like load. Change: the cold limit leaves no debt; one request is let through on an idle link; a refusal lowers the limit only above the number at which requests were just answered, and by half at most; an unsent request is taken back; the rest as named.

--- a/src/sesamepost/internal/forwarding/capacity.py
+++ b/src/sesamepost/internal/forwarding/capacity.py
@@ -53,6 +53,8 @@
 MAX_PAUSE_S = 32.0
 # After a refusal or a hang, the number in flight rises by one at this interval.
 RAISE_INTERVAL_S = 1.0
+# A number at which requests were answered this recently is not too many.
+PROOF_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +79,8 @@
 
     def __init__(self) -> None:
         self.usual_s: dict[str, float] = {}
+        # How many requests the usual times are based on, up to ``1 / USUAL_WEIGHT``.
+        self.counted: Counter[str] = Counter()
         self.slowness = 1.0
         # A slow mean, for decisions that cost more than a changed choice.
         self.mean_slowness = 1.0
@@ -120,8 +124,12 @@
         adjusted_s = max(MIN_TIME_S, time_s / self.slowness)
         if kind not in self.usual_s and len(self.usual_s) >= MAX_KINDS:
             self.usual_s.clear()
+            self.counted.clear()
+        self.counted[kind] += 1
+        # The first requests count alike, as any one of them may be unusual.
+        weight = max(USUAL_WEIGHT, 1 / self.counted[kind])
         usual_s = self.usual_s.get(kind, adjusted_s)
-        self.usual_s[kind] = usual_s + USUAL_WEIGHT * (adjusted_s - usual_s)
+        self.usual_s[kind] = usual_s + weight * (adjusted_s - usual_s)
         self.samples.append(Sample(now, kind, slowness / pace, pace))
 
     def note_unfinished(self, kind: str, age_s: float, now: float) -> None:
@@ -182,6 +190,8 @@
         self.counters: Counter[str] = Counter()
         self.ceiling = math.inf
         self.raised_at = 0.0
+        # When a request that was started as the n-th in flight was last answered.
+        self.answered_at: dict[int, float] = {}
         self.trial: int | None = None
         self.is_trying = False
         self.tries_larger = False
@@ -203,6 +213,7 @@
         """Start anew, for another incarnation of the endpoint."""
         self.best = self.slots
         self.ceiling = math.inf
+        self.answered_at.clear()
         self.pause_s = MIN_PAUSE_S
         self.reason = "slots"
         self._end_trial()
@@ -215,9 +226,22 @@
     def note_rejected(self, in_flight: int, now: float) -> None:
         """Record that the endpoint refused a request or did not answer it in time.
 
-        ``in_flight`` includes that request.
+        ``in_flight`` includes that request. An endpoint that has just answered requests
+        beside as many others did so for another reason.
         """
-        self._lower(in_flight - 1, "refused", now)
+        if in_flight > self._proven(now):
+            self._lower(max(in_flight - 1, self.settled_limit // 2), "refused", now)
+
+    def note_answered(self, in_flight: int, now: float) -> None:
+        """Record an answered request, which was started as the n-th in flight."""
+        self.answered_at[in_flight] = now
+
+    def _proven(self, now: float) -> int:
+        """Return the highest number in flight at which a request was answered."""
+        self.answered_at = {
+            n: at for n, at in self.answered_at.items() if now - at <= PROOF_S
+        }
+        return max(self.answered_at, default=0)
 
     def note_waiting(self, running: int, now: float) -> None:
         """Record that requests wait inside the endpoint while it runs ``running``.
@@ -291,7 +315,10 @@
         self._set_limit()
 
     def _lower(self, ceiling: int, reason: str, now: float) -> None:
-        self.ceiling = max(1, min(self.ceiling, ceiling))
+        lowered = max(1, min(self.ceiling, ceiling))
+        if lowered == self.ceiling:
+            return
+        self.ceiling = lowered
         self.raised_at = now
         self.reason = reason
         self.counters[reason] += 1
--- a/src/sesamepost/internal/forwarding/cold.py
+++ b/src/sesamepost/internal/forwarding/cold.py
@@ -92,7 +92,9 @@
         self.starts.append(now)
         interval_s = 1 / self.tolerated_per_s
         earliest = now - CATCH_UP_STARTS * interval_s
-        self.next_start_at = max(self.next_start_at, earliest) + interval_s
+        next_start_at = max(self.next_start_at, earliest) + interval_s
+        # Starts at a warm endpoint may be more frequent and must leave no debt.
+        self.next_start_at = min(next_start_at, now + interval_s)
 
     def is_cold(self, now: float) -> bool:
         """Return whether the tolerated rate of a cold endpoint applies."""
--- a/src/sesamepost/internal/forwarding/endpoint.py
+++ b/src/sesamepost/internal/forwarding/endpoint.py
@@ -34,6 +34,8 @@
 HOLD_WAIT_TIMEOUT_S = 0.6
 # Statuses with which an endpoint may state that it did not run a request.
 REFUSAL_STATUSES = frozenset({400, 421, 429, 503})
+# Those with which it may say that it has too many.
+OVERLOAD_STATUSES = frozenset({429, 503})
 NOT_HOLDING_STATUS = 421
 FAILURE_WEIGHT = 0.05
 POLL_INTERVAL_S = 0.05
@@ -204,7 +206,8 @@
             self.gate.busy[window_s] *= kept
 
     def _busy_in_window(self, window_s: float, now: float) -> float:
-        demand = self.demand_s[window_s].at(now) / window_s / max(1, self.gate.slots)
+        slots = max(1, self.gate.capacity.settled_limit)
+        demand = self.demand_s[window_s].at(now) / window_s / slots
         if self.cold.is_cold(now):
             arrivals_per_s = self.arrivals[window_s].at(now) / window_s
             demand = max(demand, arrivals_per_s / self.cold.tolerated_per_s)
@@ -227,7 +230,7 @@
         """
         received = boottime()
         deadline = min(received + request.timeout_ms / 1000, self.latest_deadline)
-        self._check_service(request)
+        self.check_service(request)
         time_s = self.gate.expected_time(request.route)
         if received + time_s > self.latest_deadline:
             raise RouterError(ErrorKind.SHUTTING_DOWN)
@@ -247,7 +250,7 @@
         record_time = False
         pace = 1.0
         try:
-            self._check_service(request)
+            self.check_service(request)
             if request.key != NO_KEY and not self.keeper.may_run(request.key):
                 raise RouterError(
                     ErrorKind.NOT_OWNER, "the hold ended while the request was queued"
@@ -274,9 +277,10 @@
             self.gate.capacity.note_waiting(load.running, now)
         return load.pace
 
-    def _check_service(self, request: Forward) -> None:
+    def check_service(self, request: Forward) -> None:
+        """Raise ``RouterError`` if the endpoint may not get requests of this kind."""
         info = self.info
-        # Until the settings are known, so is not what a cold endpoint tolerates.
+        # What a cold endpoint tolerates is unknown until the settings are read.
         is_known = info is not None and bool(self.services)
         if not is_known or not info.is_ready or info.service != request.service:
             raise RouterError(ErrorKind.NO_ENDPOINT, request.service)
@@ -382,7 +386,8 @@
                 self.keeper.note_key_refused(request.key)
             raise RouterError(ErrorKind.NOT_OWNER, "the endpoint answered 421")
         self._note_failure(True)
-        self.gate.capacity.note_rejected(len(self.gate.running), boottime())
+        if answer.status in OVERLOAD_STATUSES:
+            self.gate.capacity.note_rejected(len(self.gate.running), boottime())
         raise RouterError(
             ErrorKind.ENDPOINT_REFUSED, f"the endpoint answered {answer.status}"
         )
--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -11,9 +11,9 @@
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.coordination.nodes import NodeEntry, NodeTable
 from sesamepost.internal.forwarding.endpoint import LocalEndpoint
-from sesamepost.internal.forwarding.link_room import check_request_passes
+from sesamepost.internal.forwarding.link_room import LinkFullError, admit_body
 from sesamepost.internal.forwarding.link_waits import LinkWaits
-from sesamepost.internal.forwarding.loads import DEFAULT_MEAN_S, LoadTracker
+from sesamepost.internal.forwarding.loads import LoadTracker
 from sesamepost.internal.forwarding.messages import Forward, LinkFull
 from sesamepost.internal.forwarding.return_times import ReturnTimes
 from sesamepost.internal.forwarding.routes import Route
@@ -30,6 +30,8 @@
 # Share of the time until its deadline that a request may spend waiting.
 MAX_WAIT_SHARE = 0.3
 NODE_POLL_INTERVAL_S = 0.05
+# Callers wait for at most this share of the time that they have left.
+MAX_RETURN_SHARE = 1 / 3
 # By then the key has probably been assigned to an owner.
 NO_OWNER_RETRY_AFTER_S = 0.5
 MIN_RETRY_AFTER_S = 0.3
@@ -172,19 +174,23 @@
         if ANSWERS[error.kind].outcome is not Outcome.NOT_RUN:
             return
         now = boottime()
-        latest_s = call.deadline - now - DEFAULT_MEAN_S
+        latest_s = (call.deadline - now) * MAX_RETURN_SHARE
         progress.retry_after_s = self.return_times.next_wait_s(
             self._pace_target(call), progress.retry_after_s, latest_s, now
         )
         progress.is_return_spread = True
 
     def _pace_target(self, call: Call) -> str:
-        """Return what the callers of such a request wait for: an owner or a service."""
+        """Return what callers of a route wait for: the owner of a key or the service.
+
+        Routes do not share times, since a wait may hold for one of them only.
+        """
         tables = self.tables(call.service)
-        if tables is None or tables.table is None:
-            return call.service
-        owner = tables.table.find(call.key).owner
-        return call.service if owner is None else owner.vm
+        owner = None
+        if tables is not None and tables.table is not None:
+            owner = tables.table.find(call.key).owner
+        target = call.service if owner is None else owner.vm
+        return f"{target} {call.route.name}"
 
     async def _run(self, call: Call, progress: Progress) -> Answer:
         for _ in range(MAX_ATTEMPTS):
@@ -379,6 +385,10 @@
         self, node: NodeEntry, call: Call, progress: Progress, error: RouterError
     ) -> None:
         """Return if the call may be retried; raise the final error otherwise."""
+        if isinstance(error, LinkFullError):
+            # The link of this node is the same for all endpoints.
+            progress.retry_after_s = max(progress.retry_after_s, error.wait_s)
+            raise progress.error(error.kind, error.detail)
         if ANSWERS[error.kind].outcome is not Outcome.NOT_RUN:
             progress.may_have_run = True
             progress.tried.add(node.vm)
@@ -447,9 +457,10 @@
             return answer
         except RouterError as error:
             # A full link says nothing about requests on other routes.
-            failed = error.kind is not ErrorKind.NOT_OWNER and not (
+            is_link_full = isinstance(error, LinkFullError) or (
                 self._is_link_refusal(node, call, error)
             )
+            failed = error.kind is not ErrorKind.NOT_OWNER and not is_link_full
             if ANSWERS[error.kind].outcome is not Outcome.NOT_RUN:
                 progress.reached.add(node.vm)
             raise
@@ -475,11 +486,12 @@
             raise RouterError(
                 ErrorKind.OWNER_UNREACHABLE, "the send buffer of the stream is full"
             )
-        check_request_passes(self.pool.link, request, asyncio.get_running_loop().time())
+        request = admit_body(self.pool.link, request, asyncio.get_running_loop().time())
         self.counters["forwarded"] += 1
         call_id, future = stream.new_call()
+        unsent = None
         try:
-            stream.send(
+            unsent = stream.send(
                 replace(request, id=call_id), link_class=class_of_rank(request.rank)
             )
             reply = await future
@@ -487,7 +499,9 @@
             self.counters["streams_lost_with_calls"] += 1
             raise RouterError(ErrorKind.OUTCOME_UNKNOWN, str(error)) from None
         except asyncio.CancelledError:
-            if stream.is_open:
+            # A cancellation would overtake a request that still waits for the link.
+            is_sent = unsent is None or not self.pool.link.cancel(unsent)
+            if is_sent and stream.is_open:
                 stream.send(Cancel(call_id))
             raise
         finally:
--- a/src/sesamepost/internal/forwarding/gate.py
+++ b/src/sesamepost/internal/forwarding/gate.py
@@ -30,10 +30,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RunningRequest:
-    """A started request."""
+    """A started request, which was the ``in_flight``-th at its start."""
 
     kind: str
     started_at: float
+    in_flight: int
 
 
 @dataclass(slots=True)
@@ -158,6 +159,7 @@
         self._update_busy(now)
         done = self.running.pop(ticket)
         if record_time:
+            self.capacity.note_answered(done.in_flight, now)
             self._record_time(done, stated_pace, now)
         else:
             self.speed.note_unfinished(done.kind, now - done.started_at, now)
@@ -199,7 +201,7 @@
             del self.queued[waiting.ticket]
             self._start(waiting, now)
             dequeued.started.append(waiting.ticket)
-        dequeued.expired += self._drop_hopeless(now)
+        dequeued.expired += self._drop_unstartable(now)
         dequeued.expired += self._drop_excess(now)
         return dequeued
 
@@ -224,7 +226,7 @@
     def _may_start(self, now: float) -> bool:
         return len(self.running) < self.slots and self.cold.may_start(now)
 
-    def _drop_hopeless(self, now: float) -> list[Ticket]:
+    def _drop_unstartable(self, now: float) -> list[Ticket]:
         """Remove what cannot start in time behind the others; return the tickets.
 
         The rest of the running requests is left out, so only certain cases are removed.
@@ -253,12 +255,15 @@
     def _start(self, waiting: QueuedRequest, now: float) -> None:
         self._update_busy(now)
         self.cold.note_start(now)
-        self.running[waiting.ticket] = RunningRequest(waiting.kind, now)
+        in_flight = len(self.running) + 1
+        self.running[waiting.ticket] = RunningRequest(waiting.kind, now, in_flight)
 
     def _update_busy(self, now: float) -> None:
         elapsed = now - self.busy_updated_at
         self.busy_updated_at = now
-        load = (len(self.running) + len(self.queued)) / max(1, self.slots)
+        # A number that is only tried must not look like a change of the load.
+        slots = self.capacity.settled_limit
+        load = (len(self.running) + len(self.queued)) / max(1, slots)
         for window_s, busy in self.busy.items():
             weight = min(1.0, elapsed / window_s)
             self.busy[window_s] = busy + weight * (load - busy)
--- a/src/sesamepost/internal/forwarding/link_room.py
+++ b/src/sesamepost/internal/forwarding/link_room.py
@@ -13,6 +13,8 @@
 
 # Weight of the newest answer in the mean size of its route.
 SIZE_WEIGHT = 0.1
+# An unusually large answer counts as at most this multiple of the mean.
+MAX_SIZE_FACTOR = 4
 # Bounds the memory; operators may define hundreds of routes.
 MAX_ROUTES = 1000
 # A longer queue carries no more bytes, it only makes all answers later. Senders choose
@@ -78,8 +80,9 @@
         then pass the link. Raises ``LinkFullError`` if it would be late because of it.
         """
         kind = UnderWay(request.route, class_of_rank(request.rank))
-        self._check_memory(kind)
-        self._check_time(request, kind, time_s, now)
+        if not self._is_idle(kind, now):
+            self._check_memory(kind)
+            self._check_time(request, kind, time_s, now)
         self.under_way[kind] += 1
         try:
             yield self._shortened(request)
@@ -93,7 +96,8 @@
         if route not in self.mean_bytes and len(self.mean_bytes) >= MAX_ROUTES:
             self.mean_bytes.clear()
         mean = self.mean_bytes.get(route, size)
-        self.mean_bytes[route] = mean + SIZE_WEIGHT * (size - mean)
+        counted = min(size, MAX_SIZE_FACTOR * max(mean, SMALL_MESSAGE_BYTES))
+        self.mean_bytes[route] = mean + SIZE_WEIGHT * (counted - mean)
 
     def note_queued(self, call: CallId, message: BulkMessage | None) -> None:
         """Remember the answer of a call, if it waits for the link."""
@@ -107,7 +111,7 @@
     def discard_answer(self, call: CallId) -> bool:
         """Discard an answer that nobody waits for, unless a part of it is written."""
         message = self.queued.pop(call, None)
-        return message is not None and self.link.scheduler.cancel(message)
+        return message is not None and self.link.cancel(message)
 
     def expected_bytes(self, link_class: int | None = None) -> float:
         """Return the expected bytes of answers under way.
@@ -120,6 +124,16 @@
             if link_class is None or kind.link_class <= link_class
         )
 
+    def _is_idle(self, kind: UnderWay, now: float) -> bool:
+        """Return whether nothing is ahead of the answer to a request of this kind.
+
+        One is then let through whatever is expected of it: expected sizes and times are
+        learned only from requests that run.
+        """
+        is_first = not any(other.route == kind.route for other in self.under_way)
+        queue_s = self.link.scheduler.time_to_pass(0.0, kind.link_class, now)
+        return is_first and queue_s <= MIN_WAIT_S
+
     def _check_memory(self, kind: UnderWay) -> None:
         size = self.mean_bytes.get(kind.route, 0.0)
         if size <= SMALL_MESSAGE_BYTES:
@@ -164,9 +178,11 @@
         if not size:
             return request
         link_ms = int(self.link.scheduler.time_alone(size) * 1000)
+        # An answer that is expected to be too large may be shorter.
+        timeout_ms = max(request.timeout_ms // 2, request.timeout_ms - link_ms)
         return replace(
             request,
-            timeout_ms=max(1, request.timeout_ms - link_ms),
+            timeout_ms=max(1, timeout_ms),
             target_latency_ms=max(0, request.target_latency_ms - link_ms),
         )
 
@@ -179,12 +195,15 @@
         return size
 
 
-def check_request_passes(link: LinkSender, request: Forward, now: float) -> None:
-    """Raise ``LinkFullError`` if the body of a request cannot be sent in time."""
+def admit_body(link: LinkSender, request: Forward, now: float) -> Forward:
+    """Return the request with the time that is left once its body has passed the link.
+
+    Raise ``LinkFullError`` if the body cannot be sent in time.
+    """
     scheduler = link.scheduler
     size = len(request.body)
     if not scheduler.is_paced or size <= scheduler.small_message_bytes:
-        return
+        return request
     link_class = class_of_rank(request.rank)
     queue_s = scheduler.time_to_pass(size, link_class, now)
     due_s = request.timeout_ms / 1000 - PATH_TIME_S
@@ -194,3 +213,9 @@
             f" its deadline is in {due_s:.2f} s",
             max(MIN_WAIT_S, queue_s - due_s),
         )
+    queue_ms = int(queue_s * 1000)
+    return replace(
+        request,
+        timeout_ms=max(1, request.timeout_ms - queue_ms),
+        target_latency_ms=max(0, request.target_latency_ms - queue_ms),
+    )
--- a/src/sesamepost/internal/forwarding/return_times.py
+++ b/src/sesamepost/internal/forwarding/return_times.py
@@ -12,7 +12,9 @@
 MIN_ANSWERS_PER_S = 5.0
 MIN_RETURN_S = 0.05
 # Bounds the memory; each owner of keys is a target of its own.
-MAX_TARGETS = 512
+MAX_TARGETS = 2048
+# Spreads callers for whom there is no time before they give up.
+LATE_SPREAD = 0.3
 
 
 @dataclass(slots=True)
@@ -49,7 +51,7 @@
         """Return after how many seconds a refused caller should return.
 
         It is at least ``min_wait_s``. If all times up to ``max_wait_s`` have been given
-        to others, it is a random one of them.
+        to others, it is a random one of them, or a later one if there is none.
         """
         pace = self._pace(target)
         min_wait_s = max(MIN_RETURN_S, min_wait_s)
@@ -58,7 +60,8 @@
         if wait_s <= max_wait_s:
             pace.last_return_at = now + wait_s
             return wait_s
-        return random.uniform(min_wait_s, max(min_wait_s, max_wait_s))
+        latest_s = max(max_wait_s, (1 + LATE_SPREAD) * min_wait_s)
+        return random.uniform(min_wait_s, latest_s)
 
     def _pace(self, target: str) -> Pace:
         pace = self.paces.get(target)
--- a/src/sesamepost/internal/forwarding/serving.py
+++ b/src/sesamepost/internal/forwarding/serving.py
@@ -123,6 +123,7 @@
             log.info("answer_lost", request=request.request_id, reason=str(error))
 
     async def _run_if_link_has_room(self, request: Forward) -> Answer:
+        self.local.check_service(request)
         time_s = self.local.gate.expected_time(request.route)
         now = asyncio.get_running_loop().time()
         with self.link_room.reserve(request, time_s, now) as admitted:
--- a/src/sesamepost/internal/wire/link_sender.py
+++ b/src/sesamepost/internal/wire/link_sender.py
@@ -76,6 +76,12 @@
         if self.scheduler.ready and (self.timer is None or not self.is_paced):
             self._write_ready()
 
+    def cancel(self, message: BulkMessage) -> bool:
+        """Discard a message; return False if a part of it has been written."""
+        is_cancelled = self.scheduler.cancel(message)
+        self._update_writable()
+        return is_cancelled
+
     def drop(self, stream: BulkStream) -> None:
         """Forget a closed stream."""
         self.scheduler.drop(stream)
--- a/tests/forwarding/test_capacity.py
+++ b/tests/forwarding/test_capacity.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from sesamepost.internal.forwarding.capacity import CapacityEstimate, SpeedEstimate
 from sesamepost.internal.forwarding.gate import EndpointGate, QueuedRequest
 from sesamepost.internal.forwarding.loads import LoadTracker
 from sesamepost.internal.forwarding.messages import LoadHint
@@ -286,3 +287,48 @@
     loads.note_hint("grey", LoadHint("s", 0, 0, 4, 100, 0, 50), 0.0)
     loads.note_hint("well", LoadHint("s", 0, 0, 4, 100, 0, 0), 0.0)
     assert loads.pick(nodes, "r", 0.1, 0.5, 1.0).vm == "well"
+
+
+def test_refusals_for_another_reason_do_not_lower_the_limit():
+    # The load: 80% of an endpoint that loses or refuses one request in ten. Guards
+    # against a sound endpoint that is left with one slot.
+    estimate = CapacityEstimate()
+    estimate.set_slots(5)
+    for index in range(600):
+        now = index * 0.04
+        in_flight = 1 + index % 5
+        if index % 10 == 9:
+            estimate.note_rejected(in_flight, now)
+        else:
+            estimate.note_answered(in_flight, now)
+        estimate.update(False, 0.0, 0.1, now)
+    assert estimate.limit == 5
+
+
+def test_one_refusal_costs_at_most_half_of_the_limit():
+    estimate = CapacityEstimate()
+    estimate.set_slots(12)
+    estimate.note_rejected(1, 0.0)
+    assert estimate.limit == 6
+
+
+def test_refusals_beyond_what_is_answered_lower_the_limit():
+    estimate = CapacityEstimate()
+    estimate.set_slots(8)
+    for index in range(40):
+        estimate.note_answered(1 + index % 5, index * 0.01)
+    estimate.note_rejected(8, 0.4)
+    assert estimate.limit == 7
+    estimate.note_rejected(7, 0.5)
+    assert estimate.limit == 6
+
+
+def test_an_unusual_first_request_does_not_make_other_routes_look_slow():
+    # Guards against a first answer of a millisecond, such as one for a wrong path.
+    speed = SpeedEstimate()
+    speed.note_time("a", 0.001, 1.0, 0.0)
+    for index in range(60):
+        now = 0.1 * (index + 1)
+        speed.note_time("a" if index % 3 else "b", 0.133, 1.0, now)
+        speed.update([], now)
+    assert speed.expected_time("b") < 0.3
--- a/tests/forwarding/test_cold.py
+++ b/tests/forwarding/test_cold.py
@@ -57,6 +57,20 @@
     assert not cold.needs_check(0.5)
 
 
+@pytest.mark.parametrize("is_new", [False, True])
+def test_an_endpoint_that_was_busy_while_warm_gets_its_rate_once_it_is_cold(is_new):
+    # Guards against starts of the warm time that use up the rate of the cold time.
+    cold = limit()
+    for index in range(120):
+        cold.note_start(index / (4 * RATE))
+    now = 120 / (4 * RATE)
+    if is_new:
+        cold.note_incarnation(now)
+    cold.note_cold(COLD_S, now)
+    starts = start_all(cold, now, now + COLD_S)
+    assert len(starts) >= 0.8 * RATE * (COLD_S - WINDOW_S)
+
+
 def test_a_cold_endpoint_gets_its_rate_without_bursts():
     cold = limit()
     cold.note_incarnation(0.0)
--- a/tests/forwarding/test_serving.py
+++ b/tests/forwarding/test_serving.py
@@ -27,6 +27,9 @@
     def hint(self) -> str:
         return "hint"
 
+    def check_service(self, request: Forward) -> None:
+        pass
+
     async def run(self, request: Forward) -> EndpointResponse:
         self.requests += 1
         await asyncio.sleep(0)
