--- a/src/sesamepost/internal/clients/connection.py
+++ b/src/sesamepost/internal/clients/connection.py
@@ -29,6 +29,8 @@
 # The limit of a head counts the names and values of its fields; the first line and the
 # framing of the fields come on top.
 HEAD_FRAMING_BYTES = 8 << 10
+FIRST_SERVER_ERROR = 500
+END_OF_HEAD = b"\r\n\r\n"
 # Fewer bytes of a body or of an answer are no progress.
 PROGRESS_BYTES = 4 << 10
 CLOSING_ANSWER = "HTTP/1.1 {} {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -82,6 +84,15 @@
         return size
 
 
+def _bytes_behind_head(data: bytes) -> int:
+    """Return how many bytes of a read follow the head that was completed in it."""
+    end = data.rfind(END_OF_HEAD)
+    if end >= 0:
+        return len(data) - end - len(END_OF_HEAD)
+    # The end of the head began in the read before.
+    return max(0, len(data) - len(END_OF_HEAD) + 1)
+
+
 class BoundedConnection(RequestHandler):
     """Charges a budget for what the client makes the server hold.
 
@@ -161,6 +172,12 @@
         self.unparsed_bytes = self.unparsed_bytes + size if is_paused else 0
         if self._request_count > self.noted_requests:
             self._note_requests(parsed_bytes)
+            if not is_paused and self.last_payload is EMPTY_PAYLOAD:
+                self.head_bytes = _bytes_behind_head(data)
+                self._check_head_size()
+        elif self._upgraded:
+            # aiohttp keeps these bytes until the request before them is answered.
+            self.unparsed_bytes += size
         elif was_reading_body or not self.last_payload.is_eof():
             self._note_body(size)
         elif size and not is_paused:
@@ -191,6 +208,9 @@
         if self.head_bytes == 0:
             self._note_progress(0)
         self.head_bytes += size
+        self._check_head_size()
+
+    def _check_head_size(self) -> None:
         limit = self._manager.limits().header_bytes + HEAD_FRAMING_BYTES
         if self.head_bytes > limit:
             self._manager.refuse(self, RefusalCause.HEAD_TOO_LARGE)
@@ -232,6 +252,10 @@
         finally:
             self.answer_bytes -= size
             self.is_writing = False
+            if self._request_count > self.noted_requests:
+                # Bytes behind a request for an upgrade are parsed by now.
+                self._note_requests(self.unparsed_bytes)
+                self.unparsed_bytes = 0
             self._note_progress(self.last_payload.total_bytes + PROGRESS_BYTES)
             if self.is_input_refused and not self.pending:
                 self.close()
@@ -245,6 +269,8 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Return a short answer: the message may repeat all that the client sent."""
+        if exc is not None and status >= FIRST_SERVER_ERROR:
+            self._manager.note_failure(exc)
         if request.writer.output_size > 0:
             raise ConnectionError("an answer was begun already")
         response = web.Response(status=status, text=f"{status}\n")
@@ -258,12 +284,17 @@
             return Phase.ANSWER
         if not self.last_payload.is_eof():
             return Phase.BODY
-        if self.pending:
+        if self.has_work or self.pending:
             return Phase.AT_WORK
         if self.head_bytes or not self.noted_requests:
             return Phase.HEAD
         return Phase.IDLE
 
+    @property
+    def has_work(self) -> bool:
+        """Whether a complete request is being answered or waits for its turn."""
+        return self._request_in_progress or bool(self._messages)
+
     def waiting_s(self, now: float) -> float:
         """Return for how long the client has made no progress; 0 if it need not."""
         phase = self.phase
@@ -317,7 +348,8 @@
     def give_up_head(self, status: int, reason: str) -> None:
         """Answer an incomplete head, or close after the answers to earlier requests."""
         self.is_input_refused = True
-        if self.pending or self.is_writing or self.transport is None:
+        is_answering = self.has_work or bool(self.pending) or self.is_writing
+        if is_answering or self.transport is None:
             return
         self.transport.write(CLOSING_ANSWER.format(status, reason).encode())
         self.force_close()
--- a/src/sesamepost/internal/clients/server.py
+++ b/src/sesamepost/internal/clients/server.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+import structlog
 from aiohttp import web
 
 from sesamepost.internal.clients.budget import READ_ON_BYTES, ClientBudget
@@ -25,6 +26,7 @@
 EVICTED_SHARE = 1 / 16
 # A newcomer that is refused saves the next ones the search for another connection.
 NO_ROOM_S = 0.1
+FAILURE_LOG_INTERVAL_S = 1.0
 STATUSES = {
     RefusalCause.HEAD_TOO_LARGE: (431, "Request Header Fields Too Large"),
     RefusalCause.HEAD_TIMEOUT: (408, "Request Timeout"),
@@ -37,6 +39,9 @@
 }
 
 
+log = structlog.get_logger()
+
+
 def silent_logger() -> logging.Logger:
     """Return a logger without output: a client must not cause lines without end."""
     logger = logging.getLogger("sesamepost.aiohttp")
@@ -69,6 +74,7 @@
         self.refusals = refusals or Refusals()
         self.check_timer: asyncio.TimerHandle | None = None
         self.no_room_until = 0.0
+        self.failure_logged_at = float("-inf")
 
     def __call__(self) -> BoundedConnection:
         """Return the protocol of a new connection."""
@@ -114,6 +120,7 @@
         return sorted(
             waiting,
             key=lambda connection: (
+                connection.has_work,
                 -counts[connection.client],
                 connection.phase is Phase.IDLE,
                 connection.waiting_since,
@@ -134,7 +141,7 @@
         now = self._loop.time()
         waiting_s = {c: c.waiting_s(now) for c in self.budget.large}
         large = [c for c in waiting_s if c.phase is not Phase.AT_WORK]
-        large.sort(key=lambda c: (c.is_held_back, -waiting_s[c]))
+        large.sort(key=lambda c: (c.has_work, c.is_held_back, -waiting_s[c]))
         for connection in large:
             if not self.budget.is_overrun:
                 return
@@ -147,6 +154,14 @@
         """Count a message that could not be parsed."""
         self.refusals.note(RefusalCause.MALFORMED, connection.client)
 
+    def note_failure(self, error: BaseException) -> None:
+        """Log that a handler failed, at most once in ``FAILURE_LOG_INTERVAL_S``."""
+        now = self._loop.time()
+        if now - self.failure_logged_at < FAILURE_LOG_INTERVAL_S:
+            return
+        self.failure_logged_at = now
+        log.error("request_handler_failed", exc_info=error)
+
     def _drop(self, connection: BoundedConnection, cause: RefusalCause) -> None:
         self.refusals.note(cause, connection.client, connection.phase.name)
         connection.abort()
--- a/src/sesamepost/internal/coordination/nodes.py
+++ b/src/sesamepost/internal/coordination/nodes.py
@@ -265,7 +265,8 @@
         """Remove the entry when the process stops and no longer holds any range."""
         if self.task is not None:
             self.task.cancel()
-        if self.lease:
+        # The number of a lease of a former era may belong to another node by now.
+        if self.lease and self.store.eras.is_current(self.lease):
             with suppress(StoreError):
                 await self.store.end_lease(self.lease)
 
--- a/tests/clients/test_server.py
+++ b/tests/clients/test_server.py
@@ -144,3 +144,54 @@
             refusals.note(RefusalCause.HEAD_TIMEOUT, "127.0.0.2")
     assert [line["client"] for line in lines] == ["127.0.0.1", "127.0.0.2"]
     assert refusals.counters == {"no_memory": 100, "head_timeout": 100}
+
+
+async def test_an_unfinished_head_behind_a_complete_request_is_counted():
+    # Guards against heads that use memory without limit behind a request that is whole.
+    release = asyncio.Event()
+
+    async def answer_later(request) -> web.Response:
+        await release.wait()
+        return web.Response(text="ok")
+
+    async with served(answer_later) as server:
+        reader, writer = await server.connect()
+        field = b"X: " + b"x" * 1000 + b"\r\n"
+        writer.write(GET + b"GET / HTTP/1.1\r\nHost: h\r\n" + field * 9)
+        await until(lambda: any(c.head_bytes > 9000 for c in server.connections))
+        _, other = await server.connect()
+        other.write(GET + b"GET / HTTP/1.1\r\nHost: h\r\n" + field * 60)
+        await until(lambda: server.refusals.counters[RefusalCause.HEAD_TOO_LARGE] == 1)
+        release.set()
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+
+
+async def test_a_request_behind_an_upgrade_is_never_refused_once_it_runs():
+    # Guards against 408, which promises that a request has not run, while it runs.
+    begun = asyncio.Event()
+
+    async def answer_slowly(request) -> web.Response:
+        if request.method == "POST":
+            begun.set()
+            await asyncio.sleep(2.0)
+        else:
+            await asyncio.sleep(0.2)
+        return web.Response(text="ok")
+
+    limits = RequestLimits(header_timeout_s=0.3, idle_timeout_s=60.0)
+    async with served(answer_slowly) as server:
+        server.limits = lambda: limits
+        reader, writer = await server.connect()
+        upgrade = b"Connection: Upgrade\r\nUpgrade: websocket\r\n"
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n" + upgrade + b"\r\n")
+        await asyncio.sleep(0.05)
+        writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+        async with asyncio.timeout(TIMEOUT_S):
+            await begun.wait()
+            received = b""
+            while received.count(b"HTTP/1.1") < 2:
+                data = await reader.read(1000)
+                if not data:
+                    break
+                received += data
+        assert received.count(b"HTTP/1.1 200") == 2
