--- a/src/sesamepost/internal/forwarding/ingress.py
+++ b/src/sesamepost/internal/forwarding/ingress.py
@@ -26,7 +26,8 @@
 from sesamepost.internal.clients.responses import PartwiseResponse
 from sesamepost.internal.clock import boottime
 from sesamepost.internal.dispatch.headers import forwarded_headers
-from sesamepost.internal.forwarding.forwarder import Call, Forwarder, Progress
+from sesamepost.internal.forwarding.calls import Call, Progress
+from sesamepost.internal.forwarding.forwarder import Forwarder
 from sesamepost.internal.forwarding.messages import NO_KEY
 from sesamepost.internal.forwarding.pipelining import PipelinedServer
 from sesamepost.internal.forwarding.protocol_names import HeaderNames
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -18,7 +18,8 @@
 )
 from sesamepost.internal.coordination.store import Item
 from sesamepost.internal.forwarding import forwarder as forwarder_module
-from sesamepost.internal.forwarding.forwarder import Call, Forwarder, Progress
+from sesamepost.internal.forwarding.calls import Call, Progress
+from sesamepost.internal.forwarding.forwarder import Forwarder
 from sesamepost.internal.forwarding.link_room import LinkFullError
 from sesamepost.internal.forwarding.loads import LoadTracker
 from sesamepost.internal.forwarding.messages import NO_KEY, Forward
--- a/tests/forwarding/test_ingress.py
+++ b/tests/forwarding/test_ingress.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sesamepost.errors import ErrorKind, RouterError
-from sesamepost.internal.forwarding.forwarder import Call, Progress
+from sesamepost.internal.forwarding.calls import Call, Progress
 from sesamepost.internal.forwarding.ingress import Ingress
 from sesamepost.internal.forwarding.messages import NO_KEY
 from sesamepost.internal.forwarding.routes import (
