Let senders measure the times of endpoints themselves again

Cause: with route times and failures in hints, all senders chose the same fast endpoints between two hints.

--- a/src/sesamepost/internal/forwarding/capacity.py
+++ b/src/sesamepost/internal/forwarding/capacity.py
@@ -99,10 +99,6 @@
         usual_s = self.usual_s.get(kind)
         return None if usual_s is None else usual_s * self.mean_slowness
 
-    def recent_kinds(self) -> Counter[str]:
-        """Return how many of the recent requests were of each kind."""
-        return Counter(sample.kind for sample in self.samples)
-
     def slowness_of(self, kind: str, time_s: float) -> float:
         """Return how slow a request of this time was, 1 for the usual time."""
         usual_s = self.usual_s.get(kind)
--- a/src/sesamepost/internal/forwarding/endpoint.py
+++ b/src/sesamepost/internal/forwarding/endpoint.py
@@ -44,8 +44,6 @@
 MIN_RETRIES_PER_S = 1.0
 # Factor on the mean time of a request: it must start that long before its deadline.
 START_MARGIN = 1.1
-# The times of this many kinds are sent along with a hint.
-HINTED_KINDS = 4
 # A request that takes this many times longer than expected, while others end in time,
 # is one that the endpoint has not taken.
 HANG_FACTOR = 5.0
@@ -162,10 +160,6 @@
             int(self.failure_share * 100),
             math.ceil(cold_s * 1000),
             int(self.cold.tolerated_per_s * 60) if cold_s else 0,
-            tuple(
-                (kind, math.ceil(time_s * 1000))
-                for kind, time_s in gate.expected_times(HINTED_KINDS)
-            ),
         )
 
     def busy(self) -> float:
--- a/src/sesamepost/internal/forwarding/forwarder.py
+++ b/src/sesamepost/internal/forwarding/forwarder.py
@@ -388,7 +388,9 @@
                 answer = await self._run_on_peer(node, request)
             progress.reached.add(node.vm)
             failed = answer.status >= 500
-            self.return_times.note_answer(self._pace_target(call), boottime())
+            ended = boottime()
+            self.return_times.note_answer(self._pace_target(call), ended)
+            self.loads.note_time(node.vm, call.route.name, ended - now, ended)
             return answer
         except RouterError as error:
             # A full link says nothing about requests on other routes.
--- a/src/sesamepost/internal/forwarding/gate.py
+++ b/src/sesamepost/internal/forwarding/gate.py
@@ -100,11 +100,6 @@
         time_s = self.speed.mean_time(kind)
         return self.recent_mean_s if time_s is None else time_s
 
-    def expected_times(self, count: int) -> list[tuple[str, float]]:
-        """Return the expected times of the kinds with most recent requests."""
-        kinds = self.speed.recent_kinds().most_common(count)
-        return [(kind, self.expected_time(kind)) for kind, _ in kinds]
-
     def submit(self, waiting: QueuedRequest, now: float) -> ErrorKind | None:
         """Start or queue a request; return the reason if it is refused, or None.
 
--- a/src/sesamepost/internal/forwarding/loads.py
+++ b/src/sesamepost/internal/forwarding/loads.py
@@ -6,7 +6,6 @@
 from enum import IntEnum
 
 from sesamepost.internal.coordination.nodes import NodeEntry
-from sesamepost.internal.forwarding.capacity import MAX_KINDS
 from sesamepost.internal.forwarding.cold import ColdShare
 from sesamepost.internal.forwarding.messages import LoadHint
 
@@ -21,10 +20,10 @@
 # After this time a hint is ignored and the endpoint is assumed to have free slots.
 MAX_HINT_AGE_S = 3.0
 DEFAULT_MEAN_S = 0.1
-# Times of an endpoint that are older than this are ignored, so that it is tried again.
-MAX_TIMES_AGE_S = 6.0
-# Weight of the newest hint in the usual time of a route.
-TYPICAL_WEIGHT = 0.05
+# An endpoint that was not tried for this long is assumed to be fast.
+MAX_RESPONSE_TIME_AGE_S = 6.0
+DEFAULT_RESPONSE_TIME_S = 0.02
+TIME_WEIGHT = 0.15
 # Keeps small differences from directing all nodes to the same endpoint.
 JITTER_S = 0.01
 UNREACHABLE_BACKOFF_S = 0.4
@@ -46,6 +45,14 @@
 }
 
 
+@dataclass(slots=True)
+class RouteTime:
+    """The mean time of one route's requests at an endpoint, measured at this node."""
+
+    mean_s: float
+    updated_at: float
+
+
 @dataclass(slots=True)
 class EndpointLoad:
     """The newest hint of one endpoint and the requests of this node to it."""
@@ -57,7 +64,7 @@
     last_failure_share: float = 0.0
     failures_updated_at: float = 0.0
     unreachable_until: float = 0.0
-    times_ms: dict[str, int] = field(default_factory=dict)
+    times: dict[str, RouteTime] = field(default_factory=dict)
     cold: ColdShare = field(default_factory=ColdShare)
 
     def age_text(self, now: float) -> str:
@@ -67,16 +74,10 @@
         return f"{int((now - self.hint_at) * 1000)}ms"
 
     def failure_share(self, now: float) -> float:
-        """Return the share of recent failures, which decays over time.
-
-        It is what this node saw, or what the endpoint's node saw of all senders.
-        """
-        own = self.last_failure_share * 0.5 ** (
+        """Return the share of recent failures, which decays over time."""
+        return self.last_failure_share * 0.5 ** (
             (now - self.failures_updated_at) / FAILURE_HALF_LIFE_S
         )
-        if self.hint is None or now - self.hint_at > MAX_HINT_AGE_S:
-            return own
-        return max(own, self.hint.failed_percent / 100)
 
     def expected_wait_s(self, slots: int, now: float) -> float:
         """Return the expected queueing time of a request sent now."""
@@ -91,14 +92,24 @@
         wait_s = max(0, ahead + 1 - slots) * mean_s / slots
         return max(wait_s, self.cold.wait_s(now))
 
-    def time_of(self, route: str, now: float) -> float | None:
-        """Return the time of a request without its time in the queue, None if unknown.
+    def time_of(self, route: str, now: float) -> float:
+        """Return the expected time of a request, without its time in the queue.
 
-        The endpoint's node measured it.
+        Old measurements are ignored, so that a slow endpoint is tried again.
         """
-        if now - self.hint_at > MAX_TIMES_AGE_S or route not in self.times_ms:
-            return None
-        return self.times_ms[route] / 1000
+        recorded = self.times.get(route)
+        if recorded is None or now - recorded.updated_at > MAX_RESPONSE_TIME_AGE_S:
+            return DEFAULT_RESPONSE_TIME_S
+        return recorded.mean_s
+
+    def note_time(self, route: str, time_s: float, now: float) -> None:
+        """Record the time of an answered request."""
+        recorded = self.times.get(route)
+        if recorded is None or now - recorded.updated_at > MAX_RESPONSE_TIME_AGE_S:
+            self.times[route] = RouteTime(time_s, now)
+            return
+        recorded.mean_s += TIME_WEIGHT * (time_s - recorded.mean_s)
+        recorded.updated_at = now
 
 
 class LoadTracker:
@@ -108,8 +119,6 @@
         self.failure_domain = failure_domain
         self.region = region
         self.loads: dict[str, EndpointLoad] = {}
-        # The times of routes over all endpoints, for endpoints without a hint.
-        self.typical_s: dict[str, float] = {}
         # How many nodes share the rate of a cold endpoint.
         self.senders = 1
 
@@ -130,7 +139,6 @@
         load.hint = hint
         load.hint_at = now
         load.sent_since = 0
-        self._note_times(load, hint)
         self.note_cold(vm, hint.cold_ms / 1000, hint.cold_per_min / 60, now)
 
     def note_cold(
@@ -151,15 +159,9 @@
         load.sent_since += 1
         load.outstanding += 1
 
-    def _note_times(self, load: EndpointLoad, hint: LoadHint) -> None:
-        load.times_ms = dict(hint.times)
-        for route, time_ms in hint.times:
-            time_s = time_ms / 1000
-            if route not in self.typical_s and len(self.typical_s) >= MAX_KINDS:
-                self.typical_s.clear()
-            typical_s = self.typical_s.get(route, time_s)
-            typical_s += TYPICAL_WEIGHT * (time_s - typical_s)
-            self.typical_s[route] = typical_s
+    def note_time(self, vm: str, route: str, time_s: float, now: float) -> None:
+        """Record the time of an answered request on ``route``."""
+        self.load_of(vm).note_time(route, time_s, now)
 
     def note_done(self, vm: str, failed: bool, now: float) -> None:
         """Count the end of a request."""
@@ -220,10 +222,7 @@
             if wait_s > max_wait_s:
                 continue
             distance = self._distance(node)
-            own_s = load.time_of(route, now)
-            if own_s is None:
-                own_s = self.typical_s.get(route, 0.0)
-            time_s = wait_s + own_s + 2 * DELAY_S[distance]
+            time_s = wait_s + load.time_of(route, now) + 2 * DELAY_S[distance]
             time_s += load.failure_share(now) * FAILURE_PENALTY_S
             meets_target = time_s <= target_latency_s * TARGET_LATENCY_SHARE
             rank = (
--- a/src/sesamepost/internal/forwarding/messages.py
+++ b/src/sesamepost/internal/forwarding/messages.py
@@ -37,8 +37,7 @@
     ``mean_ms`` is the mean time of a request at the endpoint, ``busy_percent`` the
     recent usage of its capacity and ``failed_percent`` the recent share of failures.
     ``slots`` is how many requests at once the endpoint takes well at present, and
-    ``times`` has pairs of a route and the expected milliseconds of its requests. The
-    endpoint stays cold for ``cold_ms`` and takes ``cold_per_min`` requests a minute
+    The endpoint stays cold for ``cold_ms`` and takes ``cold_per_min`` requests a minute
     until then.
     """
 
@@ -51,7 +50,6 @@
     failed_percent: int
     cold_ms: int = 0
     cold_per_min: int = 0
-    times: tuple = ()
 
 
 @message(98)
