--- a/src/sesamepost/internal/clients/limits.py
+++ b/src/sesamepost/internal/clients/limits.py
@@ -13,7 +13,7 @@
 # The part of the memory that connections without requests may use, and the part for the
 # requests and answers on them.
 CONNECTIONS_MEMORY_DIVISOR = 10
-REQUESTS_MEMORY_DIVISOR = 5
+REQUESTS_MEMORY_DIVISOR = 6
 # The largest body, of 8 MiB, with its copies.
 MIN_REQUEST_BYTES = 32 << 20
 
