--- a/src/sesamepost/internal/coordination/era_record.py
+++ b/src/sesamepost/internal/coordination/era_record.py
@@ -7,7 +7,6 @@
 """
 
 import random
-from zlib import crc32
 
 import structlog
 
@@ -30,8 +29,6 @@
 CHECK_INTERVAL_S = 0.5
 # Nodes write one after the other, so that usually only the first one does.
 TURN_DELAY_S = 0.3
-# Ranges wait until the era is open, and holds last only some seconds.
-MAX_TURN_DELAY_S = 1.5
 # Of nodes that are not in the store yet, so that not all of a new fleet write at once.
 MAX_FIRST_DELAY_S = 1.0
 # Keys of former eras that one transaction removes; each era has two.
@@ -161,9 +158,7 @@
 
     def _turn_delay_s(self) -> float:
         """Return how long this node leaves the write to others."""
-        if self.vm not in self.nodes.nodes:
-            return random.uniform(0.0, MAX_FIRST_DELAY_S)
-        era = self.mirror.store.eras.newest
-        # VMs that are lost together are next to each other by name.
-        in_turn = sorted(self.nodes.nodes, key=lambda vm: crc32(f"{era} {vm}".encode()))
-        return min(in_turn.index(self.vm) * TURN_DELAY_S, MAX_TURN_DELAY_S)
+        names = sorted(self.nodes.nodes)
+        if self.vm in names:
+            return names.index(self.vm) * TURN_DELAY_S
+        return random.uniform(0.0, MAX_FIRST_DELAY_S)
