--- /dev/null
+++ b/review/common_2/__init__.py
@@ -0,0 +1,1 @@
+"""What the scripts of the second review share."""
--- /dev/null
+++ b/review/common_2/case.py
@@ -0,0 +1,56 @@
+"""Runs a case: starts a small fleet, writes its record and sets the exit code."""
+
+import asyncio
+import os
+import sys
+import tempfile
+import time
+import traceback
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+KEPT, BROKEN, NOT_RUN = 0, 1, 2
+MAX_RUN_S = 110.0
+
+
+class Recorder:
+    """Lines with the seconds since the start, for ``record.txt``."""
+
+    def __init__(self) -> None:
+        self.started_at = time.monotonic()
+        self.lines: list[str] = []
+
+    def note(self, text: str) -> None:
+        """Append a line with the present time."""
+        self.lines.append(f"{time.monotonic() - self.started_at:8.3f}  {text}")
+
+
+def has_trouble() -> bool:
+    """Return whether the disruption takes place."""
+    return os.environ.get("TROUBLE", "1") != "0"
+
+
+def run_case(
+    folder: Path, play: Callable[[Path, Recorder], Awaitable[list[str]]]
+) -> None:
+    """Play a case and exit; ``play`` returns what has broken the rule."""
+    recorder = Recorder()
+    recorder.note(f"trouble: {has_trouble()}")
+    try:
+        with tempfile.TemporaryDirectory() as path:
+            problems = asyncio.run(
+                asyncio.wait_for(play(Path(path), recorder), MAX_RUN_S)
+            )
+    except Exception:
+        recorder.note(f"the case could not run:\n{traceback.format_exc(limit=-3)}")
+        code = NOT_RUN
+    else:
+        for problem in problems:
+            recorder.note(f"BROKEN: {problem}")
+        code = BROKEN if problems else KEPT
+    recorder.note(f"exit code {code}")
+    root = str(Path(__file__).parents[2]) + "/"
+    text = "\n".join(recorder.lines).replace(root, "") + "\n"
+    (folder / "record.txt").write_text(text)
+    print(text, end="")
+    sys.exit(code)
