--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,10 @@
 #!/usr/bin/env bash
-# Builds what the scripts of the second review start: the libraries of the deploy file.
-# The stand-ins are Python modules of this repository and need no build of their own.
+# Run this after the build of the deploy file. The stand-ins that the scripts of the second
+# review start are Python modules of this repository: they are compiled and imported here.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-eval "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)"
-PYTHONPATH=target/deps:src:. python3 -c "import review.common_2.case, tests.platform.fleet"
+export PYTHONPATH=target/deps:src:.
+python3 -m compileall -q tests/platform review/common_2 review/6 review/7 review/8 \
+  review/9 review/10
+python3 -c "import review.common_2.case, tests.platform.fleet"
+echo "the stand-ins can be imported"
