--- a/review/common_2/case.py
+++ b/review/common_2/case.py
@@ -6,9 +6,12 @@
 import tempfile
 import time
 import traceback
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from pathlib import Path
 
+from tests.platform.fleet import Fleet
+
 KEPT, BROKEN, NOT_RUN = 0, 1, 2
 MAX_RUN_S = 110.0
 
@@ -30,6 +33,16 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+@asynccontextmanager
+async def running(fleet: Fleet) -> AsyncIterator[Fleet]:
+    """Start a fleet, and end its processes even if the start fails."""
+    try:
+        await fleet.__aenter__()
+        yield fleet
+    finally:
+        await fleet.__aexit__()
+
+
 def run_case(
     folder: Path, play: Callable[[Path, Recorder], Awaitable[list[str]]]
 ) -> None:
