--- a/review/common_2/case.py
+++ b/review/common_2/case.py
@@ -1,7 +1,6 @@
 """Runs a case: starts a small fleet, writes its record and sets the exit code."""
 
 import asyncio
-import os
 import sys
 import tempfile
 import time
@@ -28,11 +27,6 @@
         self.lines.append(f"{time.monotonic() - self.started_at:8.3f}  {text}")
 
 
-def has_trouble() -> bool:
-    """Return whether the disruption takes place."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 @asynccontextmanager
 async def running(fleet: Fleet) -> AsyncIterator[Fleet]:
     """Start a fleet, and end its processes even if the start fails."""
@@ -44,11 +38,16 @@
 
 
 def run_case(
-    folder: Path, play: Callable[[Path, Recorder], Awaitable[list[str]]]
+    record: Path,
+    has_trouble: bool,
+    play: Callable[[Path, Recorder], Awaitable[list[str]]],
 ) -> None:
-    """Play a case and exit; ``play`` returns what has broken the rule."""
+    """Play a case, write its record and exit.
+
+    ``play`` returns what has broken the rule.
+    """
     recorder = Recorder()
-    recorder.note(f"trouble: {has_trouble()}")
+    recorder.note(f"trouble: {has_trouble}")
     try:
         with tempfile.TemporaryDirectory() as path:
             problems = asyncio.run(
@@ -64,6 +63,6 @@
     recorder.note(f"exit code {code}")
     root = str(Path(__file__).parents[2]) + "/"
     text = "\n".join(recorder.lines).replace(root, "") + "\n"
-    (folder / "record.txt").write_text(text)
+    record.write_text(text)
     print(text, end="")
     sys.exit(code)
